--- /dev/null
+++ b/crates/blocks/src/cut.rs
@@ -0,0 +1,59 @@
+//! Cutting a prompt into blocks. A token is taken as four bytes and a block as sixteen tokens; only
+//! whole blocks are named, and each name covers all that came before it.
+
+use crate::prelude::*;
+
+pub const TOKEN_BYTES: usize = 4;
+pub const BLOCK_TOKENS: usize = 16;
+pub const BLOCK_BYTES: usize = TOKEN_BYTES * BLOCK_TOKENS;
+
+/// What every block name is chained from; also what engines get as `cache_salt`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Salt(pub String);
+
+impl Salt {
+    pub fn of(model: &ModelName, weights: WeightsEdition, wall: WallId, wall_edition: WallEdition) -> Salt {
+        let numbers = [weights.0.to_le_bytes(), wall.0.to_le_bytes(), wall_edition.0.to_le_bytes()];
+        let salt_hash = BlockHash::over(&[b"salt", model.as_str().as_bytes(), &numbers[0], &numbers[1], &numbers[2]]);
+        Salt(format!("w{weights}.{salt_hash}"))
+    }
+}
+
+/// The names of a prompt's whole blocks, first to last.
+pub fn cut(salt: &Salt, prompt: &[u8]) -> Vec<BlockHash> {
+    let mut parent_hash = BlockHash::over(&[b"root", salt.0.as_bytes()]);
+    prompt
+        .chunks_exact(BLOCK_BYTES)
+        .map(|block_text| {
+            parent_hash = BlockHash::over(&[&parent_hash.0.to_le_bytes(), block_text]);
+            parent_hash
+        })
+        .collect()
+}
+
+/// Blocks a prompt takes up, the last, partial one included.
+pub fn blocks_of(prompt_bytes: usize) -> BlockCount {
+    BlockCount(prompt_bytes.div_ceil(BLOCK_BYTES) as u64)
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    #[test]
+    fn any_part_of_the_salt_changes_every_name() {
+        let prompt = [b'x'; 3 * BLOCK_BYTES + 5];
+        let base_names = cut(&Salt::of(&"m".into(), WeightsEdition(1), WallId(0), WallEdition(0)), &prompt);
+        assert_eq!(base_names.len(), 3);
+        let other_salts = [
+            Salt::of(&"n".into(), WeightsEdition(1), WallId(0), WallEdition(0)),
+            Salt::of(&"m".into(), WeightsEdition(2), WallId(0), WallEdition(0)),
+            Salt::of(&"m".into(), WeightsEdition(1), WallId(1), WallEdition(0)),
+            Salt::of(&"m".into(), WeightsEdition(1), WallId(0), WallEdition(1)),
+        ];
+        for other_salt in other_salts {
+            let other_names = cut(&other_salt, &prompt);
+            assert!(other_names.iter().all(|name| !base_names.contains(name)), "{other_salt:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/desired/src/lib.rs
@@ -0,0 +1,11 @@
+//! The desired state: what operators say, read by hand from `tinyjson` values and checked with every
+//! fault listed by its path; and the numbered fleet state it is part of. Each record of the chain is
+//! a `Command`; applying the same commands in the same order gives the same fleet state on every
+//! keeper and in every router.
+
+pub mod prelude;
+
+mod document;
+mod fleet;
+mod read;
+mod scan;
--- /dev/null
+++ b/crates/desired/src/prelude.rs
@@ -0,0 +1,12 @@
+//! The one import of this package's files.
+
+pub use crate::document::*;
+pub use crate::fleet::*;
+pub use crate::read::*;
+pub use crate::scan::*;
+pub use policy::prelude::{Band, Policy, Rule, Table};
+pub(crate) use serde::{Deserialize, Serialize};
+pub(crate) use std::collections::{BTreeMap, BTreeSet, VecDeque};
+pub(crate) use std::fmt;
+pub use tinyjson::JsonValue;
+pub(crate) use units::prelude::*;
--- /dev/null
+++ b/crates/units/src/names.rs
@@ -0,0 +1,26 @@
+//! Names that operators and the platform give: tenants, keys, models, engines, zones.
+
+use crate::prelude::*;
+
+macro_rules! name_type {
+    ($($kind:ident),*) => {$(
+        #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        pub struct $kind(pub String);
+        impl $kind {
+            pub fn as_str(&self) -> &str { &self.0 }
+        }
+        impl From<&str> for $kind {
+            fn from(text: &str) -> Self { $kind(text.to_owned()) }
+        }
+        impl fmt::Display for $kind {
+            fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result { out.write_str(&self.0) }
+        }
+    )*};
+}
+
+name_type!(TenantName, KeyName, ModelName, EngineName, Zone);
+
+/// Whether a text may serve as a name: 1 to 64 of letters, digits, `-`, `_`, `.`.
+pub fn is_name(text: &str) -> bool {
+    (1..=64).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte))
+}
--- /dev/null
+++ b/crates/units/src/prelude.rs
@@ -0,0 +1,10 @@
+//! The one import of this package's files, and of others that want all its types.
+
+pub use crate::clock::*;
+pub use crate::hash::*;
+pub use crate::names::*;
+pub use crate::numbers::*;
+pub(crate) use serde::{Deserialize, Serialize};
+pub(crate) use sha2::{Digest, Sha256};
+pub(crate) use std::fmt;
+pub(crate) use std::str::FromStr;
