--- /dev/null
+++ b/crates/chain/src/messages.rs
@@ -0,0 +1,44 @@
+//! What chain members say to each other.
+
+use crate::prelude::*;
+
+/// A place in a log: equal marks mean equal logs up to there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Mark {
+    pub edition: Edition,
+    pub view: ViewNumber,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    pub mark: Mark,
+    pub submission: Submission,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ChainMessage {
+    /// New records for the member after the sender.
+    Append {
+        view: ViewNumber,
+        previous: Mark,
+        records: Vec<Record>,
+    },
+    /// "My log ends here; bring me level." The nonce ties the answer to this asking.
+    Have {
+        view: ViewNumber,
+        last: Mark,
+        nonce: u64,
+    },
+    Level {
+        view: ViewNumber,
+        nonce: u64,
+        previous: Mark,
+        records: Vec<Record>,
+    },
+    Snapshot {
+        view: ViewNumber,
+        nonce: u64,
+        mark: Mark,
+        state: Box<FleetState>,
+    },
+}
--- /dev/null
+++ b/crates/contract/src/engines.rs
@@ -0,0 +1,141 @@
+//! Engines: completions, kept-memory events, orders, state.
+
+use crate::prelude::*;
+
+pub const SHOT_HEADER: &str = "x-haremount-shot";
+pub const WEIGHTS_HEADER: &str = "x-haremount-weights";
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EngineRequest {
+    pub model: String,
+    pub prompt: String,
+    pub max_tokens: u64,
+    pub stream: bool,
+    pub cache_salt: String,
+}
+
+/// One streamed piece, or with `finish_reason` set the last; also the shape of a whole answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Completion {
+    pub id: String,
+    pub object: String,
+    pub model: String,
+    pub choices: Vec<Choice>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usage: Option<Usage>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Choice {
+    pub index: u64,
+    pub text: String,
+    pub finish_reason: Option<String>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Usage {
+    pub prompt_tokens: u64,
+    pub completion_tokens: u64,
+    /// Prompt tokens served from kept memory.
+    pub cached_tokens: u64,
+}
+
+pub const STREAM_END: &str = "[DONE]";
+
+/// A batch of numbered events.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EventBatch {
+    pub boot: String,
+    /// The number of the first event in the batch.
+    pub first: u64,
+    pub events: Vec<EngineEvent>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "type")]
+pub enum EngineEvent {
+    BlockStored { block_hashes: Vec<String> },
+    BlockRemoved { block_hashes: Vec<String> },
+    AllBlocksCleared,
+}
+
+impl EngineEvent {
+    pub fn of(event: &KeptEvent) -> EngineEvent {
+        match event {
+            KeptEvent::Stored(names) => EngineEvent::BlockStored { block_hashes: write_hashes(names) },
+            KeptEvent::Removed(names) => EngineEvent::BlockRemoved { block_hashes: write_hashes(names) },
+            KeptEvent::AllCleared => EngineEvent::AllBlocksCleared,
+        }
+    }
+
+    pub fn read(&self) -> Option<KeptEvent> {
+        match self {
+            EngineEvent::BlockStored { block_hashes } => read_hashes(block_hashes).map(KeptEvent::Stored),
+            EngineEvent::BlockRemoved { block_hashes } => read_hashes(block_hashes).map(KeptEvent::Removed),
+            EngineEvent::AllBlocksCleared => Some(KeptEvent::AllCleared),
+        }
+    }
+}
+
+pub fn write_hashes(names: &[BlockHash]) -> Vec<String> {
+    names.iter().map(BlockHash::to_string).collect()
+}
+
+pub fn read_hashes(texts: &[String]) -> Option<Vec<BlockHash>> {
+    texts.iter().map(|text| text.parse().ok()).collect()
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KeptSnapshot {
+    pub boot: String,
+    /// The number of the first event after this snapshot.
+    pub next: u64,
+    pub block_hashes: Vec<String>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EngineState {
+    pub boot: String,
+    pub model: String,
+    pub weights: u64,
+    pub running: u64,
+    pub accepting: bool,
+    pub highest_term: u64,
+}
+
+/// An order of the conductor; an engine refuses a term lower than the highest it has seen.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EngineOrder {
+    pub term: u64,
+    pub holder: String,
+    #[serde(flatten)]
+    pub wish: OrderWish,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "order", rename_all = "snake_case")]
+pub enum OrderWish {
+    Drain,
+    Open,
+    LoadWeights { weights: u64 },
+}
+
+/// One start, as an engine logs it for whoever judges a run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StartLine {
+    pub at: u64,
+    pub boot_at: u64,
+    pub shot: String,
+    pub salt: String,
+    pub weights: u64,
+    pub asked_weights: u64,
+    pub prompt_blocks: u64,
+    pub cached_blocks: u64,
+}
+
+/// What the stand-in engine says as piece `place` of a run: any reader can tell whether a piece
+/// belongs to this prompt, this shot and this place.
+pub fn stand_in_piece(prompt: &str, shot: &str, place: u64) -> String {
+    let piece_hash = BlockHash::over(&[b"piece", prompt.as_bytes(), shot.as_bytes(), &place.to_le_bytes()]);
+    format!("{:06x} ", piece_hash.0 & 0xff_ffff)
+}
--- /dev/null
+++ b/crates/contract/src/prelude.rs
@@ -0,0 +1,8 @@
+//! The one import of this package's files.
+
+pub use crate::engines::*;
+pub use crate::listing::*;
+pub use crate::requests::*;
+pub(crate) use blocks::prelude::KeptEvent;
+pub(crate) use serde::{Deserialize, Serialize};
+pub(crate) use units::prelude::*;
--- /dev/null
+++ b/crates/courier/src/lib.rs
@@ -0,0 +1,7 @@
+//! The agent's mind, as a pure machine. It keeps one stream to the core, finds the tail by the views
+//! it is told, renews the node's lease while its router lives, and passes pushes and the lease on. A
+//! lease is passed only to the router life it was asked for.
+
+pub mod prelude;
+
+mod mind;
--- /dev/null
+++ b/crates/courier/src/mind.rs
@@ -0,0 +1,249 @@
+//! The machine: inputs from the core, from the router and from the pulse.
+
+use crate::prelude::*;
+
+pub const RENEW_SPAN: Span = Span::millis(400);
+const EAGER_SPAN: Span = Span::millis(100);
+const SILENCE_LIMIT: Span = Span::millis(1200);
+const BEHIND_LIMIT: Span = Span::millis(900);
+const DIAL_SPAN: Span = Span::millis(250);
+
+/// The router to its agent, over loopback.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RouterUp {
+    Applied { edition: Edition },
+}
+
+/// The agent to its router, over loopback.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RouterDown {
+    Snapshot(Box<FleetState>),
+    Push { number: Edition, submission: Submission },
+    Lease { until: Instant },
+}
+
+#[derive(Clone, Debug)]
+pub enum CourierInput {
+    Pulse,
+    CoreUp,
+    CoreDown,
+    Core(NodeDown),
+    RouterUp,
+    RouterDown,
+    Router(RouterUp),
+    Seeds(Vec<String>),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum CourierEffect {
+    /// Drop the stream to the core, if there is one, and dial this address.
+    Dial(String),
+    SayCore(NodeUp),
+    SayRouter(RouterDown),
+    Note {
+        event: &'static str,
+        detail: String,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CoreStream {
+    Down,
+    Dialling { since: Instant },
+    Up,
+}
+
+#[derive(Clone, Debug)]
+struct RouterPlace {
+    life: u64,
+    applied: Option<Edition>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Courier {
+    seeds: Vec<String>,
+    view: View,
+    core: CoreStream,
+    target: String,
+    next_dial: Instant,
+    dial_count: usize,
+    last_heard: Instant,
+    last_renewed: Instant,
+    behind_since: Option<Instant>,
+    router: Option<RouterPlace>,
+    lives: u64,
+    lease_until: Instant,
+    plan: Vec<CourierEffect>,
+}
+
+impl Courier {
+    pub fn new(seeds: Vec<String>, spread: usize) -> Courier {
+        Courier {
+            seeds,
+            view: View::default(),
+            core: CoreStream::Down,
+            target: String::new(),
+            next_dial: Instant(0),
+            dial_count: spread,
+            last_heard: Instant(0),
+            last_renewed: Instant(0),
+            behind_since: None,
+            router: None,
+            lives: 0,
+            lease_until: Instant(0),
+            plan: Vec::new(),
+        }
+    }
+
+    pub fn fleet(&self) -> FleetId {
+        self.view.fleet
+    }
+
+    pub fn lease_until(&self) -> Instant {
+        self.lease_until
+    }
+
+    pub fn step(&mut self, input: CourierInput, now: Instant) -> Vec<CourierEffect> {
+        match input {
+            CourierInput::Pulse => self.pulse(now),
+            CourierInput::CoreUp => {
+                self.core = CoreStream::Up;
+                self.last_heard = now;
+                self.behind_since = None;
+                self.renew(now);
+            }
+            CourierInput::CoreDown => self.core = CoreStream::Down,
+            CourierInput::Core(message) => {
+                if self.core == CoreStream::Up {
+                    self.last_heard = now;
+                    self.hear_core(message, now);
+                }
+            }
+            CourierInput::RouterUp => {
+                self.lives += 1;
+                self.router = Some(RouterPlace { life: self.lives, applied: None });
+                self.renew(now);
+            }
+            CourierInput::RouterDown => self.router = None,
+            CourierInput::Router(RouterUp::Applied { edition }) => {
+                let Some(router) = self.router.as_mut() else { return Vec::new() };
+                let is_first = router.applied.is_none();
+                router.applied = Some(edition);
+                self.say_core(NodeUp::Applied { edition });
+                if is_first {
+                    self.renew(now);
+                }
+            }
+            CourierInput::Seeds(seeds) => self.seeds = seeds,
+        }
+        std::mem::take(&mut self.plan)
+    }
+
+    fn say_core(&mut self, message: NodeUp) {
+        if self.core == CoreStream::Up {
+            self.plan.push(CourierEffect::SayCore(message));
+        }
+    }
+
+    fn renew(&mut self, now: Instant) {
+        let Some(router) = &self.router else { return };
+        let renewal = NodeUp::Renew { sent: now, applied: router.applied, life: router.life };
+        self.last_renewed = now;
+        self.say_core(renewal);
+    }
+
+    fn pulse(&mut self, now: Instant) {
+        match self.core {
+            CoreStream::Up => {
+                let silent_too_long = self.router.is_some() && now.since(self.last_heard) >= SILENCE_LIMIT;
+                let behind_too_long = self.behind_since.is_some_and(|since| now.since(since) >= BEHIND_LIMIT);
+                if silent_too_long || behind_too_long {
+                    self.dial_another(now);
+                    return;
+                }
+                let is_leased = now + RENEW_SPAN < self.lease_until;
+                let span = if is_leased { RENEW_SPAN } else { EAGER_SPAN };
+                if now.since(self.last_renewed) >= span {
+                    self.renew(now);
+                }
+            }
+            CoreStream::Down => self.dial_another(now),
+            CoreStream::Dialling { since } => {
+                if now.since(since) >= SILENCE_LIMIT {
+                    self.dial_another(now);
+                }
+            }
+        }
+    }
+
+    /// The tail first, then everybody in turn.
+    fn dial_another(&mut self, now: Instant) {
+        if now < self.next_dial {
+            return;
+        }
+        let mut addresses: Vec<String> = self.view.members.iter().map(|member| member.address.clone()).collect();
+        addresses.extend(self.seeds.iter().cloned());
+        addresses.dedup();
+        if addresses.is_empty() {
+            return;
+        }
+        let next_address = addresses[self.dial_count % addresses.len()].clone();
+        self.dial_count += 1;
+        self.dial(next_address, now);
+    }
+
+    fn dial(&mut self, address: String, now: Instant) {
+        self.next_dial = now + DIAL_SPAN;
+        self.core = CoreStream::Dialling { since: now };
+        self.behind_since = None;
+        self.target = address.clone();
+        self.plan.push(CourierEffect::Dial(address));
+    }
+
+    fn hear_core(&mut self, message: NodeDown, now: Instant) {
+        match message {
+            NodeDown::Whereabouts(view) => self.hear_whereabouts(view, now),
+            NodeDown::Granted { sent, span, life } => {
+                self.behind_since = None;
+                let asked_for_this_life = self.router.as_ref().is_some_and(|router| router.life == life);
+                if asked_for_this_life {
+                    self.lease_until = self.lease_until.max(sent + span);
+                    self.plan.push(CourierEffect::SayRouter(RouterDown::Lease { until: sent + span }));
+                }
+            }
+            NodeDown::Behind => {
+                let has_applied = self.router.as_ref().is_some_and(|router| router.applied.is_some());
+                if has_applied {
+                    self.behind_since.get_or_insert(now);
+                }
+            }
+            NodeDown::Snapshot(state) => self.plan.push(CourierEffect::SayRouter(RouterDown::Snapshot(state))),
+            NodeDown::Push { number, submission } => {
+                self.plan.push(CourierEffect::SayRouter(RouterDown::Push { number, submission }));
+            }
+        }
+    }
+
+    fn hear_whereabouts(&mut self, view: View, now: Instant) {
+        let other_fleet = self.view.fleet != FleetId(0) && view.fleet != FleetId(0) && view.fleet != self.view.fleet;
+        if other_fleet {
+            let detail = format!("theirs={} ours={}", view.fleet, self.view.fleet);
+            self.plan.push(CourierEffect::Note { event: "wrong_fleet", detail });
+            self.dial_another(now);
+            return;
+        }
+        if view.number >= self.view.number {
+            self.view = view;
+        }
+        let tail_address = self
+            .view
+            .tail()
+            .and_then(|tail| self.view.member(tail))
+            .map(|member| member.address.clone())
+            .unwrap_or_default();
+        if tail_address.is_empty() || tail_address == self.target || now < self.next_dial {
+            return;
+        }
+        self.dial(tail_address, now);
+    }
+}
--- a/crates/desired/src/fleet.rs
+++ b/crates/desired/src/fleet.rs
@@ -92,6 +92,17 @@
     },
 }
 
+impl Command {
+    /// The size of the operators' text in it, for bounds on what is kept.
+    pub fn text_bytes(&self) -> usize {
+        match self {
+            Command::Replace { text, .. } => text.len(),
+            Command::Merge { patch, .. } => patch.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// One record of the chain: who asked, and for what.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Submission {
--- /dev/null
+++ b/crates/engine/src/site.rs
@@ -0,0 +1,373 @@
+//! The engine's pages.
+
+use crate::prelude::*;
+
+/// Faults that a test or yard may ask for.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Cut the next streams after so many pieces.
+    pub cut_after: Option<u64>,
+    /// Answer with another shot's id.
+    pub wrong_shot: bool,
+    /// Hold back events: polls answer nothing new.
+    pub hide_events: bool,
+    /// Answer every request with 500.
+    pub refuse: bool,
+}
+
+struct Weights {
+    edition: u64,
+    accepting: bool,
+    highest_term: u64,
+}
+
+pub struct EngineSite {
+    name: String,
+    model: String,
+    load_time: Duration,
+    memory: Mutex<Memory>,
+    news: tokio::sync::watch::Sender<u64>,
+    weights: Mutex<Weights>,
+    pace: Pace,
+    running: AtomicU64,
+    waiting: AtomicU64,
+    starts: Mutex<Option<std::fs::File>>,
+    faults: Mutex<Faults>,
+    stopping: AtomicBool,
+    stop_notice: tokio::sync::Notify,
+}
+
+struct Counted<'a>(&'a AtomicU64);
+
+impl<'a> Counted<'a> {
+    fn new(counter: &'a AtomicU64) -> Counted<'a> {
+        counter.fetch_add(1, Ordering::SeqCst);
+        Counted(counter)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn held<T>(lock: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    lock.lock().expect("no holder of this lock panics")
+}
+
+impl EngineSite {
+    pub fn new(settings: &Settings) -> Result<EngineSite, Report> {
+        let starts = match settings.maybe("starts") {
+            Some(path) => {
+                let opened = std::fs::OpenOptions::new().create(true).append(true).open(path);
+                Some(opened.map_err(|fault| miette!("starts: {path}: {fault}"))?)
+            }
+            None => None,
+        };
+        let boot = Incarnation::random().to_string();
+        Ok(EngineSite {
+            name: settings.text("name")?.to_owned(),
+            model: settings.text("model")?.to_owned(),
+            load_time: settings.millis("load_ms")?.as_duration(),
+            memory: Mutex::new(Memory::new(boot, settings.whole("blocks")? as usize)),
+            news: tokio::sync::watch::channel(0).0,
+            weights: Mutex::new(Weights { edition: settings.whole("weights")?, accepting: true, highest_term: 0 }),
+            pace: Pace::new(settings.whole("prefill_us")?, settings.whole("decode_us")?),
+            running: AtomicU64::new(0),
+            waiting: AtomicU64::new(0),
+            starts: Mutex::new(starts),
+            faults: Mutex::new(Faults::default()),
+            stopping: AtomicBool::new(false),
+            stop_notice: tokio::sync::Notify::new(),
+        })
+    }
+
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        held(&self.weights).accepting = false;
+        self.stop_notice.notify_one();
+    }
+
+    /// Resolves once a stop was asked for and nothing runs any more, within ten seconds.
+    pub async fn stopped(&self) {
+        self.stop_notice.notified().await;
+        for _ in 0..200 {
+            if self.running.load(Ordering::SeqCst) == 0 {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    async fn route(self: Arc<Self>, mut asked: Asked) -> Answered {
+        let (method, segments) = asked.way();
+        match (method.as_str(), segments.as_slice()) {
+            ("POST", ["v1", "completions"]) => self.complete(asked).await,
+            ("GET", ["v1", "kept", "events"]) => {
+                let number = asked.query_value("from").and_then(|text| text.parse().ok()).unwrap_or(1);
+                let wait_ms = asked.query_value("wait_ms").and_then(|text| text.parse().ok()).unwrap_or(0);
+                drop(asked);
+                self.events(number, wait_ms).await
+            }
+            ("GET", ["v1", "kept", "snapshot"]) => {
+                let snapshot = held(&self.memory).snapshot();
+                answer_json(StatusCode::OK, &json!(snapshot))
+            }
+            ("GET", ["v1", "state"]) => answer_json(StatusCode::OK, &json!(self.state())),
+            ("GET", ["metrics"]) => self.metrics(),
+            ("GET", ["live"]) => answer_bytes(StatusCode::OK, "text/plain", "live\n"),
+            ("POST", ["v1", "orders"]) => self.take_order(asked).await,
+            ("POST", ["v1", "faults"]) => {
+                let Ok(body) = asked.read_body(1 << 16).await else {
+                    return refuse(StatusCode::BAD_REQUEST, "bad_request", "body unreadable");
+                };
+                self.set_faults(&body)
+            }
+            _ => no_such_page(),
+        }
+    }
+
+    fn state(&self) -> EngineState {
+        let boot = held(&self.memory).boot.clone();
+        let weights = held(&self.weights);
+        EngineState {
+            boot,
+            model: self.model.clone(),
+            weights: weights.edition,
+            running: self.running.load(Ordering::SeqCst),
+            accepting: weights.accepting,
+            highest_term: weights.highest_term,
+        }
+    }
+
+    fn metrics(&self) -> Answered {
+        let labels = format!("{{model_name=\"{}\"}}", self.model);
+        let kept_share = held(&self.memory).kept_share();
+        let text = format!(
+            "vllm:num_requests_running{labels} {}\nvllm:num_requests_waiting{labels} {}\n\
+             vllm:kv_cache_usage_perc{labels} {kept_share:.4}\nharemount:blocks_in_work{labels} {}\n",
+            self.running.load(Ordering::SeqCst),
+            self.waiting.load(Ordering::SeqCst),
+            self.pace.blocks_in_work(),
+        );
+        answer_bytes(StatusCode::OK, "text/plain; version=0.0.4", text)
+    }
+
+    fn set_faults(&self, body: &[u8]) -> Answered {
+        let Ok(wished) = serde_json::from_slice::<Value>(body) else {
+            return refuse(StatusCode::BAD_REQUEST, "bad_request", "no JSON");
+        };
+        let mut faults = held(&self.faults);
+        faults.cut_after = wished["cut_after"].as_u64();
+        faults.wrong_shot = wished["wrong_shot"] == true;
+        faults.hide_events = wished["hide_events"] == true;
+        faults.refuse = wished["refuse"] == true;
+        answer_json(StatusCode::OK, &json!({}))
+    }
+
+    async fn events(&self, number: u64, wait_ms: u64) -> Answered {
+        let wait_ms = wait_ms.min(5000);
+        let mut news = self.news.subscribe();
+        let give_up = tokio::time::sleep(Duration::from_millis(wait_ms));
+        tokio::pin!(give_up);
+        loop {
+            news.borrow_and_update();
+            let hidden = held(&self.faults).hide_events;
+            let batch = held(&self.memory).events_from(number);
+            if !batch.events.is_empty() && !hidden {
+                return answer_json(StatusCode::OK, &json!(batch));
+            }
+            tokio::select! {
+                _ = &mut give_up => {
+                    let empty = EventBatch { boot: batch.boot, first: number, events: Vec::new() };
+                    return answer_json(StatusCode::OK, &json!(empty));
+                }
+                _ = news.changed() => {}
+            }
+        }
+    }
+
+    async fn take_order(&self, mut asked: Asked) -> Answered {
+        let Ok(body) = asked.read_body(1 << 16).await else {
+            return refuse(StatusCode::BAD_REQUEST, "bad_request", "body unreadable");
+        };
+        let Ok(order) = serde_json::from_slice::<EngineOrder>(&body) else {
+            return refuse(StatusCode::BAD_REQUEST, "bad_request", "no order");
+        };
+        {
+            let mut weights = held(&self.weights);
+            if order.term < weights.highest_term {
+                return refuse(StatusCode::CONFLICT, "lower_term", &format!("highest is {}", weights.highest_term));
+            }
+            weights.highest_term = order.term;
+        }
+        event!(
+            info,
+            "order",
+            engine = self.name,
+            term = order.term,
+            holder = order.holder,
+            wish = format!("{:?}", order.wish)
+        );
+        match order.wish {
+            OrderWish::Drain => held(&self.weights).accepting = false,
+            OrderWish::Open => held(&self.weights).accepting = !self.stopping.load(Ordering::SeqCst),
+            OrderWish::LoadWeights { weights } => {
+                held(&self.weights).accepting = false;
+                tokio::time::sleep(self.load_time).await;
+                if self.running.load(Ordering::SeqCst) > 0 {
+                    return refuse(StatusCode::CONFLICT, "running", "requests still run");
+                }
+                held(&self.memory).clear();
+                self.news.send_modify(|count| *count += 1);
+                let mut held_weights = held(&self.weights);
+                held_weights.edition = weights;
+                held_weights.accepting = !self.stopping.load(Ordering::SeqCst);
+            }
+        }
+        answer_json(StatusCode::OK, &json!(self.state()))
+    }
+
+    async fn complete(self: Arc<Self>, mut asked: Asked) -> Answered {
+        let shot = asked.header(SHOT_HEADER).unwrap_or("").to_owned();
+        let asked_weights = asked.header(WEIGHTS_HEADER).and_then(|text| text.parse::<u64>().ok());
+        let Ok(body) = asked.read_body(MOST_REQUEST_BYTES * 2).await else {
+            return refuse(StatusCode::BAD_REQUEST, "bad_request", "body unreadable");
+        };
+        let Ok(request) = serde_json::from_slice::<EngineRequest>(&body) else {
+            return refuse(StatusCode::BAD_REQUEST, "bad_request", "no completion request");
+        };
+        let faults = held(&self.faults).clone();
+        if faults.refuse {
+            return refuse(StatusCode::INTERNAL_SERVER_ERROR, "engine_fault", "told to refuse");
+        }
+        let names = cut(&Salt(request.cache_salt.clone()), request.prompt.as_bytes());
+        let cached_blocks = {
+            let weights = held(&self.weights);
+            if !weights.accepting {
+                return refuse(StatusCode::SERVICE_UNAVAILABLE, "not_accepting", "this engine starts nothing now");
+            }
+            if asked_weights.is_some_and(|asked_edition| asked_edition != weights.edition) {
+                return refuse(StatusCode::CONFLICT, "other_weights", &format!("weights {}", weights.edition));
+            }
+            self.running.fetch_add(1, Ordering::SeqCst);
+            let cached_blocks = held(&self.memory).overlap(&names) as u64;
+            self.log_start(&request, &shot, asked_weights, weights.edition, cached_blocks);
+            cached_blocks
+        };
+        let reported_shot = if faults.wrong_shot { "00000000".to_owned() } else { shot };
+        if request.stream {
+            let (pieces, answered) = answer_pieces(StatusCode::OK, "text/event-stream", 16);
+            let answered = answered.with_header(SHOT_HEADER, &reported_shot);
+            let this = Arc::clone(&self);
+            tokio::spawn(async move {
+                let running = Running(&this.running);
+                tokio::select! {
+                    () = this.run(&request, &names, cached_blocks, &reported_shot, &faults, Some(&pieces)) => {}
+                    () = pieces.gone() => {}
+                }
+                drop(running);
+            });
+            return answered;
+        }
+        let running = Running(&self.running);
+        let text = self.run(&request, &names, cached_blocks, &reported_shot, &faults, None);
+        text.await;
+        let whole_text: String =
+            (0..request.max_tokens).map(|place| stand_in_piece(&request.prompt, &reported_shot, place)).collect();
+        drop(running);
+        let completion = Completion {
+            id: reported_shot.clone(),
+            object: "text_completion".into(),
+            model: self.model.clone(),
+            choices: vec![Choice { index: 0, text: whole_text, finish_reason: Some("length".into()) }],
+            usage: Some(usage(&request, cached_blocks)),
+        };
+        answer_json(StatusCode::OK, &json!(completion)).with_header(SHOT_HEADER, &reported_shot)
+    }
+
+    fn log_start(&self, request: &EngineRequest, shot: &str, asked: Option<u64>, weights: u64, cached_blocks: u64) {
+        let line = StartLine {
+            at: wall_millis(),
+            boot_at: boot_now().0 / 1_000_000,
+            shot: shot.to_owned(),
+            salt: request.cache_salt.clone(),
+            weights,
+            asked_weights: asked.unwrap_or(0),
+            prompt_blocks: blocks_of(request.prompt.len()).0,
+            cached_blocks,
+        };
+        if let Some(file) = held(&self.starts).as_mut() {
+            let _ = writeln!(file, "{}", json!(line));
+        }
+    }
+
+    async fn run(
+        &self,
+        request: &EngineRequest,
+        names: &[BlockHash],
+        cached_blocks: u64,
+        shot: &str,
+        faults: &Faults,
+        pieces: Option<&PieceSender>,
+    ) {
+        let prompt_blocks = blocks_of(request.prompt.len()).0;
+        let _in_work = self.pace.begin(prompt_blocks);
+        {
+            let _waiting = Counted::new(&self.waiting);
+            self.pace.prefill(prompt_blocks - cached_blocks).await;
+        }
+        held(&self.memory).keep(names);
+        self.news.send_modify(|count| *count += 1);
+        for place in 0..request.max_tokens {
+            self.pace.decode_token().await;
+            let Some(pieces) = pieces else { continue };
+            if faults.cut_after == Some(place) {
+                pieces.abort("told to cut").await;
+                return;
+            }
+            let is_last = place + 1 == request.max_tokens;
+            let completion = Completion {
+                id: shot.to_owned(),
+                object: "text_completion".into(),
+                model: self.model.clone(),
+                choices: vec![Choice {
+                    index: 0,
+                    text: stand_in_piece(&request.prompt, shot, place),
+                    finish_reason: is_last.then(|| "length".into()),
+                }],
+                usage: is_last.then(|| usage(request, cached_blocks)),
+            };
+            if !pieces.send(Bytes::from(format!("data: {}\n\n", json!(completion)))).await {
+                return;
+            }
+        }
+        if let Some(pieces) = pieces {
+            pieces.send(Bytes::from(format!("data: {STREAM_END}\n\n"))).await;
+        }
+    }
+}
+
+/// Counts a run down when it ends, however it ends.
+struct Running<'a>(&'a AtomicU64);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn usage(request: &EngineRequest, cached_blocks: u64) -> Usage {
+    Usage {
+        prompt_tokens: request.prompt.len().div_ceil(TOKEN_BYTES) as u64,
+        completion_tokens: request.max_tokens,
+        cached_tokens: cached_blocks * BLOCK_TOKENS as u64,
+    }
+}
+
+impl Site for EngineSite {
+    fn answer(self: Arc<Self>, asked: Asked) -> AnswerFuture {
+        Box::pin(self.route(asked))
+    }
+}
--- /dev/null
+++ b/crates/lease/src/nodes.rs
@@ -0,0 +1,89 @@
+//! The tail's table of node leases. It is memory only: a new tail starts with none, fills it from the
+//! nodes' own renewals, and until every lease its forerunners may have granted has surely run out it
+//! counts nothing as in force.
+
+use crate::prelude::*;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodeEntry {
+    pub until: Instant,
+    pub applied: Edition,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct NodeLeases {
+    nodes: BTreeMap<NodeId, NodeEntry>,
+    in_force: Edition,
+    embargo_until: Instant,
+}
+
+impl NodeLeases {
+    /// A tail that begins at `now` with everything up to `committed` possibly acknowledged before.
+    pub fn begin(committed: Edition, now: Instant) -> NodeLeases {
+        NodeLeases { nodes: BTreeMap::new(), in_force: committed, embargo_until: now + NODE_LEASE + LEASE_MARGIN }
+    }
+
+    /// Notes what a node has applied, without renewing it.
+    pub fn note_applied(&mut self, node: NodeId, applied: Edition) {
+        if let Some(entry) = self.nodes.get_mut(&node) {
+            entry.applied = entry.applied.max(applied);
+        }
+    }
+
+    /// Grants or refuses a renewal. `due` is the edition every node should have applied by now.
+    pub fn renew(&mut self, node: NodeId, applied: Edition, due: Edition, now: Instant) -> bool {
+        self.note_applied(node, applied);
+        if applied < self.in_force.max(due) {
+            return false;
+        }
+        self.nodes.insert(node, NodeEntry { until: now + NODE_LEASE + LEASE_MARGIN, applied });
+        true
+    }
+
+    /// Raises what is in force as far as the leased nodes allow.
+    pub fn raise(&mut self, committed: Edition, now: Instant) -> Edition {
+        self.nodes.retain(|_, entry| now < entry.until);
+        if now >= self.embargo_until {
+            let applied_by_all = self.nodes.values().map(|entry| entry.applied).min().unwrap_or(committed);
+            self.in_force = self.in_force.max(applied_by_all.min(committed));
+        }
+        self.in_force
+    }
+
+    /// Whether anything may be acknowledged yet.
+    pub fn settled(&self, now: Instant) -> bool {
+        now >= self.embargo_until
+    }
+
+    pub fn in_force(&self) -> Edition {
+        self.in_force
+    }
+
+    pub fn nodes(&self) -> impl Iterator<Item = (&NodeId, &NodeEntry)> {
+        self.nodes.iter()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    #[test]
+    fn a_change_is_in_force_once_applied_or_run_out() {
+        let after_embargo = Instant(0) + NODE_LEASE + LEASE_MARGIN;
+        let mut leases = NodeLeases::begin(Edition(5), Instant(0));
+        assert!(!leases.renew(NodeId(1), Edition(4), Edition(0), Instant(1)), "older than what may be acked");
+        assert!(leases.renew(NodeId(1), Edition(5), Edition(0), Instant(1)));
+        assert_eq!(leases.raise(Edition(7), Instant(2)), Edition(5), "embargo");
+        assert!(leases.renew(NodeId(1), Edition(5), Edition(0), after_embargo));
+        assert!(leases.renew(NodeId(2), Edition(7), Edition(0), after_embargo));
+        assert_eq!(leases.raise(Edition(7), after_embargo), Edition(5));
+        leases.note_applied(NodeId(1), Edition(6));
+        assert_eq!(leases.raise(Edition(7), after_embargo), Edition(6));
+        assert!(!leases.renew(NodeId(1), Edition(6), Edition(7), after_embargo), "lags too long");
+        let run_out = after_embargo + NODE_LEASE + LEASE_MARGIN;
+        assert!(leases.renew(NodeId(2), Edition(7), Edition(7), run_out));
+        assert_eq!(leases.raise(Edition(7), run_out), Edition(7));
+        assert!(!leases.renew(NodeId(1), Edition(6), Edition(0), run_out), "older than what is in force");
+    }
+}
--- /dev/null
+++ b/crates/links/src/prelude.rs
@@ -0,0 +1,13 @@
+//! The one import of this package's files.
+
+pub use crate::held::*;
+pub use crate::post::*;
+pub(crate) use rings::prelude::*;
+pub(crate) use serde::{Serialize, de::DeserializeOwned};
+pub(crate) use std::collections::HashMap;
+pub(crate) use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+pub(crate) use std::sync::Arc;
+pub(crate) use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+pub(crate) use std::time::Duration;
+pub use wire::prelude::{Hello, Purpose};
+pub(crate) use wire::prelude::{encode, read_frame, write_frame};
--- a/crates/platform/src/main.rs
+++ b/crates/platform/src/main.rs
@@ -1,1 +1,87 @@
-fn main() {}
+//! Stand-in for the platform's listing of engines: a numbered JSON list, changed over HTTP by whoever
+//! runs the fleet. It numbers its listing anew in each life.
+
+mod prelude;
+
+use crate::prelude::*;
+
+static TRADE: Trade = Trade {
+    program: "platform",
+    about: "Stand-in for the platform's listing of engines.",
+    settings: &[setting("listen", Kind::Address, Some("127.0.0.1:0"), "where the listing is served"), LOG_LEVEL],
+};
+
+struct PlatformSite {
+    listing: Mutex<PlatformListing>,
+}
+
+impl PlatformSite {
+    fn listing(&self) -> std::sync::MutexGuard<'_, PlatformListing> {
+        self.listing.lock().expect("no holder of this lock panics")
+    }
+
+    async fn route(self: Arc<Self>, mut asked: Asked) -> Answered {
+        let (method, segments) = asked.way();
+        match (method.as_str(), segments.as_slice()) {
+            ("GET", ["v1", "engines"]) => {
+                let listing = self.listing().clone();
+                let tag = format!("\"{}-{}\"", listing.boot, listing.number);
+                if asked.header("if-none-match") == Some(tag.as_str()) {
+                    return answer_bytes(StatusCode::NOT_MODIFIED, "application/json", "").with_header("etag", &tag);
+                }
+                answer_json(StatusCode::OK, &json!(listing)).with_header("etag", &tag)
+            }
+            ("PUT", ["v1", "engines", name]) => {
+                let name = (*name).to_owned();
+                let body = asked.read_body(1 << 16).await.unwrap_or_default();
+                let Ok(engine) = serde_json::from_slice::<PlatformEngine>(&body) else {
+                    return refuse(StatusCode::BAD_REQUEST, "bad_request", "no engine");
+                };
+                if engine.name != name {
+                    return refuse(StatusCode::BAD_REQUEST, "bad_request", "name differs from path");
+                }
+                let mut listing = self.listing();
+                listing.engines.retain(|known| known.name != name);
+                listing.engines.push(engine);
+                listing.number += 1;
+                answer_json(StatusCode::OK, &json!({"number": listing.number}))
+            }
+            ("DELETE", ["v1", "engines", name]) => {
+                let mut listing = self.listing();
+                listing.engines.retain(|known| known.name != *name);
+                listing.number += 1;
+                answer_json(StatusCode::OK, &json!({"number": listing.number}))
+            }
+            _ => no_such_page(),
+        }
+    }
+}
+
+impl Site for PlatformSite {
+    fn answer(self: Arc<Self>, asked: Asked) -> AnswerFuture {
+        Box::pin(self.route(asked))
+    }
+}
+
+fn main() -> std::process::ExitCode {
+    run_trade(&TRADE, |settings| {
+        let _logs = start_logs(TRADE.program, settings.text("log_level")?)?;
+        let listener = bind(settings.address("listen")?).map_err(|fault| miette!("listen: {fault}"))?;
+        let address = listener.local_addr().map_err(|fault| miette!("listen: {fault}"))?;
+        let listing = PlatformListing { boot: Incarnation::random().to_string(), number: 1, engines: Vec::new() };
+        let site = Arc::new(PlatformSite { listing: Mutex::new(listing) });
+        let runtime = small_runtime(1).map_err(|fault| miette!("{fault}"))?;
+        let stop = Arc::new(tokio::sync::Notify::new());
+        let stop_notice = Arc::clone(&stop);
+        on_signals(move |signal| {
+            if signal == Signal::Stop {
+                stop_notice.notify_one();
+            }
+        })?;
+        say_ready(&[("address", address.to_string())]);
+        let serving = runtime.spawn(serve(listener, site));
+        runtime.block_on(stop.notified());
+        serving.abort();
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/trade/src/settings.rs
@@ -0,0 +1,301 @@
+//! Settings: a table of keys, read from a JSON file and from flags of the same names; flags win.
+//! Faults name the file or flag, the key and the reason, all of them at once.
+
+use crate::prelude::*;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    Text,
+    /// A whole number within bounds.
+    Whole(u64, u64),
+    /// An IP address and port.
+    Address,
+    /// Addresses, in the file an array, on the command line separated by commas.
+    Addresses,
+    Path,
+    Flag,
+    Choice(&'static [&'static str]),
+}
+
+pub struct Setting {
+    pub key: &'static str,
+    pub kind: Kind,
+    pub default: Option<&'static str>,
+    pub help: &'static str,
+}
+
+pub const fn setting(key: &'static str, kind: Kind, default: Option<&'static str>, help: &'static str) -> Setting {
+    Setting { key, kind, default, help }
+}
+
+pub const LOG_LEVEL: Setting =
+    setting("log_level", Kind::Choice(&["error", "warn", "info", "debug"]), Some("info"), "how much is logged");
+
+/// A program and its settings table.
+pub struct Trade {
+    pub program: &'static str,
+    pub about: &'static str,
+    pub settings: &'static [Setting],
+}
+
+const SETTINGS_BOUNDS: Bounds = Bounds { bytes: 256 << 10, depth: 8 };
+
+/// Exit codes of every program.
+pub const EXIT_USAGE: u8 = 2;
+pub const EXIT_FAULT: u8 = 1;
+
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    values: BTreeMap<&'static str, String>,
+    file: Option<PathBuf>,
+    flags: BTreeMap<&'static str, String>,
+}
+
+/// What the command line asked for.
+pub enum Wanted {
+    Run(Settings),
+    /// Help or version was printed.
+    Printed,
+}
+
+impl Trade {
+    /// Reads the command line; `--help` and `--version` print and end.
+    pub fn read(&'static self, arguments: impl IntoIterator<Item = std::ffi::OsString>) -> Result<Wanted, Report> {
+        let mut parser = lexopt::Parser::from_args(arguments);
+        let mut flags = BTreeMap::new();
+        let mut file = None;
+        while let Some(argument) = parser.next().map_err(|fault| miette!("{fault}"))? {
+            match argument {
+                lexopt::Arg::Short('h') | lexopt::Arg::Long("help") => {
+                    println!("{}", self.help_text());
+                    return Ok(Wanted::Printed);
+                }
+                lexopt::Arg::Short('V') | lexopt::Arg::Long("version") => {
+                    println!("{} {}", self.program, env!("CARGO_PKG_VERSION"));
+                    return Ok(Wanted::Printed);
+                }
+                lexopt::Arg::Long("settings") => {
+                    let path = parser.value().map_err(|fault| miette!("--settings: {fault}"))?;
+                    file = Some(PathBuf::from(path));
+                }
+                lexopt::Arg::Long(name) => {
+                    let key = name.replace('-', "_");
+                    let Some(setting) = self.settings.iter().find(|setting| setting.key == key) else {
+                        return Err(miette!("unknown flag --{name}; see {} --help", self.program));
+                    };
+                    let flag_value = if setting.kind == Kind::Flag {
+                        parser.optional_value().map_or(Ok("true".into()), |value| value.into_string())
+                    } else {
+                        parser.value().map_err(|fault| miette!("{fault}"))?.into_string()
+                    };
+                    let flag_value =
+                        flag_value.map_err(|_| miette!("--{}: not UTF-8", setting.key.replace('_', "-")))?;
+                    flags.insert(setting.key, flag_value);
+                }
+                other => return Err(miette!("{}; see {} --help", other.unexpected(), self.program)),
+            }
+        }
+        self.settle(file, flags).map(Wanted::Run)
+    }
+
+    /// Reads the file again, under the same flags.
+    pub fn read_again(&'static self, settings: &Settings) -> Result<Settings, Report> {
+        self.settle(settings.file.clone(), settings.flags.clone())
+    }
+
+    fn settle(
+        &'static self,
+        file: Option<PathBuf>,
+        flags: BTreeMap<&'static str, String>,
+    ) -> Result<Settings, Report> {
+        let mut faults = Vec::new();
+        let mut values = match &file {
+            Some(path) => self.read_file(path, &mut faults)?,
+            None => BTreeMap::new(),
+        };
+        for (key, flag_value) in &flags {
+            values.insert(*key, (format!("--{}", key.replace('_', "-")), flag_value.clone()));
+        }
+        let mut settled = Settings { file, flags, ..Settings::default() };
+        for setting in self.settings {
+            let found = values.remove(setting.key);
+            let Some((origin, value)) =
+                found.or_else(|| setting.default.map(|text| ("default".to_owned(), text.to_owned())))
+            else {
+                continue;
+            };
+            if let Err(reason) = check(setting.kind, &value) {
+                faults.push(format!("{origin}: {reason}"));
+            }
+            settled.values.insert(setting.key, value);
+        }
+        if faults.is_empty() { Ok(settled) } else { Err(miette!("{}", faults.join("\n"))) }
+    }
+
+    fn read_file(
+        &self,
+        path: &std::path::Path,
+        faults: &mut Vec<String>,
+    ) -> Result<BTreeMap<&'static str, (String, String)>, Report> {
+        let shown_path = path.display();
+        let bytes = std::fs::read(path).map_err(|fault| miette!("{shown_path}: {fault}"))?;
+        let text = String::from_utf8(bytes).map_err(|_| miette!("{shown_path}: not UTF-8"))?;
+        let document =
+            parse_bounded(&text, SETTINGS_BOUNDS).map_err(|complaint| miette!("{shown_path}: {complaint}"))?;
+        let mut complaints = Vec::new();
+        let mut values = BTreeMap::new();
+        if let Some(mut reader) = Reader::open("", &document, &mut complaints) {
+            for setting in self.settings {
+                let value = match setting.kind {
+                    Kind::Whole(lowest, highest) => {
+                        reader.whole(setting.key, lowest, highest).map(|number| number.to_string())
+                    }
+                    Kind::Flag => reader.flag(setting.key).map(|flag| flag.to_string()),
+                    Kind::Addresses => reader.texts(setting.key).map(|texts| texts.join(",")),
+                    _ => reader.text(setting.key),
+                };
+                if let Some(value) = value {
+                    values.insert(setting.key, (format!("{shown_path}: {}", setting.key), value));
+                }
+            }
+            reader.close();
+        }
+        faults.extend(complaints.into_iter().map(|complaint| format!("{shown_path}: {complaint}")));
+        Ok(values)
+    }
+
+    fn help_text(&self) -> String {
+        let mut text = format!("{}\n\nUsage: {} [--settings FILE] [flags]\n\n", self.about, self.program);
+        text.push_str("  --settings FILE        read settings from a JSON file; flags win over it\n");
+        for setting in self.settings {
+            let name = format!("--{} {}", setting.key.replace('_', "-"), describe(setting.kind));
+            let default = setting.default.map(|text| format!(" (default {text})")).unwrap_or_default();
+            text.push_str(&format!("  {name:<22} {}{default}\n", setting.help));
+        }
+        text.push_str("  --help, --version\n\nExit codes: 0 done, 1 fault, 2 wrong usage or settings.");
+        text
+    }
+}
+
+fn describe(kind: Kind) -> String {
+    match kind {
+        Kind::Text => "TEXT".into(),
+        Kind::Whole(lowest, highest) => format!("{lowest}..{highest}"),
+        Kind::Address => "IP:PORT".into(),
+        Kind::Addresses => "IP:PORT,...".into(),
+        Kind::Path => "PATH".into(),
+        Kind::Flag => String::new(),
+        Kind::Choice(choices) => choices.join("|"),
+    }
+}
+
+fn check(kind: Kind, value: &str) -> Result<(), String> {
+    let is_right = match kind {
+        Kind::Text | Kind::Path => !value.is_empty(),
+        Kind::Whole(lowest, highest) => value.parse::<u64>().is_ok_and(|number| (lowest..=highest).contains(&number)),
+        Kind::Address => value.parse::<SocketAddr>().is_ok(),
+        Kind::Addresses => split(value).all(|address| address.parse::<SocketAddr>().is_ok()),
+        Kind::Flag => matches!(value, "true" | "false"),
+        Kind::Choice(choices) => choices.contains(&value),
+    };
+    if is_right { Ok(()) } else { Err(format!("{} is not {}", plain(value), wanted(kind))) }
+}
+
+fn wanted(kind: Kind) -> String {
+    match kind {
+        Kind::Text | Kind::Path => "a text".into(),
+        Kind::Whole(lowest, highest) => format!("a whole number from {lowest} to {highest}"),
+        Kind::Address => "an IP address and port".into(),
+        Kind::Addresses => "a list of IP addresses and ports".into(),
+        Kind::Flag => "true or false".into(),
+        Kind::Choice(choices) => format!("one of {}", choices.join(", ")),
+    }
+}
+
+fn split(value: &str) -> impl Iterator<Item = &str> {
+    value.split(',').map(str::trim).filter(|address| !address.is_empty())
+}
+
+impl Settings {
+    pub fn maybe(&self, key: &str) -> Option<&str> {
+        self.values.get(key).map(String::as_str)
+    }
+
+    /// A setting that must be there; one without a default may be missing.
+    pub fn text(&self, key: &str) -> Result<&str, Report> {
+        let flag_name = key.replace('_', "-");
+        self.maybe(key).ok_or_else(|| miette!("{key} is missing: give it in the settings file or as --{flag_name}"))
+    }
+
+    pub fn whole(&self, key: &str) -> Result<u64, Report> {
+        self.text(key)?.parse().map_err(|_| miette!("{key} is no number"))
+    }
+
+    pub fn millis(&self, key: &str) -> Result<Span, Report> {
+        Ok(Span::millis(self.whole(key)?))
+    }
+
+    pub fn address(&self, key: &str) -> Result<SocketAddr, Report> {
+        self.text(key)?.parse().map_err(|_| miette!("{key} is no address"))
+    }
+
+    pub fn addresses(&self, key: &str) -> Vec<String> {
+        self.maybe(key).map(|value| split(value).map(str::to_owned).collect()).unwrap_or_default()
+    }
+
+    pub fn flag(&self, key: &str) -> bool {
+        self.maybe(key) == Some("true")
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    static TESTED: Trade = Trade {
+        program: "tested",
+        about: "",
+        settings: &[
+            setting("listen", Kind::Address, Some("127.0.0.1:0"), ""),
+            setting("share", Kind::Whole(1, 9), Some("3"), ""),
+            setting("seeds", Kind::Addresses, None, ""),
+        ],
+    };
+
+    fn read_with_file(text: &str, flags: &[&str]) -> Result<Settings, String> {
+        let path = std::env::temp_dir().join(format!("trade-{}.json", NodeId::random()));
+        std::fs::write(&path, text).unwrap();
+        let mut arguments: Vec<std::ffi::OsString> = vec!["tested".into(), "--settings".into(), path.clone().into()];
+        arguments.extend(flags.iter().map(std::ffi::OsString::from));
+        let outcome = TESTED.read(arguments.into_iter().skip(1));
+        std::fs::remove_file(&path).unwrap();
+        match outcome {
+            Ok(Wanted::Run(settings)) => Ok(settings),
+            Ok(Wanted::Printed) => Err("printed".into()),
+            Err(report) => Err(report.to_string().replace(&path.display().to_string(), "FILE")),
+        }
+    }
+
+    #[test]
+    fn faults_name_file_key_and_reason() {
+        let refused = [
+            (r#"{"share":10}"#, "FILE: share: out of range: 10, allowed 1 to 9"),
+            (r#"{"share":"x"}"#, "FILE: share: wrong type: expected number, found string"),
+            (r#"{"shares":1}"#, "FILE: shares: unknown key"),
+            (r#"{"share":1,"share":2}"#, "FILE: share: duplicate key"),
+            (r#"{"seeds":["host:1"]}"#, "FILE: seeds: host:1 is not a list of IP addresses and ports"),
+            (r#"{"a":[[[[[[[[[1]]]]]]]]]}"#, "FILE: a: too deep: more than 8 levels"),
+        ];
+        for (text, reason) in refused {
+            assert_eq!(read_with_file(text, &[]).unwrap_err(), reason, "{text}");
+        }
+        assert_eq!(
+            read_with_file("{}", &["--share", "x"]).unwrap_err(),
+            "--share: x is not a whole number from 1 to 9"
+        );
+        let settings =
+            read_with_file(r#"{"share":4,"seeds":["127.0.0.1:1","127.0.0.1:2"]}"#, &["--share=5"]).unwrap();
+        assert_eq!(settings.whole("share").unwrap(), 5);
+        assert_eq!(settings.addresses("seeds").len(), 2);
+    }
+}
--- /dev/null
+++ b/crates/view/src/campaign.rs
@@ -0,0 +1,86 @@
+//! One proposer's try at deciding the next view.
+
+use crate::prelude::*;
+
+#[derive(Clone, Debug)]
+pub struct Campaign {
+    pub next: ViewNumber,
+    pub ballot: Ballot,
+    pub started: Instant,
+    promises: BTreeMap<NodeId, Option<(Ballot, View)>>,
+    acceptances: BTreeSet<NodeId>,
+    proposal: Option<View>,
+}
+
+impl Campaign {
+    pub fn new(next: ViewNumber, ballot: Ballot, started: Instant) -> Campaign {
+        Campaign { next, ballot, started, promises: BTreeMap::new(), acceptances: BTreeSet::new(), proposal: None }
+    }
+
+    pub fn promised_by(&self, voter: NodeId) -> bool {
+        self.promises.contains_key(&voter)
+    }
+
+    /// Whether a majority has promised and nothing was proposed yet.
+    pub fn take_promise(&mut self, present: &View, voter: NodeId, accepted: Option<(Ballot, View)>) -> bool {
+        if present.votes(voter) {
+            self.promises.insert(voter, accepted);
+        }
+        self.proposal.is_none() && self.promises.len() >= present.majority()
+    }
+
+    /// The view some voter already accepted under the highest ballot: it must be proposed again.
+    pub fn bound_view(&self) -> Option<View> {
+        self.promises
+            .values()
+            .flatten()
+            .max_by_key(|(ballot, _)| *ballot)
+            .map(|(_, accepted_view)| accepted_view.clone())
+    }
+
+    pub fn propose(&mut self, view: View) {
+        self.proposal = Some(view);
+    }
+
+    /// The decided view, once a majority has accepted the proposal.
+    pub fn take_acceptance(&mut self, present: &View, voter: NodeId) -> Option<View> {
+        if present.votes(voter) {
+            self.acceptances.insert(voter);
+        }
+        if self.acceptances.len() < present.majority() {
+            return None;
+        }
+        self.proposal.clone()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    #[test]
+    fn an_accepted_view_binds_later_proposers() {
+        let voters = vec![NodeId(1), NodeId(2), NodeId(3), NodeId(4)];
+        let present = View { voters: voters.clone(), chain: voters.clone(), ..View::default() };
+        assert_eq!((present.majority(), present.least_chain()), (3, 2));
+        let mut votes = vec![Vote::default(); 4];
+        let low_ballot = Ballot { round: 1, proposer: NodeId(1) };
+        let first_view = View { number: ViewNumber(1), ..present.clone() };
+        let mut first_campaign = Campaign::new(ViewNumber(1), low_ballot, Instant(0));
+        for place in 0..3 {
+            let accepted = votes[place].prepare(low_ballot).unwrap();
+            assert_eq!(first_campaign.take_promise(&present, voters[place], accepted), place == 2);
+        }
+        first_campaign.propose(first_view.clone());
+        votes[2].accept(low_ballot, first_view.clone()).unwrap();
+        let high_ballot = Ballot { round: 2, proposer: NodeId(4) };
+        let mut second_campaign = Campaign::new(ViewNumber(1), high_ballot, Instant(0));
+        for place in 1..4 {
+            let accepted = votes[place].prepare(high_ballot).unwrap();
+            second_campaign.take_promise(&present, voters[place], accepted);
+        }
+        assert_eq!(second_campaign.bound_view(), Some(first_view));
+        assert_eq!(votes[2].accept(low_ballot, View::default()), Err(high_ballot));
+        assert_eq!(second_campaign.take_acceptance(&present, NodeId(9)), None);
+    }
+}
--- /dev/null
+++ b/crates/warden/src/asks.rs
@@ -0,0 +1,93 @@
+//! Questions of this machine's own doors: carried to head and tail, asked again until answered or the
+//! limit passes. Asking again is safe, because a submission is known by its request id.
+
+use crate::prelude::*;
+
+const ASK_AGAIN: Span = Span::millis(300);
+
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    question: Question,
+    limit: Instant,
+    asked: Instant,
+}
+
+impl Warden {
+    pub(crate) fn begin_ask(&mut self, ticket: u64, question: Question, limit: Instant, now: Instant) {
+        let waiting = Waiting { question, limit, asked: now };
+        self.send_ask(ticket, &waiting);
+        self.waiting.insert(ticket, waiting);
+    }
+
+    fn send_ask(&mut self, ticket: u64, waiting: &Waiting) {
+        let (Some(head), Some(tail)) = (self.view.head(), self.view.tail()) else { return };
+        let tail_question = match &waiting.question {
+            Question::Submit(submission) => {
+                self.send(head, CoreMessage::Submit(submission.clone()));
+                Question::Settled(submission.request)
+            }
+            other => other.clone(),
+        };
+        self.send(tail, CoreMessage::Ask { ticket, question: tail_question });
+    }
+
+    pub(crate) fn tend_asks(&mut self, now: Instant) {
+        let mut asked_again = Vec::new();
+        let mut run_out = Vec::new();
+        for (ticket, waiting) in self.waiting.iter_mut() {
+            if now >= waiting.limit {
+                run_out.push(*ticket);
+            } else if now.since(waiting.asked) >= ASK_AGAIN {
+                waiting.asked = now;
+                asked_again.push((*ticket, waiting.clone()));
+            }
+        }
+        for ticket in run_out {
+            self.hear_answer(ticket, Answer::Unknown);
+        }
+        for (ticket, waiting) in asked_again {
+            self.send_ask(ticket, &waiting);
+        }
+    }
+
+    pub(crate) fn hear_answer(&mut self, ticket: u64, answer: Answer) {
+        if self.waiting.remove(&ticket).is_some() {
+            self.plan.push(Effect::Answer { ticket, answer });
+        }
+    }
+
+    /// The tail's side.
+    pub(crate) fn hear_ask(&mut self, from: NodeId, ticket: u64, question: Question, now: Instant) {
+        if !self.tail_is_active(now) {
+            return;
+        }
+        let read_until = self.read_until();
+        let answer = match question {
+            Question::Submit(_) => return,
+            Question::Settled(request) => {
+                let Some(tail) = self.tail.as_mut() else { return };
+                let is_known = tail.asked.iter_mut().find(|asked| asked.from == from && asked.ticket == ticket);
+                match is_known {
+                    Some(asked) => asked.since = now,
+                    None => tail.asked.push(Asked { from, ticket, request, since: now }),
+                }
+                return;
+            }
+            Question::State => Answer::State(Box::new(self.log.state().clone())),
+            Question::Nodes => {
+                let Some(tail) = &self.tail else { return };
+                let reports = tail
+                    .leases
+                    .nodes()
+                    .map(|(node, entry)| NodeReport {
+                        node: *node,
+                        applied: entry.applied,
+                        lease_left: entry.until.since(now),
+                    })
+                    .collect();
+                Answer::Nodes(reports)
+            }
+        };
+        self.send_until(from, CoreMessage::Answer { ticket, answer }, Some(read_until));
+    }
+}
--- /dev/null
+++ b/crates/warden/src/chaining.rs
@@ -0,0 +1,135 @@
+//! The chain part: numbering at the head, passing on, being brought level.
+
+use crate::prelude::*;
+
+const UNCOMMITTED_LIMIT: u64 = 256;
+
+impl Warden {
+    pub(crate) fn hear_submit(&mut self, submission: Submission) {
+        let may_take = self.view.head() == Some(self.me.id)
+            && self.is_aligned()
+            && !self.sealed()
+            && self.view.takes_writes()
+            && self.log.last().edition.0 < self.committed.0 + UNCOMMITTED_LIMIT;
+        if !may_take || self.log.state().settled_before(submission.request).is_some() {
+            return;
+        }
+        let previous = self.log.last();
+        let record = self.log.number(self.view.number, submission);
+        self.store(Stored::Record(record.clone()));
+        self.pass_on(previous, vec![record]);
+    }
+
+    fn pass_on(&mut self, previous: Mark, records: Vec<Record>) {
+        let Some(successor) = self.view.after(self.me.id) else { return };
+        let append = ChainMessage::Append { view: self.view.number, previous, records };
+        self.send(successor, CoreMessage::Chain(append));
+    }
+
+    pub(crate) fn hear_chain(&mut self, from: NodeId, message: ChainMessage, _now: Instant) {
+        match message {
+            ChainMessage::Append { view, previous, records } => self.hear_append(from, view, previous, records),
+            ChainMessage::Have { view, last, nonce } => {
+                if view == self.view.number && self.is_aligned() {
+                    let answer = self.log.level(view, last, nonce);
+                    self.send(from, CoreMessage::Chain(answer));
+                }
+            }
+            ChainMessage::Level { view, nonce, previous, records } => {
+                if self.may_be_levelled(from, view, nonce) && previous == self.log.last() {
+                    self.take_records(previous, records);
+                    self.align();
+                }
+            }
+            ChainMessage::Snapshot { view, nonce, mark, state } => {
+                if self.may_be_levelled(from, view, nonce) {
+                    self.log = Log::restore(mark, (*state).clone(), Vec::new());
+                    self.store(Stored::Snapshot { mark, state });
+                    self.align();
+                }
+            }
+        }
+    }
+
+    fn hear_append(&mut self, from: NodeId, view: ViewNumber, previous: Mark, records: Vec<Record>) {
+        let from_before = self.view.before(self.me.id) == Some(from);
+        if view != self.view.number || !from_before || !self.is_aligned() || self.sealed() {
+            return;
+        }
+        let last = self.log.last();
+        if previous.edition > last.edition {
+            self.ask_level_of(from);
+            return;
+        }
+        let new_records: Vec<Record> =
+            records.into_iter().filter(|record| record.mark.edition > last.edition).collect();
+        self.take_records(last, new_records);
+    }
+
+    fn take_records(&mut self, previous: Mark, records: Vec<Record>) {
+        if records.is_empty() {
+            return;
+        }
+        for record in &records {
+            self.log.append(record.clone());
+            self.store(Stored::Record(record.clone()));
+        }
+        if self.is_aligned() {
+            self.pass_on(previous, records);
+        }
+    }
+
+    /// A chain member is levelled by the one before it alone, and not once sealed; a keeper outside
+    /// the chain by any aligned member.
+    fn may_be_levelled(&self, from: NodeId, view: ViewNumber, nonce: u64) -> bool {
+        if view != self.view.number || nonce != self.nonce || self.sealed() {
+            return false;
+        }
+        !self.view.in_chain(self.me.id) || self.view.before(self.me.id) == Some(from)
+    }
+
+    fn align(&mut self) {
+        self.nonce = self.nonce.wrapping_add(1);
+        if !self.view.in_chain(self.me.id) || self.aligned == self.view.number {
+            return;
+        }
+        self.aligned = self.view.number;
+        self.store(Stored::Aligned(self.aligned));
+        self.note("aligned", format!("view={} edition={}", self.aligned, self.log.last().edition));
+        if let Some(successor) = self.view.after(self.me.id) {
+            let news = CoreMessage::Pulse(self.news(self.last_pulse));
+            self.send(successor, news);
+        }
+    }
+
+    fn ask_level_of(&mut self, other: NodeId) {
+        let have = ChainMessage::Have { view: self.view.number, last: self.log.last(), nonce: self.nonce };
+        self.send(other, CoreMessage::Chain(have));
+    }
+
+    pub(crate) fn ask_to_be_levelled(&mut self) {
+        if !self.has_view() || self.is_aligned() {
+            return;
+        }
+        let asked_member = match self.view.in_chain(self.me.id) {
+            true => self.view.before(self.me.id),
+            false => self.view.tail(),
+        };
+        if let Some(asked_member) = asked_member {
+            self.ask_level_of(asked_member);
+        }
+    }
+
+    /// A successor whose log stood still behind ours between two pulses missed something.
+    pub(crate) fn resend_to_successor(&mut self, from: NodeId, news: &News, last_news: Option<&News>) {
+        let is_successor = self.view.after(self.me.id) == Some(from);
+        let both_aligned = self.is_aligned() && news.aligned == self.view.number && news.view == self.view.number;
+        let stood_still = last_news.is_some_and(|earlier| earlier.last == news.last);
+        if !is_successor || !both_aligned || !stood_still || news.last.edition >= self.log.last().edition {
+            return;
+        }
+        let Some(records) = self.log.after(news.last.edition) else { return };
+        let append = ChainMessage::Append { view: self.view.number, previous: news.last, records };
+        self.send(from, CoreMessage::Chain(append));
+    }
+}
--- /dev/null
+++ b/crates/warden/src/messages.rs
@@ -0,0 +1,155 @@
+//! Inputs, effects, and what keepers and nodes say.
+
+use crate::prelude::*;
+
+/// What a keeper tells every other it knows, at each pulse.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    pub member: Member,
+    pub fleet: FleetId,
+    pub view: ViewNumber,
+    pub aligned: ViewNumber,
+    pub last: Mark,
+    pub committed: Edition,
+    pub tail_active: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum CoreMessage {
+    Pulse(News),
+    View(ViewMessage),
+    Chain(ChainMessage),
+    ReadLeaseAsk {
+        view: ViewNumber,
+        sent: Instant,
+    },
+    ReadLeaseGiven {
+        view: ViewNumber,
+        sent: Instant,
+    },
+    /// The tail of `view` has stopped acting and hands over.
+    Retired {
+        view: ViewNumber,
+    },
+    DutyAsk {
+        sent: Instant,
+    },
+    DutyGiven {
+        sent: Instant,
+        duties: Vec<(DutyKind, Term)>,
+    },
+    Submit(Submission),
+    Ask {
+        ticket: u64,
+        question: Question,
+    },
+    Answer {
+        ticket: u64,
+        answer: Answer,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Question {
+    /// Take this command, and answer once it is in force.
+    Submit(Submission),
+    /// How was this request settled?
+    Settled(RequestId),
+    State,
+    Nodes,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    Settled(Settled),
+    State(Box<FleetState>),
+    Nodes(Vec<NodeReport>),
+    /// The limit passed; whether it was or will be done is not known.
+    Unknown,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeReport {
+    pub node: NodeId,
+    pub applied: Edition,
+    pub lease_left: Span,
+}
+
+/// From a node's agent to a keeper.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum NodeUp {
+    Renew { sent: Instant, applied: Option<Edition>, life: u64 },
+    Applied { edition: Edition },
+}
+
+/// From a keeper to a node's agent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum NodeDown {
+    /// "I am not the tail"; the view says who is.
+    Whereabouts(View),
+    Granted {
+        sent: Instant,
+        span: Span,
+        life: u64,
+    },
+    /// Not renewed: the node lags behind.
+    Behind,
+    Snapshot(Box<FleetState>),
+    Push {
+        number: Edition,
+        submission: Submission,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub enum Input {
+    Pulse,
+    Peer {
+        from: NodeId,
+        message: CoreMessage,
+    },
+    Node {
+        node: NodeId,
+        message: NodeUp,
+    },
+    NodeGone {
+        node: NodeId,
+    },
+    Ask {
+        ticket: u64,
+        question: Question,
+        limit: Instant,
+    },
+    /// Seeds as the settings now name them.
+    Seeds(Vec<String>),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Stored {
+    Record(Record),
+    Snapshot { mark: Mark, state: Box<FleetState> },
+    View(View),
+    Vote(Vote),
+    Aligned(ViewNumber),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Store(Stored),
+    Send { to: NodeId, address: String, message: CoreMessage, until: Option<Instant> },
+    Knock { address: String, message: CoreMessage },
+    Tell { node: NodeId, message: NodeDown, until: Option<Instant> },
+    Answer { ticket: u64, answer: Answer },
+    Note { event: &'static str, detail: String },
+}
+
+/// What a keeper finds in its data folder.
+#[derive(Clone, Debug, Default)]
+pub struct Kept {
+    pub view: Option<View>,
+    pub vote: Vote,
+    pub aligned: ViewNumber,
+    pub mark: Mark,
+    pub state: FleetState,
+    pub records: Vec<Record>,
+}
--- /dev/null
+++ b/crates/warden/src/mind.rs
@@ -0,0 +1,277 @@
+//! The machine itself: its state, and the way of an input through it.
+
+use crate::prelude::*;
+
+pub const PULSE_SPAN: Span = Span::millis(200);
+pub const SUSPECT_AFTER: Span = Span::millis(1000);
+
+#[derive(Clone, Debug)]
+pub struct Wishes {
+    /// How many voters the core grows to.
+    pub core_size: usize,
+    pub seeds: Vec<String>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    pub(crate) news: Option<News>,
+    pub(crate) last_heard: Instant,
+    /// Since when it has been heard without a break.
+    pub(crate) heard_since: Instant,
+}
+
+#[derive(Clone, Debug)]
+pub struct Warden {
+    pub(crate) me: Member,
+    pub(crate) wishes: Wishes,
+    pub(crate) view: View,
+    pub(crate) vote: Vote,
+    pub(crate) sealed_since: Instant,
+    pub(crate) aligned: ViewNumber,
+    pub(crate) log: Log,
+    pub(crate) committed: Edition,
+    pub(crate) peers: BTreeMap<NodeId, Peer>,
+    pub(crate) acquaintances: BTreeMap<NodeId, Member>,
+    pub(crate) nonce: u64,
+    pub(crate) began: Instant,
+    pub(crate) adopted: Instant,
+    pub(crate) campaign: Option<Campaign>,
+    pub(crate) highest_round: u64,
+    pub(crate) campaign_after: Instant,
+    pub(crate) tail: Option<TailDuty>,
+    pub(crate) duty_lease: HeldLease,
+    pub(crate) duties: BTreeMap<DutyKind, HeldDuty>,
+    pub(crate) waiting: BTreeMap<u64, Waiting>,
+    pub(crate) last_pulse: Instant,
+    pub(crate) inbox: VecDeque<CoreMessage>,
+    pub(crate) plan: Vec<Effect>,
+}
+
+impl Warden {
+    /// A keeper with what its folder holds; `life` differs for each life of the process.
+    pub fn restore(me: Member, kept: Kept, wishes: Wishes, life: u64, now: Instant) -> Warden {
+        let view = kept.view.unwrap_or_default();
+        let acquaintances = view.members.iter().map(|member| (member.id, member.clone())).collect();
+        let mut restored_warden = Warden {
+            me,
+            wishes,
+            view,
+            vote: kept.vote,
+            sealed_since: now,
+            aligned: kept.aligned,
+            log: Log::restore(kept.mark, kept.state, kept.records),
+            committed: Edition(0),
+            peers: BTreeMap::new(),
+            acquaintances,
+            nonce: life,
+            began: now,
+            adopted: now,
+            campaign: None,
+            highest_round: 0,
+            campaign_after: now,
+            tail: None,
+            duty_lease: HeldLease::default(),
+            duties: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            last_pulse: Instant(0),
+            inbox: VecDeque::new(),
+            plan: Vec::new(),
+        };
+        if restored_warden.view.tail() == Some(restored_warden.me.id) {
+            restored_warden.tail = Some(TailDuty::new(now + READ_LEASE + LEASE_MARGIN));
+        }
+        restored_warden
+    }
+
+    /// What a founder's folder holds at first: a view of one, and the founding document.
+    pub fn founding(me: &Member, fleet: FleetId, founding_state: FleetState) -> Vec<Stored> {
+        let first_view =
+            View { fleet, number: ViewNumber(1), chain: vec![me.id], voters: vec![me.id], members: vec![me.clone()] };
+        let mark = Mark { edition: founding_state.edition, view: ViewNumber(1) };
+        vec![
+            Stored::Snapshot { mark, state: Box::new(founding_state) },
+            Stored::Vote(Vote::default()),
+            Stored::View(first_view),
+            Stored::Aligned(ViewNumber(1)),
+        ]
+    }
+
+    pub fn step(&mut self, input: Input, now: Instant) -> Vec<Effect> {
+        match input {
+            Input::Pulse => self.pulse(now),
+            Input::Peer { from, message } => self.hear(from, message, now),
+            Input::Node { node, message } => self.hear_node(node, message, now),
+            Input::NodeGone { node } => self.lose_node(node),
+            Input::Ask { ticket, question, limit } => self.begin_ask(ticket, question, limit, now),
+            Input::Seeds(seeds) => self.wishes.seeds = seeds,
+        }
+        while let Some(own_message) = self.inbox.pop_front() {
+            let me = self.me.id;
+            self.hear(me, own_message, now);
+        }
+        self.tend_tail(now);
+        std::mem::take(&mut self.plan)
+    }
+
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    pub fn state(&self) -> &FleetState {
+        self.log.state()
+    }
+
+    pub fn last(&self) -> Mark {
+        self.log.last()
+    }
+
+    pub fn has_view(&self) -> bool {
+        self.view.number != ViewNumber(0)
+    }
+
+    pub(crate) fn sealed(&self) -> bool {
+        self.vote.sealed()
+    }
+
+    pub(crate) fn is_aligned(&self) -> bool {
+        self.has_view() && self.aligned == self.view.number && self.view.in_chain(self.me.id)
+    }
+
+    pub(crate) fn store(&mut self, stored: Stored) {
+        self.plan.push(Effect::Store(stored));
+    }
+
+    pub(crate) fn note(&mut self, event: &'static str, detail: String) {
+        self.plan.push(Effect::Note { event, detail });
+    }
+
+    pub(crate) fn send(&mut self, to: NodeId, message: CoreMessage) {
+        self.send_until(to, message, None);
+    }
+
+    /// Sends what is true only until an instant; carried out later than that, it is dropped.
+    pub(crate) fn send_until(&mut self, to: NodeId, message: CoreMessage, until: Option<Instant>) {
+        if to == self.me.id {
+            self.inbox.push_back(message);
+            return;
+        }
+        let Some(address) = self.address_of(to) else { return };
+        self.plan.push(Effect::Send { to, address, message, until });
+    }
+
+    fn address_of(&self, node: NodeId) -> Option<String> {
+        let known_member = self.acquaintances.get(&node).or_else(|| self.view.member(node))?;
+        Some(known_member.address.clone())
+    }
+
+    fn hear(&mut self, from: NodeId, message: CoreMessage, now: Instant) {
+        match message {
+            CoreMessage::Pulse(news) => self.hear_news(from, news, now),
+            CoreMessage::View(view_message) => self.hear_view(from, view_message, now),
+            CoreMessage::Chain(chain_message) => self.hear_chain(from, chain_message, now),
+            CoreMessage::ReadLeaseAsk { view, sent } => self.hear_read_lease_ask(from, view, sent),
+            CoreMessage::ReadLeaseGiven { view, sent } => self.hear_read_lease_given(from, view, sent),
+            CoreMessage::Retired { view } => self.hear_retired(from, view, now),
+            CoreMessage::DutyAsk { sent } => self.hear_duty_ask(from, sent, now),
+            CoreMessage::DutyGiven { sent, duties } => self.hear_duty_given(from, sent, duties, now),
+            CoreMessage::Submit(submission) => self.hear_submit(submission),
+            CoreMessage::Ask { ticket, question } => self.hear_ask(from, ticket, question, now),
+            CoreMessage::Answer { ticket, answer } => self.hear_answer(ticket, answer),
+        }
+    }
+
+    fn pulse(&mut self, now: Instant) {
+        if now.since(self.last_pulse) >= PULSE_SPAN {
+            self.last_pulse = now;
+            self.tell_news(now);
+            self.ask_to_be_levelled();
+            self.ask_read_lease(now);
+            self.ask_duty(now);
+        }
+        self.tend_campaign(now);
+        self.tend_asks(now);
+    }
+
+    pub(crate) fn news(&self, now: Instant) -> News {
+        News {
+            member: self.me.clone(),
+            fleet: self.view.fleet,
+            view: self.view.number,
+            aligned: self.aligned,
+            last: self.log.last(),
+            committed: self.committed,
+            tail_active: self.tail_is_active(now),
+        }
+    }
+
+    fn tell_news(&mut self, now: Instant) {
+        let message = CoreMessage::Pulse(self.news(now));
+        let told_members: Vec<NodeId> =
+            self.acquaintances.keys().copied().filter(|member| *member != self.me.id).collect();
+        for member in told_members {
+            self.send(member, message.clone());
+        }
+        let heard_few = !self.has_view() || self.alive_voters(now) < self.view.majority();
+        if heard_few {
+            for address in self.wishes.seeds.clone() {
+                if address != self.me.address {
+                    self.plan.push(Effect::Knock { address, message: message.clone() });
+                }
+            }
+        }
+    }
+
+    fn hear_news(&mut self, from: NodeId, news: News, now: Instant) {
+        if from == self.me.id {
+            return;
+        }
+        let other_fleet = self.has_view() && news.fleet != FleetId(0) && news.fleet != self.view.fleet;
+        if other_fleet {
+            self.note("wrong_fleet", format!("peer={from} theirs={} ours={}", news.fleet, self.view.fleet));
+            return;
+        }
+        let address_moved = self.acquaintances.get(&from) != Some(&news.member);
+        if address_moved {
+            self.acquaintances.insert(from, news.member.clone());
+        }
+        let last_news = self.peers.get(&from).and_then(|peer| peer.news.clone());
+        let peer = self.peers.entry(from).or_insert(Peer { news: None, last_heard: now, heard_since: now });
+        if now.since(peer.last_heard) >= SUSPECT_AFTER {
+            peer.heard_since = now;
+        }
+        peer.last_heard = now;
+        peer.news = Some(news.clone());
+        if self.view.tail() == Some(from) && news.view == self.view.number {
+            self.committed = self.committed.max(news.committed);
+        }
+        if self.has_view() && news.view < self.view.number {
+            let decided = CoreMessage::View(ViewMessage::Decided(self.view.clone()));
+            self.send(from, decided);
+        }
+        self.resend_to_successor(from, &news, last_news.as_ref());
+    }
+
+    pub(crate) fn is_alive(&self, node: NodeId, now: Instant) -> bool {
+        node == self.me.id || self.peers.get(&node).is_some_and(|peer| now.since(peer.last_heard) < SUSPECT_AFTER)
+    }
+
+    pub(crate) fn alive_voters(&self, now: Instant) -> usize {
+        self.view.voters.iter().filter(|voter| self.is_alive(**voter, now)).count()
+    }
+
+    /// How long a peer has been silent; counted from our own start if it was never heard.
+    pub(crate) fn silence(&self, node: NodeId, now: Instant) -> Span {
+        if node == self.me.id {
+            return Span(0);
+        }
+        now.since(self.peers.get(&node).map_or(self.began, |peer| peer.last_heard))
+    }
+
+    pub(crate) fn peer_news(&self, node: NodeId) -> Option<&News> {
+        self.peers.get(&node).and_then(|peer| peer.news.as_ref())
+    }
+}
--- /dev/null
+++ b/crates/warden/src/prelude.rs
@@ -0,0 +1,16 @@
+//! The one import of this package's files.
+
+pub(crate) use crate::asks::*;
+pub use crate::messages::*;
+pub use crate::mind::*;
+pub(crate) use crate::tailing::*;
+pub use crate::viewing::list_ids;
+pub use chain::prelude::{ChainMessage, Log, Mark, Record};
+pub use desired::prelude::{Command, Complaint, Duty, DutyKind, FleetState, Listing, Settled, Standing, Submission};
+pub use lease::prelude::{
+    DUTY_GAP, HeldLease, LAG_LIMIT, LEASE_MARGIN, NODE_LEASE, NodeLeases, READ_LEASE, ReadLease,
+};
+pub(crate) use serde::{Deserialize, Serialize};
+pub(crate) use std::collections::{BTreeMap, VecDeque};
+pub(crate) use units::prelude::*;
+pub use view::prelude::{Ballot, Campaign, Member, View, ViewMessage, Vote};
--- /dev/null
+++ b/crates/warden/src/tailing.rs
@@ -0,0 +1,347 @@
+//! The tail's part: read lease, node leases, numbered pushes, what is in force; and the duties, whose
+//! holders the tail keeps under lease and the chain appoints.
+
+use crate::prelude::*;
+
+#[derive(Clone, Debug)]
+pub(crate) struct TailDuty {
+    /// Until the tail before may still be acting.
+    pub(crate) wait_until: Instant,
+    pub(crate) begun: bool,
+    pub(crate) read_lease: ReadLease,
+    pub(crate) leases: NodeLeases,
+    /// How far each linked node has been pushed; nothing for one that needs a snapshot.
+    pub(crate) pushed: BTreeMap<NodeId, Option<Edition>>,
+    pub(crate) duty_until: BTreeMap<NodeId, Instant>,
+    /// Editions and when they were committed, for those not yet due everywhere.
+    pub(crate) fresh: VecDeque<(Edition, Instant)>,
+    pub(crate) due: Edition,
+    pub(crate) asked: Vec<Asked>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Asked {
+    pub(crate) from: NodeId,
+    pub(crate) ticket: u64,
+    pub(crate) request: RequestId,
+    pub(crate) since: Instant,
+}
+
+/// A duty as its holder knows it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HeldDuty {
+    pub(crate) term: Term,
+    pub(crate) first_known: Instant,
+}
+
+impl TailDuty {
+    pub(crate) fn new(wait_until: Instant) -> TailDuty {
+        TailDuty {
+            wait_until,
+            begun: false,
+            read_lease: ReadLease::default(),
+            leases: NodeLeases::default(),
+            pushed: BTreeMap::new(),
+            duty_until: BTreeMap::new(),
+            fresh: VecDeque::new(),
+            due: Edition(0),
+            asked: Vec::new(),
+        }
+    }
+}
+
+impl Warden {
+    pub(crate) fn read_until(&self) -> Instant {
+        let Some(tail) = &self.tail else { return Instant(0) };
+        tail.read_lease.until(&self.view.voters, self.view.majority())
+    }
+
+    pub fn tail_is_active(&self, now: Instant) -> bool {
+        self.tail.as_ref().is_some_and(|tail| tail.begun)
+            && self.is_aligned()
+            && !self.sealed()
+            && now < self.read_until()
+    }
+
+    pub(crate) fn ask_read_lease(&mut self, now: Instant) {
+        if self.tail.is_none() || self.sealed() {
+            return;
+        }
+        for voter in self.view.voters.clone() {
+            self.send(voter, CoreMessage::ReadLeaseAsk { view: self.view.number, sent: now });
+        }
+    }
+
+    pub(crate) fn hear_read_lease_ask(&mut self, from: NodeId, view: ViewNumber, sent: Instant) {
+        let agrees = view == self.view.number
+            && self.view.tail() == Some(from)
+            && !self.sealed()
+            && self.view.votes(self.me.id);
+        if agrees {
+            self.send(from, CoreMessage::ReadLeaseGiven { view, sent });
+        }
+    }
+
+    pub(crate) fn hear_read_lease_given(&mut self, from: NodeId, view: ViewNumber, sent: Instant) {
+        if view == self.view.number
+            && let Some(tail) = &mut self.tail
+        {
+            tail.read_lease.take(from, sent);
+        }
+    }
+
+    /// After a view was adopted: go on, begin, or hand over.
+    pub(crate) fn move_tail(&mut self, previous_view: &View, now: Instant) {
+        let me = self.me.id;
+        let is_tail = self.view.tail() == Some(me);
+        let follows_directly = self.view.number == previous_view.number.next();
+        if let Some(mut tail) = self.tail.take() {
+            if is_tail && follows_directly {
+                tail.read_lease = ReadLease::default();
+                self.tail = Some(tail);
+                return;
+            }
+            let may_hand_over = follows_directly && (tail.begun || now >= tail.wait_until);
+            if let Some(next_tail) = self.view.tail().filter(|_| may_hand_over) {
+                let decided = CoreMessage::View(ViewMessage::Decided(self.view.clone()));
+                self.send(next_tail, decided);
+                self.send(next_tail, CoreMessage::Retired { view: self.view.number });
+            }
+            for node in tail.pushed.keys().copied().collect::<Vec<NodeId>>() {
+                let whereabouts = NodeDown::Whereabouts(self.view.clone());
+                self.plan.push(Effect::Tell { node, message: whereabouts, until: None });
+            }
+        }
+        if is_tail {
+            self.tail = Some(TailDuty::new(now + READ_LEASE + LEASE_MARGIN));
+        }
+    }
+
+    pub(crate) fn hear_retired(&mut self, _from: NodeId, view: ViewNumber, now: Instant) {
+        if view != self.view.number {
+            return;
+        }
+        if let Some(tail) = self.tail.as_mut().filter(|tail| !tail.begun) {
+            tail.wait_until = now;
+        }
+    }
+
+    /// At the end of every step: begin acting when allowed, push, settle what was asked, appoint.
+    pub(crate) fn tend_tail(&mut self, now: Instant) {
+        let read_until = self.read_until();
+        let may_act = self.is_aligned() && !self.sealed() && now < read_until;
+        let last_edition = self.log.last().edition;
+        let Some(tail) = self.tail.as_mut().filter(|tail| may_act && (tail.begun || now >= tail.wait_until)) else {
+            return;
+        };
+        let begins = !tail.begun;
+        if begins {
+            tail.begun = true;
+            tail.leases = NodeLeases::begin(last_edition, now);
+            tail.due = last_edition;
+        }
+        if tail.fresh.back().map_or(tail.due, |(edition, _)| *edition) < last_edition {
+            tail.fresh.push_back((last_edition, now));
+        }
+        while let Some((edition, since)) = tail.fresh.front().copied() {
+            if now.since(since) < LAG_LIMIT {
+                break;
+            }
+            tail.due = edition;
+            tail.fresh.pop_front();
+        }
+        tail.leases.raise(last_edition, now);
+        self.committed = last_edition;
+        if begins {
+            self.note("tail_begins", format!("view={} edition={last_edition}", self.view.number));
+        }
+        self.push_news(read_until);
+        self.settle_asked(now, read_until);
+        self.appoint(now);
+    }
+
+    fn push_news(&mut self, read_until: Instant) {
+        let last_edition = self.log.last().edition;
+        let Some(tail) = self.tail.as_mut() else { return };
+        let mut told_effects = Vec::new();
+        for (node, pushed) in tail.pushed.iter_mut() {
+            if *pushed == Some(last_edition) {
+                continue;
+            }
+            match pushed.and_then(|edition| self.log.after(edition)) {
+                Some(records) => {
+                    for record in records {
+                        let message = NodeDown::Push { number: record.mark.edition, submission: record.submission };
+                        told_effects.push(Effect::Tell { node: *node, message, until: Some(read_until) });
+                    }
+                }
+                None => {
+                    let message = NodeDown::Snapshot(Box::new(self.log.state().clone()));
+                    told_effects.push(Effect::Tell { node: *node, message, until: Some(read_until) });
+                }
+            }
+            *pushed = Some(last_edition);
+        }
+        self.plan.extend(told_effects);
+    }
+
+    pub(crate) fn hear_node(&mut self, node: NodeId, message: NodeUp, now: Instant) {
+        if !self.tail_is_active(now) {
+            let message = NodeDown::Whereabouts(self.view.clone());
+            self.plan.push(Effect::Tell { node, message, until: None });
+            return;
+        }
+        let read_until = self.read_until();
+        let last_edition = self.log.last().edition;
+        let Some(tail) = self.tail.as_mut() else { return };
+        match message {
+            NodeUp::Applied { edition } => {
+                tail.leases.note_applied(node, edition.min(last_edition));
+            }
+            NodeUp::Renew { sent, applied, life } => {
+                let known_edition = applied.filter(|edition| *edition <= last_edition);
+                let pushed = tail.pushed.entry(node).or_insert(known_edition);
+                if *pushed < known_edition || known_edition.is_none() {
+                    *pushed = known_edition;
+                }
+                let due = tail.due;
+                let granted = known_edition.is_some_and(|edition| tail.leases.renew(node, edition, due, now));
+                let message = match granted {
+                    true => NodeDown::Granted { sent, span: NODE_LEASE, life },
+                    false => NodeDown::Behind,
+                };
+                self.plan.push(Effect::Tell { node, message, until: Some(read_until) });
+            }
+        }
+    }
+
+    pub(crate) fn lose_node(&mut self, node: NodeId) {
+        if let Some(tail) = &mut self.tail {
+            tail.pushed.remove(&node);
+        }
+    }
+
+    fn settle_asked(&mut self, now: Instant, read_until: Instant) {
+        let state = self.log.state();
+        let Some(tail) = self.tail.as_mut() else { return };
+        let in_force = tail.leases.in_force();
+        let is_settled = tail.leases.settled(now);
+        let mut answered = Vec::new();
+        tail.asked.retain(|asked| {
+            let Some(outcome) = state.settled_before(asked.request) else {
+                return now.since(asked.since) < Span::seconds(2);
+            };
+            let may_answer = match &outcome {
+                Settled::Taken(edition) => is_settled && *edition <= in_force,
+                _ => true,
+            };
+            if may_answer {
+                answered.push((asked.from, asked.ticket, Answer::Settled(outcome)));
+            }
+            !may_answer && now.since(asked.since) < Span::seconds(2)
+        });
+        for (to, ticket, answer) in answered {
+            self.send_until(to, CoreMessage::Answer { ticket, answer }, Some(read_until));
+        }
+        if !self.inbox.is_empty() {
+            self.take_own_answers();
+        }
+    }
+
+    fn take_own_answers(&mut self) {
+        while let Some(message) = self.inbox.pop_front() {
+            match message {
+                CoreMessage::Answer { ticket, answer } => self.hear_answer(ticket, answer),
+                CoreMessage::Submit(submission) => self.hear_submit(submission),
+                _ => {}
+            }
+        }
+    }
+
+    // Duties.
+
+    pub(crate) fn ask_duty(&mut self, now: Instant) {
+        if let Some(tail) = self.view.tail().filter(|_| self.view.in_chain(self.me.id)) {
+            self.send(tail, CoreMessage::DutyAsk { sent: now });
+        }
+    }
+
+    pub(crate) fn hear_duty_ask(&mut self, from: NodeId, sent: Instant, now: Instant) {
+        if !self.tail_is_active(now) {
+            return;
+        }
+        let read_until = self.read_until();
+        let duties: Vec<(DutyKind, Term)> = self
+            .log
+            .state()
+            .duties
+            .iter()
+            .filter(|(_, duty)| duty.holder == from)
+            .map(|(kind, duty)| (*kind, duty.term))
+            .collect();
+        if let Some(tail) = self.tail.as_mut() {
+            tail.duty_until.insert(from, now + NODE_LEASE + LEASE_MARGIN);
+        }
+        self.send_until(from, CoreMessage::DutyGiven { sent, duties }, Some(read_until));
+    }
+
+    pub(crate) fn hear_duty_given(
+        &mut self,
+        from: NodeId,
+        sent: Instant,
+        duties: Vec<(DutyKind, Term)>,
+        now: Instant,
+    ) {
+        if self.view.tail() != Some(from) {
+            return;
+        }
+        self.duty_lease.renew(sent, NODE_LEASE);
+        self.duties.retain(|kind, held| duties.contains(&(*kind, held.term)));
+        for (kind, term) in duties {
+            self.duties.entry(kind).or_insert(HeldDuty { term, first_known: now });
+        }
+    }
+
+    /// The term under which this keeper may act, and until when; checked last before acting.
+    pub fn holds_duty(&self, kind: DutyKind, now: Instant) -> Option<(Term, Instant)> {
+        let held = self.duties.get(&kind)?;
+        let gap = if kind == DutyKind::Conductor { DUTY_GAP } else { Span(0) };
+        let may_act = self.duty_lease.holds(now) && now >= held.first_known + gap;
+        may_act.then(|| (held.term, self.duty_lease.until()))
+    }
+
+    /// A duty nobody holds, or whose holder's lease has run out, goes to a living chain member.
+    fn appoint(&mut self, now: Instant) {
+        let Some(tail) = &self.tail else { return };
+        if !tail.leases.settled(now) {
+            return;
+        }
+        let Some(head) = self.view.head() else { return };
+        for (place, kind) in [DutyKind::Census, DutyKind::Conductor].into_iter().enumerate() {
+            let duty = self.log.state().duties.get(&kind).copied();
+            let holder_lives = duty.is_some_and(|duty| {
+                self.tail
+                    .as_ref()
+                    .and_then(|tail| tail.duty_until.get(&duty.holder))
+                    .is_some_and(|until| now < *until)
+            });
+            if holder_lives {
+                continue;
+            }
+            let living_members: Vec<NodeId> = self
+                .view
+                .chain
+                .iter()
+                .copied()
+                .filter(|member| self.is_alive(*member, now) && duty.is_none_or(|duty| duty.holder != *member))
+                .collect();
+            let Some(holder) = living_members.get(place % living_members.len().max(1)).copied() else { continue };
+            let from_term = duty.map_or(Term(0), |duty| duty.term);
+            let naming = [from_term.0.to_le_bytes(), (place as u64).to_le_bytes(), self.view.number.0.to_le_bytes()];
+            let request = RequestId(BlockHash::over(&[b"appoint", &naming[0], &naming[1], &naming[2]]).0);
+            let command = Command::Appoint { kind, from_term, holder };
+            self.send(head, CoreMessage::Submit(Submission { request, command }));
+        }
+        self.take_own_answers();
+    }
+}
--- /dev/null
+++ b/crates/warden/src/viewing.rs
@@ -0,0 +1,279 @@
+//! The view part: suspecting, campaigning, voting, adopting.
+
+use crate::prelude::*;
+
+const RANK_DELAY: Span = Span::millis(200);
+const SEALED_LIMIT: Span = Span::millis(600);
+const CAMPAIGN_LIMIT: Span = Span::millis(500);
+const STEADY_FOR: Span = Span::millis(1000);
+const REPLACE_AFTER: Span = Span::seconds(8);
+const CAUGHT_UP_WITHIN: u64 = 64;
+
+/// A change of the view that nothing forces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Growth {
+    /// A voter that is back, or a spare: to the end of the chain.
+    Join(NodeId),
+    /// A spare in the seat of a voter that stays dead.
+    Replace { dead: NodeId, spare: NodeId },
+}
+
+impl Warden {
+    pub(crate) fn hear_view(&mut self, from: NodeId, message: ViewMessage, now: Instant) {
+        match message {
+            ViewMessage::Decided(view) => self.adopt(view, now),
+            ViewMessage::Prepare { next, ballot } => self.hear_prepare(from, next, ballot, now),
+            ViewMessage::Accept { next, ballot, view } => self.hear_accept(from, next, ballot, view, now),
+            ViewMessage::Promise { next, ballot, accepted } => {
+                self.hear_promise(from, next, ballot, accepted, now);
+            }
+            ViewMessage::Accepted { next, ballot } => {
+                let Some(campaign) = self.campaign.as_mut() else { return };
+                if campaign.next != next || campaign.ballot != ballot {
+                    return;
+                }
+                let Some(decided_view) = campaign.take_acceptance(&self.view, from) else { return };
+                self.tell_decided(&decided_view);
+                self.adopt(decided_view, now);
+            }
+            ViewMessage::Outbid { next, promised } => {
+                self.highest_round = self.highest_round.max(promised.round);
+                if self.campaign.as_ref().is_some_and(|campaign| campaign.next == next) {
+                    self.campaign = None;
+                    self.campaign_after = now + RANK_DELAY.times(1 + self.rank(now));
+                }
+            }
+        }
+    }
+
+    fn may_vote(&mut self, from: NodeId, next: ViewNumber) -> bool {
+        if !self.view.votes(self.me.id) || !self.has_view() {
+            return false;
+        }
+        if next <= self.view.number {
+            let decided = CoreMessage::View(ViewMessage::Decided(self.view.clone()));
+            self.send(from, decided);
+        }
+        next == self.view.number.next()
+    }
+
+    fn hear_prepare(&mut self, from: NodeId, next: ViewNumber, ballot: Ballot, now: Instant) {
+        if !self.may_vote(from, next) {
+            return;
+        }
+        self.highest_round = self.highest_round.max(ballot.round);
+        let reply = match self.vote.prepare(ballot) {
+            Ok(accepted) => {
+                self.sealed_since = now;
+                self.store(Stored::Vote(self.vote.clone()));
+                ViewMessage::Promise { next, ballot, accepted }
+            }
+            Err(promised) => ViewMessage::Outbid { next, promised },
+        };
+        self.send(from, CoreMessage::View(reply));
+    }
+
+    fn hear_accept(&mut self, from: NodeId, next: ViewNumber, ballot: Ballot, view: View, now: Instant) {
+        if !self.may_vote(from, next) {
+            return;
+        }
+        let reply = match self.vote.accept(ballot, view) {
+            Ok(()) => {
+                self.sealed_since = now;
+                self.store(Stored::Vote(self.vote.clone()));
+                ViewMessage::Accepted { next, ballot }
+            }
+            Err(promised) => ViewMessage::Outbid { next, promised },
+        };
+        self.send(from, CoreMessage::View(reply));
+    }
+
+    fn hear_promise(
+        &mut self,
+        from: NodeId,
+        next: ViewNumber,
+        ballot: Ballot,
+        accepted: Option<(Ballot, View)>,
+        now: Instant,
+    ) {
+        let Some(mut campaign) = self.campaign.take() else { return };
+        if campaign.next != next || campaign.ballot != ballot {
+            self.campaign = Some(campaign);
+            return;
+        }
+        let may_propose = campaign.take_promise(&self.view, from, accepted);
+        if may_propose {
+            let proposal = campaign.bound_view().or_else(|| self.compose(&campaign, now));
+            if let Some(proposed_view) = proposal {
+                campaign.propose(proposed_view.clone());
+                for voter in self.view.voters.clone() {
+                    let accept = ViewMessage::Accept { next, ballot, view: proposed_view.clone() };
+                    self.send(voter, CoreMessage::View(accept));
+                }
+            }
+        }
+        self.campaign = Some(campaign);
+    }
+
+    /// The next view: the living members of the chain in their old order, begun by one that surely
+    /// holds all that was committed, and at most one newcomer.
+    fn compose(&self, campaign: &Campaign, now: Instant) -> Option<View> {
+        let living_chain: Vec<NodeId> = self
+            .view
+            .chain
+            .iter()
+            .copied()
+            .filter(|member| campaign.promised_by(*member) || self.is_alive(*member, now))
+            .collect();
+        let first_aligned = living_chain.iter().copied().find(|member| self.holds_all_committed(*member))?;
+        let mut chain = vec![first_aligned];
+        chain.extend(living_chain.into_iter().filter(|member| *member != first_aligned));
+        let mut voters = self.view.voters.clone();
+        match self.growth(now) {
+            Some(Growth::Join(newcomer)) => {
+                chain.push(newcomer);
+                if !voters.contains(&newcomer) {
+                    voters.push(newcomer);
+                }
+            }
+            Some(Growth::Replace { dead, spare }) if !chain.contains(&dead) => {
+                voters.retain(|voter| *voter != dead);
+                voters.push(spare);
+                chain.push(spare);
+            }
+            _ => {}
+        }
+        let members = voters
+            .iter()
+            .filter_map(|voter| self.acquaintances.get(voter).or_else(|| self.view.member(*voter)).cloned())
+            .collect();
+        Some(View { fleet: self.view.fleet, number: campaign.next, chain, voters, members })
+    }
+
+    fn holds_all_committed(&self, member: NodeId) -> bool {
+        if member == self.me.id {
+            return self.is_aligned();
+        }
+        self.peer_news(member).is_some_and(|news| news.aligned == self.view.number)
+    }
+
+    /// A core still below its size takes newcomers quickly.
+    fn steady_span(&self) -> Span {
+        if self.view.voters.len() < self.wishes.core_size { PULSE_SPAN } else { STEADY_FOR }
+    }
+
+    /// What the steady core would gladly change, one seat at a time.
+    fn growth(&self, now: Instant) -> Option<Growth> {
+        let may_join = |node: NodeId| {
+            let Some(peer) = self.peers.get(&node) else { return false };
+            let Some(news) = &peer.news else { return false };
+            self.is_alive(node, now)
+                && now.since(peer.heard_since) >= self.steady_span()
+                && news.view == self.view.number
+                && news.last.edition.0 + CAUGHT_UP_WITHIN >= self.log.last().edition.0
+        };
+        let absent_voter =
+            self.view.voters.iter().copied().find(|voter| !self.view.in_chain(*voter) && may_join(*voter));
+        if let Some(voter) = absent_voter {
+            return Some(Growth::Join(voter));
+        }
+        let spare = self.peers.keys().copied().find(|peer| !self.view.votes(*peer) && may_join(*peer))?;
+        if self.view.voters.len() < self.wishes.core_size {
+            return Some(Growth::Join(spare));
+        }
+        let dead = self.view.voters.iter().copied().find(|voter| self.silence(*voter, now) >= REPLACE_AFTER)?;
+        Some(Growth::Replace { dead, spare })
+    }
+
+    /// How many living voters stand before this one.
+    fn rank(&self, now: Instant) -> u64 {
+        let voters_before = self.view.voters.iter().take_while(|voter| **voter != self.me.id);
+        voters_before.filter(|voter| self.is_alive(**voter, now)).count() as u64
+    }
+
+    /// Whether the present view should give way, as this voter sees it.
+    fn wants_view(&self, now: Instant) -> bool {
+        if !self.has_view() || !self.view.votes(self.me.id) || self.alive_voters(now) < self.view.majority() {
+            return false;
+        }
+        let rank = self.rank(now);
+        let patience = RANK_DELAY.times(rank);
+        let member_lost = self.view.chain.iter().any(|member| self.silence(*member, now) >= SUSPECT_AFTER + patience);
+        let seal_hangs = self.sealed() && now.since(self.sealed_since) >= SEALED_LIMIT + patience;
+        let is_steady =
+            rank == 0 && now.since(self.adopted) >= self.steady_span() && !self.sealed() && self.tail_seen(now);
+        member_lost || seal_hangs || (is_steady && self.growth(now).is_some())
+    }
+
+    fn tail_seen(&self, now: Instant) -> bool {
+        let Some(tail) = self.view.tail() else { return false };
+        if tail == self.me.id {
+            return self.tail_is_active(now);
+        }
+        self.is_alive(tail, now) && self.peer_news(tail).is_some_and(|news| news.tail_active)
+    }
+
+    pub(crate) fn tend_campaign(&mut self, now: Instant) {
+        let wanted = self.wants_view(now);
+        let is_running = self.campaign.as_ref().is_some_and(|campaign| now.since(campaign.started) < CAMPAIGN_LIMIT);
+        if !wanted || is_running || now < self.campaign_after {
+            return;
+        }
+        let ballot = Ballot { round: self.highest_round + 1, proposer: self.me.id };
+        let next = self.view.number.next();
+        self.campaign = Some(Campaign::new(next, ballot, now));
+        self.note("campaign", format!("view={next} round={}", ballot.round));
+        for voter in self.view.voters.clone() {
+            self.send(voter, CoreMessage::View(ViewMessage::Prepare { next, ballot }));
+        }
+    }
+
+    fn tell_decided(&mut self, decided_view: &View) {
+        let mut told_members: Vec<NodeId> = self.acquaintances.keys().copied().collect();
+        told_members.retain(|member| *member != self.me.id);
+        for member in told_members {
+            self.send(member, CoreMessage::View(ViewMessage::Decided(decided_view.clone())));
+        }
+    }
+
+    fn adopt(&mut self, view: View, now: Instant) {
+        let other_fleet = self.has_view() && view.fleet != self.view.fleet;
+        if view.number <= self.view.number || other_fleet {
+            return;
+        }
+        let previous_view = std::mem::replace(&mut self.view, view);
+        self.vote = Vote::default();
+        self.campaign = None;
+        self.highest_round = 0;
+        self.adopted = now;
+        self.nonce = self.nonce.wrapping_add(1);
+        for member in self.view.members.clone() {
+            if member.id != self.me.id {
+                self.acquaintances.entry(member.id).or_insert(member);
+            }
+        }
+        self.store(Stored::View(self.view.clone()));
+        self.store(Stored::Vote(Vote::default()));
+        if self.view.head() == Some(self.me.id) {
+            self.aligned = self.view.number;
+            self.store(Stored::Aligned(self.aligned));
+        }
+        self.note(
+            "view_adopted",
+            format!(
+                "view={} chain={} voters={}",
+                self.view.number,
+                list_ids(&self.view.chain),
+                list_ids(&self.view.voters)
+            ),
+        );
+        self.move_tail(&previous_view, now);
+        self.ask_to_be_levelled();
+        self.ask_read_lease(now);
+    }
+}
+
+pub fn list_ids(nodes: &[NodeId]) -> String {
+    let texts: Vec<String> = nodes.iter().map(NodeId::to_string).collect();
+    texts.join(",")
+}
--- /dev/null
+++ b/crates/web/src/serve.rs
@@ -0,0 +1,144 @@
+//! The listening side: one handler for a site, given to gotham as its new-handler.
+
+use crate::prelude::*;
+
+const MOST_CALLERS: usize = 4096;
+
+/// A request as a site sees it; the body is still on its way.
+pub struct Asked {
+    pub method: Method,
+    pub segments: Vec<String>,
+    pub query: String,
+    pub headers: HeaderMap,
+    pub body: GothamBody,
+}
+
+pub type Answered = Response<GothamBody>;
+pub type AnswerFuture = Pin<Box<dyn Future<Output = Answered> + Send>>;
+
+/// What a program serves.
+pub trait Site: Send + Sync + 'static {
+    fn answer(self: Arc<Self>, asked: Asked) -> AnswerFuture;
+}
+
+/// Taking a request out of gotham's state.
+pub trait StateExt {
+    fn take_asked(&mut self) -> Asked;
+}
+
+impl StateExt for State {
+    fn take_asked(&mut self) -> Asked {
+        let uri = Uri::take_from(self);
+        let segments = uri.path().split('/').filter(|part| !part.is_empty()).map(str::to_owned).collect();
+        Asked {
+            method: Method::take_from(self),
+            segments,
+            query: uri.query().unwrap_or("").to_owned(),
+            headers: HeaderMap::take_from(self),
+            body: GothamBody::take_from(self),
+        }
+    }
+}
+
+impl Asked {
+    /// Method and path, ready to be matched.
+    pub fn way(&self) -> (String, Vec<&str>) {
+        (self.method.as_str().to_owned(), self.segments.iter().map(String::as_str).collect())
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    pub fn bearer(&self) -> Option<&str> {
+        self.header("authorization")?.strip_prefix("Bearer ").map(str::trim)
+    }
+
+    pub fn query_value(&self, key: &str) -> Option<&str> {
+        self.query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))
+    }
+
+    pub async fn read_body(&mut self, most_bytes: usize) -> Result<Bytes, BodyFault> {
+        let body = std::mem::replace(&mut self.body, empty_body());
+        read_whole(body, most_bytes, Duration::from_secs(10)).await
+    }
+}
+
+/// Answers and their headers.
+pub trait AnsweredExt {
+    fn with_header(self, name: &'static str, value: &str) -> Self;
+}
+
+impl AnsweredExt for Answered {
+    fn with_header(mut self, name: &'static str, value: &str) -> Self {
+        if let Ok(header_value) = HeaderValue::from_str(value) {
+            self.headers_mut().insert(HeaderName::from_static(name), header_value);
+        }
+        self
+    }
+}
+
+pub fn answer_bytes(status: StatusCode, content_type: &'static str, bytes: impl Into<Bytes>) -> Answered {
+    let body = Full::new(bytes.into()).map_err(|never| match never {});
+    let mut answered = Response::new(UnsyncBoxBody::new(body));
+    *answered.status_mut() = status;
+    answered.with_header("content-type", content_type)
+}
+
+pub fn answer_json(status: StatusCode, value: &Value) -> Answered {
+    answer_bytes(status, "application/json", value.to_string())
+}
+
+/// A refusal: what is wrong, as JSON.
+pub fn refuse(status: StatusCode, kind: &str, reason: &str) -> Answered {
+    answer_json(status, &json!({"error": {"type": kind, "message": reason}}))
+}
+
+pub fn no_such_page() -> Answered {
+    refuse(StatusCode::NOT_FOUND, "not_found", "no such page")
+}
+
+/// A runtime with few threads, for HTTP alone.
+pub fn small_runtime(threads: usize) -> io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(threads).thread_name("http").enable_all().build()
+}
+
+/// Binds before anything is promised, so that a port in use is a plain refusal.
+pub fn bind(address: std::net::SocketAddr) -> io::Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// Serves a site for ever on a bound listener.
+pub async fn serve(listener: std::net::TcpListener, site: Arc<dyn Site>) -> io::Result<()> {
+    let listener = TcpListener::from_std(listener)?;
+    let seats = Arc::new(tokio::sync::Semaphore::new(MOST_CALLERS));
+    let new_handler = SiteHandler(std::panic::AssertUnwindSafe(site));
+    let wrap = move |stream: TcpStream| {
+        let seat = Arc::clone(&seats).try_acquire_owned();
+        let _ = stream.set_nodelay(true);
+        std::future::ready(seat.map(|seat| GuardedStream::new(stream, seat)).map_err(drop))
+    };
+    gotham::bind_server(listener, new_handler, wrap).await
+}
+
+struct SiteHandler(std::panic::AssertUnwindSafe<Arc<dyn Site>>);
+
+impl gotham::handler::NewHandler for SiteHandler {
+    type Instance = SiteHandler;
+
+    fn new_handler(&self) -> gotham::anyhow::Result<SiteHandler> {
+        Ok(SiteHandler(std::panic::AssertUnwindSafe(Arc::clone(&self.0))))
+    }
+}
+
+impl gotham::handler::Handler for SiteHandler {
+    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
+        let asked = state.take_asked();
+        Box::pin(async move {
+            let answered = Arc::clone(&self.0).answer(asked).await;
+            Ok((state, answered))
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,99 @@
+//! Frames: four bytes of length, little end first, then the body.
+
+use crate::prelude::*;
+
+/// The number of this wire format; a process that speaks another is refused with both named.
+pub const FORMAT: u64 = 1;
+pub const MOST_FRAME_BYTES: usize = 8 << 20;
+const MAGIC: [u8; 4] = *b"HARE";
+
+/// The first frame on every stream, both ways.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    pub magic: [u8; 4],
+    pub format: u64,
+    /// Zero while the speaker belongs to no fleet yet.
+    pub fleet: FleetId,
+    pub speaker: NodeId,
+    pub purpose: Purpose,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Purpose {
+    Keeper,
+    Agent,
+    Router,
+}
+
+impl Hello {
+    pub fn new(fleet: FleetId, speaker: NodeId, purpose: Purpose) -> Hello {
+        Hello { magic: MAGIC, format: FORMAT, fleet, speaker, purpose }
+    }
+
+    pub fn check(&self) -> Result<(), String> {
+        if self.magic != MAGIC {
+            return Err("not a haremount stream".into());
+        }
+        if self.format != FORMAT {
+            return Err(format!("wire format {} met, {FORMAT} spoken here", self.format));
+        }
+        Ok(())
+    }
+}
+
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, String> {
+    let body = rmp_serde::to_vec_named(message).map_err(|fault| fault.to_string())?;
+    if body.len() > MOST_FRAME_BYTES {
+        return Err(format!("frame of {} bytes, at most {MOST_FRAME_BYTES}", body.len()));
+    }
+    let mut frame = Vec::with_capacity(body.len() + 4);
+    frame.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    frame.extend_from_slice(&body);
+    Ok(frame)
+}
+
+pub fn write_frame<T: Serialize>(stream: &mut impl Write, message: &T) -> Result<(), String> {
+    let frame = encode(message)?;
+    stream.write_all(&frame).map_err(|fault| fault.to_string())
+}
+
+/// Reads one frame. The body's buffer grows with what arrives, not with what the length claims.
+pub fn read_frame<T: DeserializeOwned>(stream: &mut impl Read) -> Result<T, String> {
+    let mut length_bytes = [0u8; 4];
+    stream.read_exact(&mut length_bytes).map_err(|fault| fault.to_string())?;
+    let length = u32::from_le_bytes(length_bytes) as usize;
+    if length > MOST_FRAME_BYTES {
+        return Err(format!("frame length {length}, at most {MOST_FRAME_BYTES}"));
+    }
+    let mut body = Vec::new();
+    let read_count = stream.take(length as u64).read_to_end(&mut body).map_err(|fault| fault.to_string())?;
+    if read_count < length {
+        return Err("stream ended inside a frame".into());
+    }
+    rmp_serde::from_slice(&body).map_err(|fault| format!("unknown frame: {fault}"))
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    #[test]
+    fn bad_frames_are_refused_by_name() {
+        let huge_length = [0xffu8, 0xff, 0xff, 0x7f];
+        assert!(read_frame::<Hello>(&mut &huge_length[..]).unwrap_err().starts_with("frame length"));
+        let mut short_frame = encode(&Hello::new(FleetId(1), NodeId(2), Purpose::Agent)).unwrap();
+        short_frame.pop();
+        assert_eq!(read_frame::<Hello>(&mut &short_frame[..]).unwrap_err(), "stream ended inside a frame");
+        let foreign_frame = encode(&"GET / HTTP/1.1").unwrap();
+        assert!(read_frame::<CoreMessage>(&mut &foreign_frame[..]).unwrap_err().starts_with("unknown frame"));
+        let other_format = Hello { format: 9, ..Hello::new(FleetId(1), NodeId(2), Purpose::Keeper) };
+        assert_eq!(other_format.check().unwrap_err(), "wire format 9 met, 1 spoken here");
+    }
+
+    #[test]
+    fn core_messages_survive_the_wire() {
+        let message = CoreMessage::Retired { view: ViewNumber(3) };
+        let frame = encode(&message).unwrap();
+        assert_eq!(read_frame::<CoreMessage>(&mut &frame[..]).unwrap(), message);
+    }
+}
