--- /dev/null
+++ b/crates/conductor/src/mind.rs
@@ -0,0 +1,182 @@
+//! What is to be done next for each engine.
+
+use crate::prelude::*;
+
+/// Streams may run this long after a close; then the order to load is given all the same, and the
+/// engine refuses it while anything runs.
+pub const STREAM_LIMIT: Span = Span::seconds(10);
+const FRESH: Span = Span::millis(1500);
+
+/// What an engine said of itself, and when.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Observed {
+    pub boot: String,
+    pub weights: WeightsEdition,
+    pub running: u64,
+    pub accepting: bool,
+    pub at: Instant,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Put the engine's standing into the fleet state.
+    Stand {
+        engine: EngineName,
+        standing: Standing,
+    },
+    Load {
+        engine: EngineName,
+        address: String,
+        weights: WeightsEdition,
+    },
+    Open {
+        engine: EngineName,
+        address: String,
+    },
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Conductor {
+    closed_since: BTreeMap<EngineName, Instant>,
+}
+
+impl Conductor {
+    pub fn direct(
+        &mut self,
+        state: &FleetState,
+        observed: &BTreeMap<EngineName, Observed>,
+        now: Instant,
+    ) -> Vec<Act> {
+        self.closed_since.retain(|engine, _| state.standings.get(engine).is_some_and(|standing| standing.closed));
+        let mut room = self.room(state);
+        let mut acts = Vec::new();
+        for (engine, listed) in &state.listing.engines {
+            let Some(seen) = observed.get(engine).filter(|seen| now.since(seen.at) < FRESH) else { continue };
+            let Some(wish) = state.desired.models.get(&listed.model) else { continue };
+            if listed.listed == Listed::Open {
+                acts.extend(self.tend(state, engine, listed, seen, wish.weights, &mut room, now));
+            }
+        }
+        acts
+    }
+
+    /// How many more engines of each model may be closed: half of them, at least one, at a time.
+    fn room(&self, state: &FleetState) -> BTreeMap<ModelName, usize> {
+        let mut room = BTreeMap::new();
+        for listed in state.listing.engines.values() {
+            *room.entry(listed.model.clone()).or_insert(0) += 1;
+        }
+        for count in room.values_mut() {
+            *count = usize::max(*count / 2, 1);
+        }
+        for (engine, standing) in &state.standings {
+            let Some(listed) = state.listing.engines.get(engine).filter(|_| standing.closed) else { continue };
+            if let Some(count) = room.get_mut(&listed.model) {
+                *count = count.saturating_sub(1);
+            }
+        }
+        room
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn tend(
+        &mut self,
+        state: &FleetState,
+        engine: &EngineName,
+        listed: &ListedEngine,
+        seen: &Observed,
+        wanted: WeightsEdition,
+        room: &mut BTreeMap<ModelName, usize>,
+        now: Instant,
+    ) -> Option<Act> {
+        let standing = state.standings.get(engine).cloned().unwrap_or_default();
+        let address = listed.address.clone();
+        if seen.weights == wanted {
+            if !seen.accepting {
+                return Some(Act::Open { engine: engine.clone(), address });
+            }
+            let confirmed = Standing { confirmed: Some((wanted, seen.boot.clone())), closed: false };
+            return (standing != confirmed).then(|| Act::Stand { engine: engine.clone(), standing: confirmed });
+        }
+        let is_in_use = standing.confirmed.is_some() && !standing.closed;
+        if is_in_use {
+            let places_left = room.get_mut(&listed.model)?;
+            *places_left = places_left.checked_sub(1)?;
+            let closed = Standing { closed: true, ..standing };
+            return Some(Act::Stand { engine: engine.clone(), standing: closed });
+        }
+        let since = *self.closed_since.entry(engine.clone()).or_insert(now);
+        let may_load = seen.running == 0 || now.since(since) >= STREAM_LIMIT;
+        may_load.then(|| Act::Load { engine: engine.clone(), address, weights: wanted })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+    use desired::prelude::{Command, Listing, Settled, Submission};
+
+    fn apply(state: &mut FleetState, command: Command) {
+        let outcome = state.apply(&Submission { request: RequestId::random(), command });
+        assert!(matches!(outcome, Settled::Taken(_)), "{outcome:?}");
+    }
+
+    /// Plays the acts against engines that load at once, and returns how many rounds it took.
+    fn play(
+        state: &mut FleetState,
+        engines: &mut BTreeMap<EngineName, Observed>,
+        conductor: &mut Conductor,
+    ) -> usize {
+        for round in 1..100 {
+            let acts = conductor.direct(state, engines, Instant(0));
+            let closed_count = state.standings.values().filter(|standing| standing.closed).count();
+            assert!(closed_count <= engines.len() / 2, "no more than half closed at a time");
+            if acts.is_empty() {
+                return round;
+            }
+            for act in acts {
+                match act {
+                    Act::Stand { engine, standing } => {
+                        state.standings.insert(engine, standing);
+                    }
+                    Act::Load { engine, weights, .. } => {
+                        let confirmed = state.standings.get(&engine).is_some_and(|standing| !standing.closed);
+                        assert!(!confirmed, "only a closed engine is loaded");
+                        engines.get_mut(&engine).unwrap().weights = weights;
+                    }
+                    Act::Open { engine, .. } => engines.get_mut(&engine).unwrap().accepting = true,
+                }
+            }
+        }
+        panic!("never settles")
+    }
+
+    #[test]
+    fn new_weights_go_round_in_waves_and_settle() {
+        let mut state = FleetState::default();
+        apply(&mut state, Command::Merge { base: None, patch: r#"{"models":{"m":{"weights":1}}}"#.into() });
+        let engine_names: Vec<EngineName> = (0..6).map(|number| EngineName(format!("e{number}"))).collect();
+        let listed = ListedEngine {
+            address: "127.0.0.1:1".into(),
+            zone: "a".into(),
+            model: "m".into(),
+            role: Default::default(),
+            listed: Listed::Open,
+        };
+        let engines = engine_names.iter().map(|name| (name.clone(), listed.clone())).collect();
+        apply(&mut state, Command::List(Listing { boot: "b".into(), number: ListingNumber(1), engines }));
+        let observed =
+            Observed { boot: "x".into(), weights: WeightsEdition(1), running: 0, accepting: true, at: Instant(0) };
+        let mut observations: BTreeMap<EngineName, Observed> =
+            engine_names.iter().map(|name| (name.clone(), observed.clone())).collect();
+        let mut conductor = Conductor::default();
+        play(&mut state, &mut observations, &mut conductor);
+        assert!(state.standings.values().all(|standing| standing.confirmed.is_some()));
+        apply(&mut state, Command::Merge { base: None, patch: r#"{"models":{"m":{"weights":2}}}"#.into() });
+        play(&mut state, &mut observations, &mut conductor);
+        for standing in state.standings.values() {
+            assert_eq!(standing.confirmed, Some((WeightsEdition(2), "x".to_owned())));
+            assert!(!standing.closed);
+        }
+    }
+}
--- a/crates/courier/src/mind.rs
+++ b/crates/courier/src/mind.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RouterDown {
     Snapshot(Box<FleetState>),
-    Push { number: Edition, submission: Submission },
+    Push { number: Edition, submission: Submission, age: Option<Span> },
     Lease { until: Instant },
 }
 
@@ -218,8 +218,8 @@
                 }
             }
             NodeDown::Snapshot(state) => self.plan.push(CourierEffect::SayRouter(RouterDown::Snapshot(state))),
-            NodeDown::Push { number, submission } => {
-                self.plan.push(CourierEffect::SayRouter(RouterDown::Push { number, submission }));
+            NodeDown::Push { number, submission, age } => {
+                self.plan.push(CourierEffect::SayRouter(RouterDown::Push { number, submission, age }));
             }
         }
     }
--- /dev/null
+++ b/crates/keeper/src/census.rs
@@ -0,0 +1,106 @@
+//! The census: reads the platform's listing and submits each newer one. The holder of the duty submits
+//! at once; every other keeper reads too, and submits what the fleet has not taken within half a
+//! second, so that a holder lost at a bad moment does not keep an engine in use. A listing goes by
+//! its number, so a second submission of the same one changes nothing.
+
+use crate::prelude::*;
+
+const POLL_EVERY: Duration = Duration::from_millis(250);
+const POLL_LIMIT: Span = Span::millis(1000);
+const STANDBY_AFTER: Span = Span::millis(500);
+const MOST_ENGINES: usize = 1000;
+
+#[derive(Default)]
+pub struct CensusHealth {
+    /// Boot-time milliseconds of the last good reading; zero for none yet.
+    pub last_read: AtomicU64,
+}
+
+pub async fn keep_census(platform: String, shelf: Shelf, desk: DeskAsker, health: Arc<CensusHealth>) {
+    let mut pulse = tokio::time::interval(POLL_EVERY);
+    pulse.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    let mut known_tag = String::new();
+    let mut newest: Option<Listing> = None;
+    let mut differs_since: Option<Instant> = None;
+    let mut was_reachable = true;
+    loop {
+        pulse.tick().await;
+        match read_listing(&platform, &known_tag).await {
+            Ok(read) => {
+                health.last_read.store(boot_now().0 / 1_000_000, Ordering::Relaxed);
+                was_reachable = true;
+                if let Some((tag, listing)) = read {
+                    known_tag = tag;
+                    newest = Some(listing);
+                }
+            }
+            Err(reason) => {
+                if was_reachable {
+                    event!(warn, "listing_unreachable", reason = reason);
+                }
+                was_reachable = false;
+            }
+        }
+        let seen = look(&shelf);
+        let Some(listing) = newest.as_ref().filter(|listing| is_newer(listing, &seen.state.listing)) else {
+            differs_since = None;
+            continue;
+        };
+        let now = boot_now();
+        let since = *differs_since.get_or_insert(now);
+        let holds_duty = seen.census.is_some_and(|(_, until)| now < until);
+        if seen.view.number == ViewNumber(0) || (!holds_duty && now.since(since) < STANDBY_AFTER) {
+            continue;
+        }
+        event!(info, "listing_submitted", number = listing.number, engines = listing.engines.len());
+        let naming = [listing.boot.as_bytes(), &listing.number.0.to_le_bytes()];
+        let request = RequestId(BlockHash::over(&[b"listing", naming[0], naming[1]]).0);
+        let submitting = desk.submit(request, Command::List(listing.clone()), Span::millis(3000));
+        let _ = tokio::time::timeout(Duration::from_millis(700), submitting).await;
+    }
+}
+
+fn is_newer(listing: &Listing, known: &Listing) -> bool {
+    listing.boot != known.boot || listing.number > known.number
+}
+
+async fn read_listing(platform: &str, known_tag: &str) -> Result<Option<(String, Listing)>, String> {
+    let question = web::prelude::Question::get("/v1/engines").header("if-none-match", known_tag);
+    let (status, headers, body) = ask_whole(platform, question, POLL_LIMIT, 4 << 20).await?;
+    if status == StatusCode::NOT_MODIFIED {
+        return Ok(None);
+    }
+    if status != StatusCode::OK {
+        return Err(format!("status {status}"));
+    }
+    let tag = headers.get("etag").and_then(|tag| tag.to_str().ok()).unwrap_or("").to_owned();
+    let platform_listing: PlatformListing =
+        serde_json::from_slice(&body).map_err(|fault| format!("listing unreadable: {fault}"))?;
+    if platform_listing.engines.len() > MOST_ENGINES {
+        return Err(format!("listing of {} engines, at most {MOST_ENGINES}", platform_listing.engines.len()));
+    }
+    Ok(Some((tag, translate(platform_listing))))
+}
+
+fn translate(platform_listing: PlatformListing) -> Listing {
+    let engines = platform_listing
+        .engines
+        .into_iter()
+        .filter(|engine| engine.state != PlatformState::Gone)
+        .map(|engine| {
+            let listed_engine = ListedEngine {
+                address: engine.address,
+                zone: Zone(engine.zone),
+                model: ModelName(engine.model),
+                role: match engine.role {
+                    PlatformRole::Whole => Role::Whole,
+                    PlatformRole::Prefill => Role::Prefill,
+                    PlatformRole::Decode => Role::Decode,
+                },
+                listed: if engine.state == PlatformState::Open { Listed::Open } else { Listed::Leaving },
+            };
+            (EngineName(engine.name), listed_engine)
+        })
+        .collect();
+    Listing { boot: platform_listing.boot, number: ListingNumber(platform_listing.number), engines }
+}
--- /dev/null
+++ b/crates/keeper/src/desk.rs
@@ -0,0 +1,256 @@
+//! The desk: the one owner of the warden and of the data folder. It works through a queue of commands
+//! batch by batch; what a batch stores is synced in one go, and only then do its messages leave. What
+//! is true only until an instant is dropped if that instant has passed by then.
+
+use crate::prelude::*;
+
+const BATCH: usize = 256;
+const PULSE_EVERY: Span = Span::millis(50);
+
+pub enum DeskCommand {
+    Link(LinkEvent<Inbound>),
+    Ask { question: Question, limit: Span, reply: oneshot::Sender<Answer> },
+    Seeds(Vec<String>),
+    Stop,
+}
+
+/// What the desk lets the other duties of this process see.
+#[derive(Clone, Default)]
+pub struct Seen {
+    pub view: View,
+    pub state: Arc<FleetState>,
+    pub tail_active: bool,
+    pub alive: Vec<NodeId>,
+    /// Terms of the duties held, and until when.
+    pub census: Option<(Term, Instant)>,
+    pub conductor: Option<(Term, Instant)>,
+    pub last_sync_micros: u64,
+}
+
+pub type Shelf = Arc<RwLock<Arc<Seen>>>;
+
+pub fn look(shelf: &Shelf) -> Arc<Seen> {
+    Arc::clone(&shelf.read().expect("no holder of this lock panics"))
+}
+
+struct LinkPlace {
+    link: Link,
+    hello: Hello,
+}
+
+pub struct Desk {
+    pub warden: Warden,
+    pub filing: Filing,
+    pub post: Post,
+    pub shelf: Shelf,
+    pub fleet: Arc<AtomicU64>,
+    links: HashMap<LinkId, LinkPlace>,
+    nodes: HashMap<NodeId, LinkId>,
+    replies: HashMap<u64, oneshot::Sender<Answer>>,
+    next_ticket: u64,
+    last_pulse: Instant,
+    remembered: Vec<String>,
+    shown_edition: Option<Edition>,
+    shown_state: Arc<FleetState>,
+    last_sync_micros: u64,
+}
+
+impl Desk {
+    pub fn new(warden: Warden, filing: Filing, post: Post, shelf: Shelf, fleet: Arc<AtomicU64>, life: u64) -> Desk {
+        Desk {
+            warden,
+            filing,
+            post,
+            shelf,
+            fleet,
+            links: HashMap::new(),
+            nodes: HashMap::new(),
+            replies: HashMap::new(),
+            next_ticket: life,
+            last_pulse: Instant(0),
+            remembered: Vec::new(),
+            shown_edition: None,
+            shown_state: Arc::default(),
+            last_sync_micros: 0,
+        }
+    }
+
+    /// Works until told to stop, or until the disk fails.
+    pub fn work(&mut self, queue: &Receiver<DeskCommand>) -> Result<(), DiskFault> {
+        loop {
+            let Some(batch) = drain(queue, Duration::from_millis(20), BATCH) else { return Ok(()) };
+            let mut plan = Vec::new();
+            let mut stops = false;
+            for command in batch {
+                match command {
+                    DeskCommand::Link(link_event) => self.take_link_event(link_event, &mut plan),
+                    DeskCommand::Ask { question, limit, reply } => {
+                        self.next_ticket = self.next_ticket.wrapping_add(1);
+                        let ticket = self.next_ticket;
+                        self.replies.insert(ticket, reply);
+                        let now = boot_now();
+                        plan.extend(self.warden.step(Input::Ask { ticket, question, limit: now + limit }, now));
+                    }
+                    DeskCommand::Seeds(seeds) => plan.extend(self.warden.step(Input::Seeds(seeds), boot_now())),
+                    DeskCommand::Stop => stops = true,
+                }
+            }
+            let now = boot_now();
+            if now.since(self.last_pulse) >= PULSE_EVERY {
+                self.last_pulse = now;
+                plan.extend(self.warden.step(Input::Pulse, now));
+            }
+            self.carry_out(plan)?;
+            self.show()?;
+            if stops {
+                return Ok(());
+            }
+        }
+    }
+
+    fn take_link_event(&mut self, link_event: LinkEvent<Inbound>, plan: &mut Vec<Effect>) {
+        match link_event {
+            LinkEvent::Up(link, hello) => self.take_link(link, hello, plan),
+            LinkEvent::Said(id, message) => {
+                let Some(place) = self.links.get(&id) else { return };
+                let from = place.hello.speaker;
+                let input = match (place.hello.purpose, message) {
+                    (Purpose::Keeper, Inbound::Core(message)) => Input::Peer { from, message },
+                    (Purpose::Agent, Inbound::Node(message)) => Input::Node { node: from, message },
+                    _ => {
+                        event!(warn, "link_refused", from = from, reason = "message of another purpose");
+                        place.link.close();
+                        return;
+                    }
+                };
+                plan.extend(self.warden.step(input, boot_now()));
+            }
+            LinkEvent::Down(id, _) => {
+                let Some(place) = self.links.remove(&id) else { return };
+                let node = place.hello.speaker;
+                if self.nodes.get(&node) == Some(&id) {
+                    self.nodes.remove(&node);
+                    plan.extend(self.warden.step(Input::NodeGone { node }, boot_now()));
+                }
+            }
+        }
+    }
+
+    fn take_link(&mut self, link: Link, hello: Hello, plan: &mut Vec<Effect>) {
+        let own_fleet = self.warden.view().fleet;
+        let other_fleet = own_fleet != FleetId(0) && hello.fleet != FleetId(0) && hello.fleet != own_fleet;
+        if other_fleet {
+            event!(
+                warn,
+                "link_refused",
+                from = hello.speaker,
+                reason = "wrong fleet",
+                theirs = hello.fleet,
+                ours = own_fleet
+            );
+            link.close();
+            return;
+        }
+        if hello.purpose == Purpose::Agent {
+            let node = hello.speaker;
+            if let Some(earlier_id) = self.nodes.insert(node, link.id) {
+                if let Some(earlier) = self.links.get(&earlier_id) {
+                    earlier.link.close();
+                }
+                plan.extend(self.warden.step(Input::NodeGone { node }, boot_now()));
+            }
+        }
+        self.links.insert(link.id, LinkPlace { link, hello });
+    }
+
+    fn carry_out(&mut self, plan: Vec<Effect>) -> Result<(), DiskFault> {
+        let mut stored_batch = Vec::new();
+        let mut sent_effects = Vec::new();
+        for effect in plan {
+            match effect {
+                Effect::Store(stored) => stored_batch.push(stored),
+                other => sent_effects.push(other),
+            }
+        }
+        if !stored_batch.is_empty() {
+            let sync_began = boot_now();
+            self.filing.store(&stored_batch, self.warden.last(), self.warden.state())?;
+            self.last_sync_micros = boot_now().since(sync_began).0 / 1000;
+        }
+        for effect in sent_effects {
+            self.send_out(effect);
+        }
+        Ok(())
+    }
+
+    fn send_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Store(_) => {}
+            Effect::Send { address, message, until, .. } => {
+                if until.is_none_or(|until| boot_now() < until) {
+                    self.post.send(&address, &Inbound::Core(message));
+                }
+            }
+            Effect::Knock { address, message } => self.post.send(&address, &Inbound::Core(message)),
+            Effect::Tell { node, message, until } => {
+                let Some(place) = self.nodes.get(&node).and_then(|id| self.links.get(id)) else { return };
+                if until.is_none_or(|until| boot_now() < until) {
+                    place.link.say(&message);
+                }
+            }
+            Effect::Answer { ticket, answer } => {
+                if let Some(reply) = self.replies.remove(&ticket) {
+                    let _ = reply.send(answer);
+                }
+            }
+            Effect::Note { event, detail } => log::info!(target: "haremount", "event={event} {detail}"),
+        }
+    }
+
+    /// Publishes what the doors and duties may see.
+    fn show(&mut self) -> Result<(), DiskFault> {
+        let now = boot_now();
+        let view = self.warden.view().clone();
+        self.fleet.store(view.fleet.0, Ordering::SeqCst);
+        if self.shown_edition != Some(self.warden.last().edition) {
+            self.shown_edition = Some(self.warden.last().edition);
+            self.shown_state = Arc::new(self.warden.state().clone());
+        }
+        let addresses: Vec<String> = view.members.iter().map(|member| member.address.clone()).collect();
+        if !addresses.is_empty() && addresses != self.remembered {
+            self.filing.remember_addresses(&addresses)?;
+            self.remembered = addresses;
+        }
+        let seen = Seen {
+            tail_active: self.warden.tail_is_active(now),
+            alive: self.warden.alive(now),
+            census: self.warden.holds_duty(DutyKind::Census, now),
+            conductor: self.warden.holds_duty(DutyKind::Conductor, now),
+            view,
+            state: Arc::clone(&self.shown_state),
+            last_sync_micros: self.last_sync_micros,
+        };
+        *self.shelf.write().expect("no holder of this lock panics") = Arc::new(seen);
+        Ok(())
+    }
+}
+
+/// The way other duties ask the desk.
+#[derive(Clone)]
+pub struct DeskAsker {
+    pub queue: Sender<DeskCommand>,
+}
+
+impl DeskAsker {
+    pub async fn ask(&self, question: Question, limit: Span) -> Answer {
+        let (reply, answer) = oneshot::channel();
+        if self.queue.try_send(DeskCommand::Ask { question, limit, reply }).is_err() {
+            return Answer::Unknown;
+        }
+        answer.await.unwrap_or(Answer::Unknown)
+    }
+
+    pub async fn submit(&self, request: RequestId, command: Command, limit: Span) -> Answer {
+        self.ask(Question::Submit(Submission { request, command }), limit).await
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/door.rs
@@ -0,0 +1,270 @@
+//! The operators' door. Every change goes through the chain and is answered once it is in force on all
+//! leased nodes; an answer that does not come in time is `unknown`, with the request id to ask again.
+
+use crate::prelude::*;
+
+const CHANGE_LIMIT: Span = Span::seconds(8);
+const READ_LIMIT: Span = Span::seconds(3);
+const MOST_BODY: usize = (1 << 20) + (64 << 10);
+
+pub struct Door {
+    pub desk: DeskAsker,
+    pub shelf: Shelf,
+    pub me: Member,
+    pub census: Arc<CensusHealth>,
+}
+
+pub fn key_hash(key: &str) -> String {
+    Sha256::digest(key.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+impl Site for Door {
+    fn answer(self: Arc<Self>, asked: Asked) -> AnswerFuture {
+        Box::pin(self.route(asked))
+    }
+}
+
+impl Door {
+    async fn route(self: Arc<Self>, asked: Asked) -> Answered {
+        let (method, segments) = asked.way();
+        match (method.as_str(), segments.as_slice()) {
+            ("GET", ["live"]) => return answer_bytes(StatusCode::OK, "text/plain", "live\n"),
+            ("GET", ["ready"]) => return self.ready(),
+            ("GET", ["metrics"]) => return self.metrics(),
+            _ => {}
+        }
+        let Some(state) = self.read_state().await else { return no_core() };
+        let known_key = asked.bearer().is_some_and(|key| state.is_operator(&key_hash(key)));
+        if !known_key {
+            return refuse(StatusCode::UNAUTHORIZED, "unknown_key", "an operator's key is needed");
+        }
+        let parts: Vec<String> = segments.iter().map(|segment| (*segment).to_owned()).collect();
+        let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
+        match (method.as_str(), parts.as_slice()) {
+            ("GET", ["v1", "desired-state"]) => show_desired(&state),
+            ("PUT", ["v1", "desired-state"]) => self.change_document(asked, true).await,
+            ("PATCH", ["v1", "desired-state"]) => self.change_document(asked, false).await,
+            ("PUT", ["v1", "tenants", tenant, "keys", key_name]) => self.put_key(asked, tenant, key_name).await,
+            ("DELETE", ["v1", "tenants", tenant, "keys", key_name]) => {
+                let is_known = state
+                    .desired
+                    .tenants
+                    .get(&TenantName::from(*tenant))
+                    .is_some_and(|wish| wish.keys.contains_key(&KeyName::from(*key_name)));
+                if !is_known {
+                    return refuse(StatusCode::NOT_FOUND, "not_found", "no such tenant or key");
+                }
+                let patch = json!({"tenants": {*tenant: {"keys": {*key_name: null}}}});
+                self.submit(&asked, Command::Merge { base: None, patch: patch.to_string() }).await
+            }
+            ("GET", ["v1", "requests", request]) => match request.parse::<RequestId>() {
+                Ok(request) => {
+                    let answer = self.desk.ask(Question::Settled(request), READ_LIMIT).await;
+                    tell_outcome(request, answer)
+                }
+                Err(_) => refuse(StatusCode::BAD_REQUEST, "bad_request", "a request id has 16 hex digits"),
+            },
+            ("GET", ["v1", "fleet"]) => self.show_fleet(&state).await,
+            _ => no_such_page(),
+        }
+    }
+
+    async fn read_state(&self) -> Option<Box<FleetState>> {
+        match self.desk.ask(Question::State, READ_LIMIT).await {
+            Answer::State(state) => Some(state),
+            _ => None,
+        }
+    }
+
+    async fn change_document(&self, mut asked: Asked, is_whole: bool) -> Answered {
+        let base = match read_if_match(&asked) {
+            Ok(base) => base,
+            Err(answered) => return answered,
+        };
+        let body = match asked.read_body(MOST_BODY).await {
+            Ok(body) => body,
+            Err(web::prelude::BodyFault::TooLarge) => {
+                return refuse(StatusCode::PAYLOAD_TOO_LARGE, "too_large", "at most 1 MiB");
+            }
+            Err(_) => return refuse(StatusCode::BAD_REQUEST, "bad_request", "the body did not arrive whole"),
+        };
+        let Ok(text) = String::from_utf8(body.to_vec()) else {
+            return refuse(StatusCode::BAD_REQUEST, "bad_request", "not UTF-8");
+        };
+        let document = match parse_bounded(&text, DOCUMENT_BOUNDS) {
+            Ok(document) => document,
+            Err(complaint) => return tell_complaints(&[complaint]),
+        };
+        if !is_whole && !matches!(document, JsonValue::Object(_)) {
+            return tell_complaints(&[Complaint::at("", "a merge patch is an object")]);
+        }
+        let command = if is_whole {
+            if let Err(complaints) = read_document(&document) {
+                return tell_complaints(&complaints);
+            }
+            Command::Replace { base: Some(base), text: write_sorted(&document) }
+        } else {
+            Command::Merge { base: Some(base), patch: write_sorted(&document) }
+        };
+        self.submit(&asked, command).await
+    }
+
+    async fn put_key(&self, mut asked: Asked, tenant: &str, key_name: &str) -> Answered {
+        let body = asked.read_body(4096).await.unwrap_or_default();
+        let given: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let hash = match (given["key"].as_str(), given["sha256"].as_str()) {
+            (Some(key), None) if key.len() >= 8 => key_hash(key),
+            (None, Some(hash)) => hash.to_owned(),
+            _ => {
+                let reason = "expected {\"key\": at least 8 characters} or {\"sha256\": hex}";
+                return refuse(StatusCode::BAD_REQUEST, "bad_request", reason);
+            }
+        };
+        let patch = json!({"tenants": {tenant: {"keys": {key_name: hash}}}});
+        self.submit(&asked, Command::Merge { base: None, patch: patch.to_string() }).await
+    }
+
+    async fn submit(&self, asked: &Asked, command: Command) -> Answered {
+        let request = match asked.header("x-request-id") {
+            None => RequestId::random(),
+            Some(text) => match text.parse::<RequestId>() {
+                Ok(request) => request,
+                Err(_) => return refuse(StatusCode::BAD_REQUEST, "bad_request", "x-request-id has 16 hex digits"),
+            },
+        };
+        let answer = self.desk.submit(request, command, CHANGE_LIMIT).await;
+        tell_outcome(request, answer)
+    }
+
+    fn ready(&self) -> Answered {
+        let seen = look(&self.shelf);
+        let tail_lives = seen.view.tail().is_some_and(|tail| seen.alive.contains(&tail));
+        if seen.view.takes_writes() && tail_lives {
+            answer_bytes(StatusCode::OK, "text/plain", "ready\n")
+        } else {
+            answer_bytes(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not ready\n")
+        }
+    }
+
+    fn listing_age(&self) -> Option<u64> {
+        let last_read = self.census.last_read.load(Ordering::Relaxed);
+        (last_read > 0).then(|| (boot_now().0 / 1_000_000).saturating_sub(last_read))
+    }
+
+    fn metrics(&self) -> Answered {
+        let seen = look(&self.shelf);
+        let text = format!(
+            "haremount_keeper_view {}\nharemount_keeper_edition {}\nharemount_keeper_tail_active {}\n\
+             haremount_keeper_alive {}\nharemount_keeper_sync_micros {}\nharemount_keeper_listing_age_ms {}\n",
+            seen.view.number,
+            seen.state.edition,
+            u64::from(seen.tail_active),
+            seen.alive.len(),
+            seen.last_sync_micros,
+            self.listing_age().map_or(-1, |age| age as i64),
+        );
+        answer_bytes(StatusCode::OK, "text/plain; version=0.0.4", text)
+    }
+
+    async fn show_fleet(&self, state: &FleetState) -> Answered {
+        let seen = look(&self.shelf);
+        let nodes = match self.desk.ask(Question::Nodes, READ_LIMIT).await {
+            Answer::Nodes(nodes) => nodes,
+            _ => return no_core(),
+        };
+        let members: Vec<Value> = seen
+            .view
+            .members
+            .iter()
+            .map(|member| {
+                json!({"id": member.id.to_string(), "address": member.address, "door": member.door,
+                       "zone": member.zone.as_str(), "alive": seen.alive.contains(&member.id)})
+            })
+            .collect();
+        let ids = |nodes: &[NodeId]| nodes.iter().map(NodeId::to_string).collect::<Vec<_>>();
+        let engines: Vec<Value> = state
+            .listing
+            .engines
+            .iter()
+            .map(|(name, engine)| {
+                let standing = state.standings.get(name).cloned().unwrap_or_default();
+                json!({"name": name.as_str(), "address": engine.address, "zone": engine.zone.as_str(),
+                       "model": engine.model.as_str(), "listed": format!("{:?}", engine.listed).to_lowercase(),
+                       "closed": standing.closed, "weights": standing.confirmed.map(|(weights, _)| weights.0)})
+            })
+            .collect();
+        let duties: Value = state
+            .duties
+            .iter()
+            .map(|(kind, duty)| {
+                let shown = json!({"holder": duty.holder.to_string(), "term": duty.term.0});
+                (format!("{kind:?}").to_lowercase(), shown)
+            })
+            .collect::<serde_json::Map<String, Value>>()
+            .into();
+        let nodes: Vec<Value> = nodes
+            .iter()
+            .map(|node| {
+                json!({"id": node.node.to_string(), "applied": node.applied.0,
+                       "lease_left_ms": node.lease_left.as_millis()})
+            })
+            .collect();
+        let answer = json!({
+            "fleet": seen.view.fleet.to_string(), "answered_by": self.me.id.to_string(), "edition": state.edition.0,
+            "view": {"number": seen.view.number.0, "chain": ids(&seen.view.chain), "voters": ids(&seen.view.voters)},
+            "members": members, "nodes": nodes, "engines": engines, "duties": duties,
+            "listing": {"number": state.listing.number.0, "read_ms_ago": self.listing_age(),
+                        "reachable": self.listing_age().is_some_and(|age| age < 1500)},
+        });
+        answer_json(StatusCode::OK, &answer)
+    }
+}
+
+fn no_core() -> Answered {
+    refuse(StatusCode::SERVICE_UNAVAILABLE, "no_core", "the core does not answer now; a majority may be away")
+        .with_header("retry-after", "2")
+}
+
+fn show_desired(state: &FleetState) -> Answered {
+    let text = if state.desired_text.is_empty() { "{}" } else { &state.desired_text };
+    answer_bytes(StatusCode::OK, "application/json", text.to_owned())
+        .with_header("etag", &format!("\"{}\"", state.desired_edition))
+}
+
+fn read_if_match(asked: &Asked) -> Result<Edition, Answered> {
+    let Some(tag) = asked.header("if-match") else {
+        let reason = "If-Match with the edition this change is based on is needed";
+        return Err(refuse(StatusCode::PRECONDITION_REQUIRED, "no_base", reason));
+    };
+    let number = tag.trim().trim_matches('"').parse::<u64>();
+    number
+        .map(Edition)
+        .map_err(|_| refuse(StatusCode::BAD_REQUEST, "bad_request", "If-Match carries an edition number in quotes"))
+}
+
+fn tell_complaints(complaints: &[Complaint]) -> Answered {
+    let listed: Vec<Value> =
+        complaints.iter().map(|complaint| json!({"path": complaint.path, "reason": complaint.reason})).collect();
+    let answer = json!({"error": {"type": "refused", "message": "the change was refused", "complaints": listed}});
+    answer_json(StatusCode::UNPROCESSABLE_ENTITY, &answer)
+}
+
+fn tell_outcome(request: RequestId, answer: Answer) -> Answered {
+    let answered = match answer {
+        Answer::Settled(Settled::Taken(edition)) => {
+            answer_json(StatusCode::OK, &json!({"edition": edition.0, "request": request.to_string()}))
+                .with_header("etag", &format!("\"{edition}\""))
+        }
+        Answer::Settled(Settled::Stale { now }) => {
+            let shown = json!({"error": {"type": "stale", "message": "the desired state has moved"}, "now": now.0});
+            answer_json(StatusCode::PRECONDITION_FAILED, &shown).with_header("etag", &format!("\"{now}\""))
+        }
+        Answer::Settled(Settled::Refused(complaints)) => tell_complaints(&complaints),
+        _ => {
+            let reason = "not known to be in force; ask again under this request id";
+            let shown = json!({"error": {"type": "unknown", "message": reason}, "request": request.to_string()});
+            answer_json(StatusCode::GATEWAY_TIMEOUT, &shown)
+        }
+    };
+    answered.with_header("x-request-id", &request.to_string())
+}
--- /dev/null
+++ b/crates/keeper/src/prelude.rs
@@ -0,0 +1,31 @@
+//! The one import of this package's files.
+
+pub(crate) use crate::census::*;
+pub(crate) use crate::conducting::*;
+pub(crate) use crate::desk::*;
+pub(crate) use crate::door::*;
+pub(crate) use crate::filing::*;
+pub(crate) use conductor::prelude::{Act, Conductor, Observed};
+pub(crate) use contract::prelude::*;
+pub(crate) use desired::prelude::{
+    DOCUMENT_BOUNDS, JsonValue, Listed, ListedEngine, Role, parse_bounded, read_document, write_sorted,
+};
+pub(crate) use ledger::prelude::{DiskFault, Folder, Row};
+pub(crate) use links::prelude::{Hello, Link, LinkEvent, LinkId, Post, Purpose, accept_links};
+pub(crate) use rings::prelude::*;
+pub(crate) use serde_json::{Value, json};
+pub(crate) use sha2::{Digest, Sha256};
+pub(crate) use std::collections::{BTreeMap, HashMap};
+pub(crate) use std::path::Path;
+pub(crate) use std::sync::atomic::{AtomicU64, Ordering};
+pub(crate) use std::sync::{Arc, RwLock};
+pub(crate) use std::time::Duration;
+pub(crate) use tokio::sync::oneshot;
+pub(crate) use trade::prelude::*;
+pub(crate) use units::prelude::*;
+pub(crate) use warden::prelude::*;
+pub(crate) use web::prelude::{
+    AnswerFuture, Answered, AnsweredExt, Asked, Method, Site, StatusCode, answer_bytes, answer_json, ask_whole, bind,
+    no_such_page, open_stream, refuse, serve, small_runtime,
+};
+pub(crate) use wire::prelude::Inbound;
--- a/crates/links/src/held.rs
+++ b/crates/links/src/held.rs
@@ -45,11 +45,12 @@
 
 static NEXT_LINK: AtomicU64 = AtomicU64::new(1);
 
-/// Accepts streams for ever; each one's events go to `sink`.
-pub fn accept_links<M, F>(listener: TcpListener, own_hello: F, sink: Sender<LinkEvent<M>>)
+/// Accepts streams for ever; each one's events are told, until telling answers false.
+pub fn accept_links<M, F, T>(listener: TcpListener, own_hello: F, tell: T)
 where
     M: DeserializeOwned + Send + 'static,
     F: Fn() -> Hello + Send + Sync + 'static,
+    T: Fn(LinkEvent<M>) -> bool + Clone + Send + 'static,
 {
     let own_hello = Arc::new(own_hello);
     let open_count = Arc::new(AtomicUsize::new(0));
@@ -64,9 +65,9 @@
                 continue;
             }
             open_count.fetch_add(1, Ordering::Relaxed);
-            let (own_hello, sink, open_count) = (Arc::clone(&own_hello), sink.clone(), Arc::clone(&open_count));
+            let (own_hello, tell, open_count) = (Arc::clone(&own_hello), tell.clone(), Arc::clone(&open_count));
             duty("link-read", move || {
-                if let Err(reason) = hold(stream, own_hello(), &sink) {
+                if let Err(reason) = hold(stream, own_hello(), &tell) {
                     log::warn!(target: "haremount", "event=link_refused reason=\"{reason}\"");
                 }
                 open_count.fetch_sub(1, Ordering::Relaxed);
@@ -75,13 +76,18 @@
     });
 }
 
-/// Dials an address; the events of the stream, if it comes up, go to `sink`. Returns when it is over.
-pub fn dial_and_hold<M>(address: &str, own_hello: Hello, sink: &Sender<LinkEvent<M>>) -> Result<(), String>
+/// Dials an address; the events of the stream, if it comes up, are told. Returns when it is over.
+pub fn dial_and_hold<M>(address: &str, own_hello: Hello, tell: &impl Fn(LinkEvent<M>) -> bool) -> Result<(), String>
 where
     M: DeserializeOwned + Send + 'static,
 {
     let stream = dial(address)?;
-    hold(stream, own_hello, sink)
+    hold(stream, own_hello, tell)
+}
+
+/// Only says hello, and tells who answered.
+pub fn greet(address: &str, own_hello: &Hello) -> Result<Hello, String> {
+    shake_hands(&mut dial(address)?, own_hello)
 }
 
 pub(crate) fn dial(address: &str) -> Result<TcpStream, String> {
@@ -99,7 +105,7 @@
     Ok(their_hello)
 }
 
-fn hold<M>(mut stream: TcpStream, own_hello: Hello, sink: &Sender<LinkEvent<M>>) -> Result<(), String>
+fn hold<M>(mut stream: TcpStream, own_hello: Hello, tell: &impl Fn(LinkEvent<M>) -> bool) -> Result<(), String>
 where
     M: DeserializeOwned + Send + 'static,
 {
@@ -118,14 +124,14 @@
         }
         let _ = writing_end.shutdown(Shutdown::Both);
     });
-    if sink.send(LinkEvent::Up(link, their_hello)).is_err() {
+    if !tell(LinkEvent::Up(link, their_hello)) {
         return Ok(());
     }
     let mut buffered_stream = std::io::BufReader::new(stream);
     let reason = loop {
         match read_frame::<M>(&mut buffered_stream) {
             Ok(message) => {
-                if sink.send(LinkEvent::Said(id, message)).is_err() {
+                if !tell(LinkEvent::Said(id, message)) {
                     return Ok(());
                 }
             }
@@ -133,6 +139,6 @@
         }
     };
     let _ = buffered_stream.get_ref().shutdown(Shutdown::Both);
-    let _ = sink.send(LinkEvent::Down(id, reason));
+    tell(LinkEvent::Down(id, reason));
     Ok(())
 }
--- /dev/null
+++ b/crates/placement/src/picker.rs
@@ -0,0 +1,419 @@
+//! The pick itself.
+
+use crate::prelude::*;
+
+const HISTORY_BLOCKS: usize = 8192;
+const COUNT_SPAN: Span = Span::seconds(3);
+const REST_AFTER_FAULT: Span = Span::millis(700);
+const AWAIT_FACTOR: u64 = 10;
+
+/// A prompt to be placed.
+#[derive(Clone, Debug)]
+pub struct Prompt {
+    pub tenant: TenantName,
+    pub kind: String,
+    pub model: ModelName,
+    /// Its block names, under the salt of each edition in use.
+    pub names: BTreeMap<WeightsEdition, Vec<BlockHash>>,
+    pub blocks: BlockCount,
+    pub answer_blocks: BlockCount,
+    /// Engines already tried for this request.
+    pub tried: Vec<EngineName>,
+}
+
+/// One candidate's score, with all that went into it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Score {
+    pub engine: EngineName,
+    pub weights: WeightsEdition,
+    pub prefill_blocks: BlockCount,
+    pub decode_blocks: BlockCount,
+    pub weight: f64,
+    pub cost: f64,
+    /// Whether the overlap came from events (or else from our own history).
+    pub by_events: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Placement {
+    pub chosen: Score,
+    pub address: String,
+    pub candidates: Vec<Score>,
+    /// What the default policy would have chosen.
+    pub default_engine: EngineName,
+    pub policy: String,
+}
+
+#[derive(Debug, Default)]
+struct EngineSight {
+    index: u32,
+    place: Option<SourcePlace>,
+    /// When a poll that was answered was asked.
+    heard: Instant,
+    /// Blocks whose storing was to be told, and since when.
+    awaited: HashMap<BlockHash, Instant>,
+    own_blocks: u64,
+    own_shots: u64,
+    /// The engine's own coarse count of running requests, and when it was asked.
+    counted: Option<(u64, Instant)>,
+    rest_until: Instant,
+}
+
+#[derive(Debug)]
+pub struct Picker {
+    router: NodeId,
+    tree: PrefixTree,
+    history: SentHistory,
+    engines: BTreeMap<EngineName, EngineSight>,
+    next_index: u32,
+    usual_blocks: f64,
+}
+
+impl Picker {
+    pub fn new(router: NodeId) -> Picker {
+        Picker {
+            router,
+            tree: PrefixTree::default(),
+            history: SentHistory::new(HISTORY_BLOCKS),
+            engines: BTreeMap::new(),
+            next_index: 0,
+            usual_blocks: 32.0,
+        }
+    }
+
+    fn engine(&mut self, engine: &EngineName) -> &mut EngineSight {
+        let next_index = &mut self.next_index;
+        self.engines.entry(engine.clone()).or_insert_with(|| {
+            *next_index += 1;
+            EngineSight { index: *next_index, ..EngineSight::default() }
+        })
+    }
+
+    /// Engines no longer listed are forgotten, with all that was known of them.
+    pub fn keep_only(&mut self, sight: &FleetSight) {
+        let gone_engines: Vec<EngineName> = self
+            .engines
+            .keys()
+            .filter(|engine| !sight.state.listing.engines.contains_key(*engine))
+            .cloned()
+            .collect();
+        for engine in gone_engines {
+            if let Some(known) = self.engines.remove(&engine) {
+                self.tree.drop_source(SourceIndex(known.index));
+                self.history.drop_source(SourceIndex(known.index));
+            }
+        }
+    }
+
+    /// The place from which an engine's events are to be asked; nothing if its snapshot is needed.
+    pub fn place_of(&mut self, engine: &EngineName) -> Option<SourcePlace> {
+        self.engine(engine).place.clone()
+    }
+
+    pub fn take_snapshot(
+        &mut self,
+        engine: &EngineName,
+        boot: &str,
+        next_number: u64,
+        names: Vec<BlockHash>,
+        asked: Instant,
+    ) {
+        let known = self.engine(engine);
+        known.place = Some(SourcePlace { boot: boot.to_owned(), next_number });
+        known.heard = asked;
+        known.awaited.clear();
+        let index = SourceIndex(known.index);
+        self.tree.drop_source(index);
+        self.tree.apply(index, &KeptEvent::Stored(names));
+    }
+
+    /// Takes a batch of events; answers whether the source is still followed. On a gap or another
+    /// boot, what it told is dropped.
+    pub fn take_events(
+        &mut self,
+        engine: &EngineName,
+        boot: &str,
+        first: u64,
+        batch: &[KeptEvent],
+        asked: Instant,
+    ) -> bool {
+        let known = self.engine(engine);
+        let index = SourceIndex(known.index);
+        let Some(place) = known.place.as_mut() else { return false };
+        let boot_changed = place.boot != boot;
+        let Ok(new_events) = place.follow(boot, first, batch) else {
+            known.place = None;
+            known.awaited.clear();
+            self.tree.drop_source(index);
+            if boot_changed {
+                self.history.drop_source(index);
+            }
+            return false;
+        };
+        known.heard = known.heard.max(asked);
+        for event in new_events {
+            if let KeptEvent::Stored(names) = event {
+                for name in names {
+                    known.awaited.remove(name);
+                }
+            }
+        }
+        for event in new_events {
+            self.tree.apply(index, event);
+        }
+        true
+    }
+
+    pub fn take_count(&mut self, engine: &EngineName, running: u64, asked: Instant) {
+        self.engine(engine).counted = Some((running, asked));
+    }
+
+    /// An engine that could not be reached rests for a moment.
+    pub fn note_fault(&mut self, engine: &EngineName, now: Instant) {
+        self.engine(engine).rest_until = now + REST_AFTER_FAULT;
+    }
+
+    /// The first piece came: the prompt's blocks are kept there now, and events should soon say so.
+    pub fn note_kept(&mut self, engine: &EngineName, names: &[BlockHash], now: Instant) {
+        let index = SourceIndex(self.engine(engine).index);
+        self.history.record(index, names);
+        let Some(last_name) = names.last().copied().filter(|name| !self.tree.keeps(index, *name)) else { return };
+        self.engine(engine).awaited.entry(last_name).or_insert(now);
+    }
+
+    pub fn begin_shot(&mut self, engine: &EngineName, blocks: BlockCount) {
+        self.usual_blocks += (blocks.0 as f64 - self.usual_blocks) * 0.05;
+        let known = self.engine(engine);
+        known.own_blocks += blocks.0;
+        known.own_shots += 1;
+    }
+
+    pub fn end_shot(&mut self, engine: &EngineName, blocks: BlockCount) {
+        let Some(known) = self.engines.get_mut(engine) else { return };
+        known.own_blocks = known.own_blocks.saturating_sub(blocks.0);
+        known.own_shots = known.own_shots.saturating_sub(1);
+    }
+
+    /// Blocks the engine works on: our own, and a share for what others run there.
+    fn decode_blocks(&self, known: &EngineSight, now: Instant) -> BlockCount {
+        let foreign_count = known
+            .counted
+            .filter(|(_, asked)| now.since(*asked) < COUNT_SPAN)
+            .map_or(0, |(running, _)| running.saturating_sub(known.own_shots));
+        BlockCount(known.own_blocks + (foreign_count as f64 * self.usual_blocks) as u64)
+    }
+
+    /// Events are late when no poll was answered, or when a storing we know of was not told in time.
+    fn events_are_late(known: &EngineSight, late_after: Span, now: Instant) -> bool {
+        let forgotten_after = late_after.times(AWAIT_FACTOR);
+        known.place.is_none()
+            || now.since(known.heard) >= late_after
+            || known.awaited.values().any(|since| {
+                let waited = now.since(*since);
+                waited >= late_after && waited < forgotten_after
+            })
+    }
+
+    pub fn tree_blocks(&self) -> usize {
+        self.tree.block_count()
+    }
+
+    /// The lowest-cost engine among those that pass; nothing if none does.
+    pub fn pick(&mut self, sight: &FleetSight, prompt: &Prompt, now: Instant) -> Option<Placement> {
+        let (policy, table) = match sight.trial_tables.get(&prompt.tenant) {
+            Some((name, table)) => (name.clone(), table),
+            None => (DEFAULT_POLICY.to_owned(), &sight.default_table),
+        };
+        let mut candidates = self.score(sight, prompt, table, now);
+        if candidates.is_empty() {
+            return None;
+        }
+        let default_engine = if policy == DEFAULT_POLICY {
+            None
+        } else {
+            let default_scores = self.score(sight, prompt, &sight.default_table, now);
+            self.cheapest(&default_scores, prompt).map(|score| score.engine.clone())
+        };
+        let chosen = self.cheapest(&candidates, prompt)?.clone();
+        candidates.sort_by(|left, right| left.cost.total_cmp(&right.cost));
+        let address = sight.state.listing.engines.get(&chosen.engine)?.address.clone();
+        let default_engine = default_engine.unwrap_or_else(|| chosen.engine.clone());
+        Some(Placement { chosen, address, candidates, default_engine, policy })
+    }
+
+    fn score(&self, sight: &FleetSight, prompt: &Prompt, table: &Table, now: Instant) -> Vec<Score> {
+        let routing = &sight.state.desired.routing;
+        let overlaps: BTreeMap<WeightsEdition, HashMap<SourceIndex, BlockCount>> = prompt
+            .names
+            .iter()
+            .map(|(edition, names)| (*edition, self.tree.overlaps(names).into_iter().collect()))
+            .collect();
+        let mut scores = Vec::new();
+        for (engine, listed) in &sight.state.listing.engines {
+            let passes = listed.model == prompt.model && !prompt.tried.contains(engine);
+            let Some(weights) = sight.usable_weights(engine, now).filter(|_| passes) else { continue };
+            let Some(names) = prompt.names.get(&weights) else { continue };
+            let unknown_engine = EngineSight::default();
+            let known = self.engines.get(engine).unwrap_or(&unknown_engine);
+            if now < known.rest_until {
+                continue;
+            }
+            let index = SourceIndex(known.index);
+            let by_events =
+                routing.sight == Sight::Events && !Picker::events_are_late(known, routing.events_late, now);
+            let overlap = match routing.sight {
+                Sight::OccupancyOnly => BlockCount(0),
+                _ if listed.role == Role::Decode => BlockCount(0),
+                _ if by_events => overlaps[&weights].get(&index).copied().unwrap_or_default(),
+                _ => self.history.overlap(index, names),
+            };
+            let decode_blocks = self.decode_blocks(known, now);
+            let prefill_blocks = BlockCount(prompt.blocks.0 - overlap.0.min(prompt.blocks.0));
+            let weight = table.weight(&prompt.tenant, &prompt.kind, Band::of(decode_blocks));
+            scores.push(Score {
+                engine: engine.clone(),
+                weights,
+                prefill_blocks,
+                decode_blocks,
+                weight,
+                cost: cost(weight, prefill_blocks, decode_blocks),
+                by_events,
+            });
+        }
+        scores
+    }
+
+    /// Equal costs go by a hash of prefix, router and engine, so that routers do not all choose alike.
+    fn cheapest<'a>(&self, scores: &'a [Score], prompt: &Prompt) -> Option<&'a Score> {
+        let prefix = prompt.names.values().next().and_then(|names| names.first()).map_or(0, |name| name.0);
+        let spread = |score: &Score| {
+            BlockHash::over(&[&prefix.to_le_bytes(), &self.router.0.to_le_bytes(), score.engine.as_str().as_bytes()])
+        };
+        scores
+            .iter()
+            .min_by(|left, right| left.cost.total_cmp(&right.cost).then_with(|| spread(left).cmp(&spread(right))))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+    use blocks::prelude::{Salt, cut};
+    use desired::prelude::{Command, ListedEngine, Listing, Settled, Standing, Submission};
+
+    const NOW: Instant = Instant(1_000_000_000_000);
+
+    fn fleet(engine_names: &[&str], document: &str) -> FleetSight {
+        let mut state = FleetState::default();
+        let mut submit = |command| {
+            let outcome = state.apply(&Submission { request: RequestId::random(), command });
+            assert!(matches!(outcome, Settled::Taken(_)), "{outcome:?}");
+        };
+        submit(Command::Merge { base: None, patch: document.into() });
+        let listed = ListedEngine {
+            address: "127.0.0.1:1".into(),
+            zone: "a".into(),
+            model: "m".into(),
+            role: Role::Whole,
+            listed: Listed::Open,
+        };
+        let engines = engine_names.iter().map(|name| ((*name).into(), listed.clone())).collect();
+        submit(Command::List(Listing { boot: "b".into(), number: ListingNumber(1), engines }));
+        for name in engine_names {
+            let standing = Standing { confirmed: Some((WeightsEdition(1), "x".into())), closed: false };
+            state.standings.insert((*name).into(), standing);
+        }
+        FleetSight::default().following(state, None, NOW)
+    }
+
+    fn prompt(text: &str) -> Prompt {
+        let salt = Salt::of(&"m".into(), WeightsEdition(1), WallId(0), WallEdition(0));
+        let names = cut(&salt, text.as_bytes());
+        Prompt {
+            tenant: "t".into(),
+            kind: "k".into(),
+            model: "m".into(),
+            blocks: BlockCount(names.len() as u64),
+            names: BTreeMap::from([(WeightsEdition(1), names)]),
+            answer_blocks: BlockCount(1),
+            tried: Vec::new(),
+        }
+    }
+
+    const DOCUMENT: &str = r#"{"models":{"m":{"weights":1}},"tenants":{"t":{}},"kinds":["k"]}"#;
+
+    #[test]
+    fn the_toy_case_of_the_source_holds_on_the_whole_way() {
+        for (weight, expected_engine) in [(1, "idle"), (2, "idle"), (3, "middle"), (4, "busy"), (9, "busy")] {
+            let document = format!(
+                r#"{{"models":{{"m":{{"weights":1}}}},"tenants":{{"t":{{}}}},"policies":{{"default":{{"weight":{weight}}}}}}}"#
+            );
+            let sight = fleet(&["busy", "middle", "idle"], &document);
+            let asked_prompt = prompt(&"x".repeat(6400));
+            let names = asked_prompt.names[&WeightsEdition(1)].clone();
+            assert_eq!(names.len(), 100);
+            let mut picker = Picker::new(NodeId(1));
+            for (engine, kept_count, busy_blocks) in [("busy", 90, 300), ("middle", 50, 170), ("idle", 0, 40)] {
+                picker.take_snapshot(&engine.into(), "x", 1, names[..kept_count].to_vec(), NOW);
+                picker.begin_shot(&engine.into(), BlockCount(busy_blocks));
+            }
+            let placement = picker.pick(&sight, &asked_prompt, NOW).unwrap();
+            assert_eq!(placement.chosen.engine, expected_engine.into(), "weight {weight}");
+            assert_eq!(placement.candidates.len(), 3);
+        }
+    }
+
+    #[test]
+    fn late_or_lost_events_fall_back_to_own_history() {
+        let sight = fleet(&["one", "two"], DOCUMENT);
+        let asked_prompt = prompt(&"y".repeat(640));
+        let names = asked_prompt.names[&WeightsEdition(1)].clone();
+        let mut picker = Picker::new(NodeId(1));
+        for engine in ["one", "two"] {
+            picker.take_snapshot(&engine.into(), "x", 1, Vec::new(), NOW);
+        }
+        picker.note_kept(&"two".into(), &names, NOW);
+        let later = NOW + Span::millis(2100);
+        for engine in ["one", "two"] {
+            assert!(picker.take_events(&engine.into(), "x", 1, &[], later));
+        }
+        let placement = picker.pick(&sight, &asked_prompt, later).unwrap();
+        assert_eq!(placement.chosen.engine, "two".into(), "a storing that was never told makes events late");
+        assert!(!placement.chosen.by_events);
+        let stored = KeptEvent::Stored(names.clone());
+        assert!(picker.take_events(&"two".into(), "x", 1, &[stored], later));
+        let placement = picker.pick(&sight, &asked_prompt, later).unwrap();
+        assert!(placement.chosen.by_events);
+        assert!(!picker.take_events(&"two".into(), "other", 1, &[], later), "another boot");
+        let placement = picker.pick(&sight, &asked_prompt, later).unwrap();
+        assert!(placement.candidates.iter().all(|score| score.prefill_blocks == BlockCount(10)));
+    }
+
+    #[test]
+    fn closed_leaving_tried_and_resting_engines_are_passed_over() {
+        let sight = fleet(&["closed", "gone", "leaving", "resting", "tried", "well"], DOCUMENT);
+        let mut state = (*sight.state).clone();
+        state.standings.get_mut(&"closed".into()).unwrap().closed = true;
+        state.listing.engines.remove(&"gone".into());
+        state.listing.engines.get_mut(&"leaving".into()).unwrap().listed = Listed::Leaving;
+        let sight = sight.following(state, None, NOW);
+        let mut picker = Picker::new(NodeId(1));
+        picker.note_fault(&"resting".into(), NOW);
+        let asked_prompt = Prompt { tried: vec!["tried".into()], ..prompt("z") };
+        let placement = picker.pick(&sight, &asked_prompt, NOW).unwrap();
+        let passing: Vec<&str> = placement.candidates.iter().map(|score| score.engine.as_str()).collect();
+        assert_eq!(passing, ["well"]);
+    }
+
+    #[test]
+    fn old_weights_are_given_up_in_time() {
+        let sight = fleet(&["one"], DOCUMENT);
+        let mut state = (*sight.state).clone();
+        state.desired.models.get_mut(&"m".into()).unwrap().weights = WeightsEdition(2);
+        let pushed_sight = sight.following(state.clone(), Some(Span::seconds(5)), NOW);
+        let engine = "one".into();
+        assert_eq!(pushed_sight.usable_weights(&engine, NOW + Span::millis(9999)), Some(WeightsEdition(1)));
+        assert_eq!(pushed_sight.usable_weights(&engine, NOW + Span::seconds(10)), None);
+        assert_eq!(sight.following(state, None, NOW).usable_weights(&engine, NOW), None);
+    }
+}
--- /dev/null
+++ b/crates/placement/src/sight.rs
@@ -0,0 +1,83 @@
+//! The fleet as this router knows it: the state in force here, with what is derived from it once at
+//! each change: the tables compiled, the keys by hash, and until when old weights may still be used.
+
+use crate::prelude::*;
+
+pub const OLD_WEIGHTS_SPAN: Span = Span::seconds(15);
+pub const DEFAULT_POLICY: &str = "default";
+
+#[derive(Clone, Debug, Default)]
+pub struct FleetSight {
+    pub state: Arc<FleetState>,
+    pub default_table: Table,
+    pub trial_tables: BTreeMap<TenantName, (String, Table)>,
+    pub tenants_by_key: HashMap<String, TenantName>,
+    /// Until when editions below the wanted one may still be used, by model.
+    pub old_until: BTreeMap<ModelName, Instant>,
+}
+
+impl FleetSight {
+    /// The sight after a change. `age` is how long ago the change was committed; when it is not known,
+    /// as with a snapshot, old weights are given up at once.
+    pub fn following(&self, state: FleetState, age: Option<Span>, now: Instant) -> FleetSight {
+        let mut old_until = self.old_until.clone();
+        for (model, wish) in &state.desired.models {
+            let known_wish = self.state.desired.models.get(model);
+            if known_wish.is_some_and(|known| known.weights < wish.weights) {
+                let span_left = age.map_or(Span(0), |age| Span(OLD_WEIGHTS_SPAN.0.saturating_sub(age.0)));
+                old_until.insert(model.clone(), now + span_left);
+            }
+        }
+        let tenants: Vec<TenantName> = state.desired.tenants.keys().cloned().collect();
+        let compile = |name: &str| {
+            let policy = state.desired.policies.get(name).cloned().unwrap_or_else(Policy::default);
+            policy.compile(&tenants, &state.desired.kinds)
+        };
+        let trial_tables = state
+            .desired
+            .trials
+            .iter()
+            .map(|(tenant, policy)| (tenant.clone(), (policy.clone(), compile(policy))))
+            .collect();
+        let mut tenants_by_key = HashMap::new();
+        for (tenant, wish) in &state.desired.tenants {
+            for key_hash in wish.keys.values() {
+                tenants_by_key.insert(key_hash.clone(), tenant.clone());
+            }
+        }
+        FleetSight {
+            default_table: compile(DEFAULT_POLICY),
+            trial_tables,
+            tenants_by_key,
+            old_until,
+            state: Arc::new(state),
+        }
+    }
+
+    /// The weights an engine may be used with now: those it confirmed, if they are the wanted ones or
+    /// old ones not yet given up; nothing if the engine is not listed open or is closed.
+    pub fn usable_weights(&self, engine: &EngineName, now: Instant) -> Option<WeightsEdition> {
+        let listed = self.state.listing.engines.get(engine).filter(|listed| listed.listed == Listed::Open)?;
+        let standing = self.state.standings.get(engine).filter(|standing| !standing.closed)?;
+        let (confirmed, _) = standing.confirmed.as_ref()?;
+        let wanted = self.state.desired.models.get(&listed.model)?.weights;
+        let may_use = *confirmed == wanted
+            || (*confirmed < wanted && self.old_until.get(&listed.model).is_some_and(|until| now < *until));
+        may_use.then_some(*confirmed)
+    }
+
+    /// Every edition some engine of the model may be used with now.
+    pub fn editions_in_use(&self, model: &ModelName, now: Instant) -> Vec<WeightsEdition> {
+        let mut editions: Vec<WeightsEdition> = self
+            .state
+            .listing
+            .engines
+            .iter()
+            .filter(|(_, listed)| listed.model == *model)
+            .filter_map(|(engine, _)| self.usable_weights(engine, now))
+            .collect();
+        editions.sort();
+        editions.dedup();
+        editions
+    }
+}
--- a/crates/trade/src/logs.rs
+++ b/crates/trade/src/logs.rs
@@ -8,7 +8,7 @@
 macro_rules! event {
     ($level:ident, $name:expr $(, $key:ident = $value:expr)* $(,)?) => {
         ::log::$level!(target: "haremount", "event={}{}", $name,
-            [$(format!(" {}={}", stringify!($key), $crate::prelude::plain(&$value.to_string()))),*].concat())
+            <[String]>::concat(&[$(format!(" {}={}", stringify!($key), $crate::prelude::plain(&$value.to_string()))),*]))
     };
 }
 
--- a/crates/warden/src/chaining.rs
+++ b/crates/warden/src/chaining.rs
@@ -38,6 +38,7 @@
             ChainMessage::Level { view, nonce, previous, records } => {
                 if self.may_be_levelled(from, view, nonce) && previous == self.log.last() {
                     self.take_records(previous, records);
+                    self.forget_dates();
                     self.align();
                 }
             }
@@ -88,6 +89,12 @@
         !self.view.in_chain(self.me.id) || self.view.before(self.me.id) == Some(from)
     }
 
+    /// What others brought us may be older than our seeing it: its age is not known.
+    fn forget_dates(&mut self) {
+        self.restored_at = self.log.last().edition;
+        self.committed_at.clear();
+    }
+
     fn align(&mut self) {
         self.nonce = self.nonce.wrapping_add(1);
         if !self.view.in_chain(self.me.id) || self.aligned == self.view.number {
--- a/crates/warden/src/messages.rs
+++ b/crates/warden/src/messages.rs
@@ -95,9 +95,11 @@
     /// Not renewed: the node lags behind.
     Behind,
     Snapshot(Box<FleetState>),
+    /// The next change, and how long ago it was committed, if that is known.
     Push {
         number: Edition,
         submission: Submission,
+        age: Option<Span>,
     },
 }
 
--- a/crates/warden/src/mind.rs
+++ b/crates/warden/src/mind.rs
@@ -3,6 +3,7 @@
 use crate::prelude::*;
 
 pub const PULSE_SPAN: Span = Span::millis(200);
+const DATED_RECORDS: usize = 1024;
 pub const SUSPECT_AFTER: Span = Span::millis(1000);
 
 #[derive(Clone, Debug)]
@@ -30,8 +31,12 @@
     pub(crate) aligned: ViewNumber,
     pub(crate) log: Log,
     pub(crate) committed: Edition,
+    /// When this life first saw recent records; those of an earlier life are not in it.
+    pub(crate) committed_at: BTreeMap<Edition, Instant>,
     pub(crate) peers: BTreeMap<NodeId, Peer>,
     pub(crate) acquaintances: BTreeMap<NodeId, Member>,
+    /// Where the log ended when this life began, or was replaced by a snapshot.
+    pub(crate) restored_at: Edition,
     pub(crate) nonce: u64,
     pub(crate) began: Instant,
     pub(crate) adopted: Instant,
@@ -61,8 +66,10 @@
             aligned: kept.aligned,
             log: Log::restore(kept.mark, kept.state, kept.records),
             committed: Edition(0),
+            committed_at: BTreeMap::new(),
             peers: BTreeMap::new(),
             acquaintances,
+            restored_at: Edition(0),
             nonce: life,
             began: now,
             adopted: now,
@@ -77,6 +84,7 @@
             inbox: VecDeque::new(),
             plan: Vec::new(),
         };
+        restored_warden.restored_at = restored_warden.log.last().edition;
         if restored_warden.view.tail() == Some(restored_warden.me.id) {
             restored_warden.tail = Some(TailDuty::new(now + READ_LEASE + LEASE_MARGIN));
         }
@@ -109,10 +117,22 @@
             let me = self.me.id;
             self.hear(me, own_message, now);
         }
+        self.date_records(now);
         self.tend_tail(now);
         std::mem::take(&mut self.plan)
     }
 
+    fn date_records(&mut self, now: Instant) {
+        let last_edition = self.log.last().edition;
+        let dated_last = self.committed_at.last_key_value().map_or(self.restored_at, |(edition, _)| *edition);
+        for number in (dated_last.0 + 1)..=last_edition.0 {
+            self.committed_at.insert(Edition(number), now);
+        }
+        while self.committed_at.len() > DATED_RECORDS {
+            self.committed_at.pop_first();
+        }
+    }
+
     pub fn view(&self) -> &View {
         &self.view
     }
@@ -259,6 +279,12 @@
         node == self.me.id || self.peers.get(&node).is_some_and(|peer| now.since(peer.last_heard) < SUSPECT_AFTER)
     }
 
+    /// Everybody heard of lately, this keeper included.
+    pub fn alive(&self, now: Instant) -> Vec<NodeId> {
+        let heard_peers = self.peers.keys().copied().filter(|peer| self.is_alive(*peer, now));
+        heard_peers.chain([self.me.id]).collect()
+    }
+
     pub(crate) fn alive_voters(&self, now: Instant) -> usize {
         self.view.voters.iter().filter(|voter| self.is_alive(**voter, now)).count()
     }
--- a/crates/warden/src/tailing.rs
+++ b/crates/warden/src/tailing.rs
@@ -11,7 +11,7 @@
     pub(crate) read_lease: ReadLease,
     pub(crate) leases: NodeLeases,
     /// How far each linked node has been pushed; nothing for one that needs a snapshot.
-    pub(crate) pushed: BTreeMap<NodeId, Option<Edition>>,
+    pub(crate) pushed: BTreeMap<NodeId, PushPlace>,
     pub(crate) duty_until: BTreeMap<NodeId, Instant>,
     /// Editions and when they were committed, for those not yet due everywhere.
     pub(crate) fresh: VecDeque<(Edition, Instant)>,
@@ -19,6 +19,13 @@
     pub(crate) asked: Vec<Asked>,
 }
 
+/// A linked node: the life of the router behind it, and the edition it was pushed last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PushPlace {
+    pub(crate) life: u64,
+    pub(crate) pushed: Option<Edition>,
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Asked {
     pub(crate) from: NodeId,
@@ -155,23 +162,25 @@
         if begins {
             self.note("tail_begins", format!("view={} edition={last_edition}", self.view.number));
         }
-        self.push_news(read_until);
+        self.push_news(now, read_until);
         self.settle_asked(now, read_until);
         self.appoint(now);
     }
 
-    fn push_news(&mut self, read_until: Instant) {
+    fn push_news(&mut self, now: Instant, read_until: Instant) {
         let last_edition = self.log.last().edition;
         let Some(tail) = self.tail.as_mut() else { return };
         let mut told_effects = Vec::new();
-        for (node, pushed) in tail.pushed.iter_mut() {
-            if *pushed == Some(last_edition) {
+        for (node, place) in tail.pushed.iter_mut() {
+            if place.pushed == Some(last_edition) {
                 continue;
             }
-            match pushed.and_then(|edition| self.log.after(edition)) {
+            match place.pushed.and_then(|edition| self.log.after(edition)) {
                 Some(records) => {
                     for record in records {
-                        let message = NodeDown::Push { number: record.mark.edition, submission: record.submission };
+                        let number = record.mark.edition;
+                        let age = self.committed_at.get(&number).map(|committed| now.since(*committed));
+                        let message = NodeDown::Push { number, submission: record.submission, age };
                         told_effects.push(Effect::Tell { node: *node, message, until: Some(read_until) });
                     }
                 }
@@ -180,7 +189,7 @@
                     told_effects.push(Effect::Tell { node: *node, message, until: Some(read_until) });
                 }
             }
-            *pushed = Some(last_edition);
+            place.pushed = Some(last_edition);
         }
         self.plan.extend(told_effects);
     }
@@ -200,9 +209,10 @@
             }
             NodeUp::Renew { sent, applied, life } => {
                 let known_edition = applied.filter(|edition| *edition <= last_edition);
-                let pushed = tail.pushed.entry(node).or_insert(known_edition);
-                if *pushed < known_edition || known_edition.is_none() {
-                    *pushed = known_edition;
+                let fresh_place = PushPlace { life, pushed: known_edition };
+                let place = tail.pushed.entry(node).or_insert(fresh_place);
+                if place.life != life || place.pushed < known_edition || known_edition.is_none() {
+                    *place = fresh_place;
                 }
                 let due = tail.due;
                 let granted = known_edition.is_some_and(|edition| tail.leases.renew(node, edition, due, now));
--- a/crates/web/src/serve.rs
+++ b/crates/web/src/serve.rs
@@ -10,7 +10,7 @@
     pub segments: Vec<String>,
     pub query: String,
     pub headers: HeaderMap,
-    pub body: GothamBody,
+    pub body: std::sync::Mutex<GothamBody>,
 }
 
 pub type Answered = Response<GothamBody>;
@@ -35,7 +35,7 @@
             segments,
             query: uri.query().unwrap_or("").to_owned(),
             headers: HeaderMap::take_from(self),
-            body: GothamBody::take_from(self),
+            body: std::sync::Mutex::new(GothamBody::take_from(self)),
         }
     }
 }
@@ -59,7 +59,8 @@
     }
 
     pub async fn read_body(&mut self, most_bytes: usize) -> Result<Bytes, BodyFault> {
-        let body = std::mem::replace(&mut self.body, empty_body());
+        let body = std::mem::replace(&mut self.body, std::sync::Mutex::new(empty_body()));
+        let body = body.into_inner().map_err(|_| BodyFault::Broken("poisoned".into()))?;
         read_whole(body, most_bytes, Duration::from_secs(10)).await
     }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -41,6 +41,13 @@
     }
 }
 
+/// What a keeper is told: by other keepers and by agents.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Inbound {
+    Core(CoreMessage),
+    Node(NodeUp),
+}
+
 pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, String> {
     let body = rmp_serde::to_vec_named(message).map_err(|fault| fault.to_string())?;
     if body.len() > MOST_FRAME_BYTES {
