--- a/crates/contract/src/engines.rs
+++ b/crates/contract/src/engines.rs
@@ -120,15 +120,21 @@
     LoadWeights { weights: u64 },
 }
 
-/// One start, as an engine logs it for whoever judges a run.
+/// What an engine logs for whoever judges a run; instants are boot-time milliseconds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "line", rename_all = "snake_case")]
+pub enum EngineLine {
+    Start(StartLine),
+    Order { at: u64, engine: String, holder: String, term: u64, taken: bool, order: String },
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StartLine {
     pub at: u64,
-    pub boot_at: u64,
+    pub engine: String,
     pub shot: String,
     pub salt: String,
     pub weights: u64,
-    pub asked_weights: u64,
     pub prompt_blocks: u64,
     pub cached_blocks: u64,
 }
--- a/crates/engine/src/prelude.rs
+++ b/crates/engine/src/prelude.rs
@@ -7,7 +7,7 @@
 pub(crate) use contract::prelude::*;
 pub(crate) use serde_json::{Value, json};
 pub(crate) use std::collections::{BTreeMap, HashMap, VecDeque};
-pub(crate) use std::io::Write;
+pub(crate) use std::io::Write as _;
 pub(crate) use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 pub(crate) use std::sync::{Arc, Mutex};
 pub(crate) use std::time::Duration;
--- a/crates/engine/src/site.rs
+++ b/crates/engine/src/site.rs
@@ -195,12 +195,22 @@
         let Ok(order) = serde_json::from_slice::<EngineOrder>(&body) else {
             return refuse(StatusCode::BAD_REQUEST, "bad_request", "no order");
         };
-        {
+        let highest_term = {
             let mut weights = held(&self.weights);
-            if order.term < weights.highest_term {
-                return refuse(StatusCode::CONFLICT, "lower_term", &format!("highest is {}", weights.highest_term));
-            }
-            weights.highest_term = order.term;
+            weights.highest_term = weights.highest_term.max(order.term);
+            weights.highest_term
+        };
+        let taken = order.term >= highest_term;
+        self.log_line(&EngineLine::Order {
+            at: boot_now().0 / 1_000_000,
+            engine: self.name.clone(),
+            holder: order.holder.clone(),
+            term: order.term,
+            taken,
+            order: format!("{:?}", order.wish),
+        });
+        if !taken {
+            return refuse(StatusCode::CONFLICT, "lower_term", &format!("highest is {highest_term}"));
         }
         event!(
             info,
@@ -253,7 +263,7 @@
             }
             self.running.fetch_add(1, Ordering::SeqCst);
             let cached_blocks = held(&self.memory).overlap(&names) as u64;
-            self.log_start(&request, &shot, asked_weights, weights.edition, cached_blocks);
+            self.log_start(&request, &shot, weights.edition, cached_blocks);
             cached_blocks
         };
         let reported_shot = if faults.wrong_shot { "00000000".to_owned() } else { shot };
@@ -287,19 +297,21 @@
         answer_json(StatusCode::OK, &json!(completion)).with_header(SHOT_HEADER, &reported_shot)
     }
 
-    fn log_start(&self, request: &EngineRequest, shot: &str, asked: Option<u64>, weights: u64, cached_blocks: u64) {
-        let line = StartLine {
-            at: wall_millis(),
-            boot_at: boot_now().0 / 1_000_000,
+    fn log_start(&self, request: &EngineRequest, shot: &str, weights: u64, cached_blocks: u64) {
+        self.log_line(&EngineLine::Start(StartLine {
+            at: boot_now().0 / 1_000_000,
+            engine: self.name.clone(),
             shot: shot.to_owned(),
             salt: request.cache_salt.clone(),
             weights,
-            asked_weights: asked.unwrap_or(0),
             prompt_blocks: blocks_of(request.prompt.len()).0,
             cached_blocks,
-        };
+        }));
+    }
+
+    fn log_line(&self, line: &EngineLine) {
         if let Some(file) = held(&self.starts).as_mut() {
-            let _ = writeln!(file, "{}", json!(line));
+            let _ = file.write_all(format!("{}\n", json!(line)).as_bytes());
         }
     }
 
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,1 +1,82 @@
-fn main() {}
+//! The router: takes prompts, picks each one's engine by the source's cost, and carries the stream.
+//! Duties: the feed (fleet and lease from the agent), the table (picks, shares, budget), followers of
+//! the engines' events, and the entry on a small runtime. Nothing starts without a lease.
+
+mod carry;
+mod entry;
+mod feed;
+mod followers;
+mod pieces;
+mod plan;
+mod prelude;
+mod stand;
+mod table;
+
+use crate::prelude::*;
+
+static TRADE: Trade = Trade {
+    program: "router",
+    about: "Chooses each prompt's engine and carries the stream.",
+    settings: &[
+        setting("listen", Kind::Address, Some("127.0.0.1:0"), "where callers are served"),
+        setting("agent", Kind::Address, None, "this machine's agent, on loopback"),
+        setting("zone", Kind::Text, Some("a"), "the zone this machine stands in"),
+        setting("drain_s", Kind::Whole(0, 600), Some("12"), "seconds that running streams get when stopping"),
+        setting("threads", Kind::Whole(1, 64), Some("2"), "threads for HTTP"),
+        LOG_LEVEL,
+    ],
+};
+
+fn main() -> std::process::ExitCode {
+    run_trade(&TRADE, route)
+}
+
+fn route(settings: Settings) -> Result<(), Report> {
+    let logs = start_logs(TRADE.program, settings.text("log_level")?)?;
+    let agent_address = settings.address("agent")?.to_string();
+    let drain_span = Span::seconds(settings.whole("drain_s")?);
+    let listener = bind(settings.address("listen")?)
+        .map_err(|fault| miette!("listen: {}: {fault}", settings.text("listen").unwrap_or("")))?;
+    let address = listener.local_addr().map_err(|fault| miette!("listen: {fault}"))?;
+    let router = NodeId::random();
+    let stand = Arc::new(Stand::default());
+    let table = start_table(router, Arc::clone(&stand));
+    keep_feed(agent_address, router, Arc::clone(&stand), table.clone());
+    let runtime = small_runtime(settings.whole("threads")? as usize).map_err(|fault| miette!("{fault}"))?;
+    runtime.spawn(keep_followers(Arc::clone(&stand), table.clone()));
+    let entry = Arc::new(Entry { router, stand: Arc::clone(&stand), table, next_run: AtomicU64::new(1) });
+    runtime.spawn(serve(listener, entry));
+    let stop = Arc::new(tokio::sync::Notify::new());
+    let stop_notice = Arc::clone(&stop);
+    let mut settings_now = settings;
+    on_signals(move |signal| match signal {
+        Signal::Stop => stop_notice.notify_one(),
+        Signal::Reload => match TRADE.read_again(&settings_now) {
+            Ok(read_settings) => {
+                let _ = logs.set_level(read_settings.maybe("log_level").unwrap_or("info"));
+                settings_now = read_settings;
+                event!(info, "settings_reloaded");
+            }
+            Err(report) => event!(error, "settings_refused", reason = report),
+        },
+    })?;
+    say_ready(&[("id", router.to_string()), ("address", address.to_string())]);
+    event!(info, "started", id = router, address = address);
+    runtime.block_on(async {
+        stop.notified().await;
+        drain_router(&stand, drain_span).await;
+    });
+    runtime.shutdown_timeout(Duration::from_millis(500));
+    Ok(())
+}
+
+/// Starts nothing new, and waits for what runs, within the limit.
+async fn drain_router(stand: &Stand, drain_span: Span) {
+    stand.draining.store(true, Ordering::SeqCst);
+    event!(info, "draining", running = stand.counts.running.load(Ordering::SeqCst));
+    let limit = boot_now() + drain_span;
+    while stand.counts.running.load(Ordering::SeqCst) > 0 && boot_now() < limit {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    event!(info, "stopped", cut = stand.counts.running.load(Ordering::SeqCst));
+}
--- /dev/null
+++ b/crates/router/src/pieces.rs
@@ -0,0 +1,115 @@
+//! Reading an engine's answer: events of a stream one by one, each checked to be of this shot, and
+//! whole answers checked before a byte of them goes on.
+
+use crate::prelude::*;
+
+const MOST_EVENT_BYTES: usize = 1 << 20;
+
+/// Splits a byte stream into the data of its events.
+#[derive(Default)]
+pub struct EventReader {
+    pending: Vec<u8>,
+}
+
+impl EventReader {
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<(), String> {
+        if self.pending.len() + bytes.len() > MOST_EVENT_BYTES {
+            return Err("an event is too large".into());
+        }
+        self.pending.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// The data of the next whole event.
+    pub fn next_data(&mut self) -> Option<String> {
+        loop {
+            let end = self.pending.windows(2).position(|pair| pair == b"\n\n")?;
+            let event_bytes: Vec<u8> = self.pending.drain(..end + 2).collect();
+            let event_text = String::from_utf8_lossy(&event_bytes).into_owned();
+            let data: Vec<&str> =
+                event_text.lines().filter_map(|line| line.strip_prefix("data:")).map(str::trim_start).collect();
+            if !data.is_empty() {
+                return Some(data.join("\n"));
+            }
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+}
+
+/// A piece of this shot, or why it is not one.
+pub fn check_piece(data: &str, shot: &str) -> Result<Completion, String> {
+    let completion: Completion = serde_json::from_str(data).map_err(|fault| format!("unreadable piece: {fault}"))?;
+    if completion.id != shot {
+        return Err("a piece of another shot".into());
+    }
+    Ok(completion)
+}
+
+/// The piece as the caller gets it, in the form it asked.
+pub fn shape_piece(completion: Completion, run: &str, form: Form) -> Value {
+    let choices: Vec<Value> = completion
+        .choices
+        .into_iter()
+        .map(|choice| match form {
+            Form::Completion => {
+                json!({"index": choice.index, "text": choice.text, "finish_reason": choice.finish_reason})
+            }
+            Form::Chat => json!({"index": choice.index, "delta": {"content": choice.text},
+                                 "finish_reason": choice.finish_reason}),
+        })
+        .collect();
+    let object = if form == Form::Chat { "chat.completion.chunk" } else { "text_completion" };
+    let mut shaped =
+        json!({"id": run, "shot": completion.id, "object": object, "model": completion.model, "choices": choices});
+    if let Some(usage) = completion.usage {
+        shaped["usage"] = json!(usage);
+    }
+    shaped
+}
+
+/// A whole answer in the form that was asked.
+pub fn shape_whole(completion: Completion, run: &str, form: Form) -> Value {
+    let mut shaped = shape_piece(completion, run, form);
+    if form == Form::Chat {
+        shaped["object"] = json!("chat.completion");
+        if let Some(choices) = shaped["choices"].as_array_mut() {
+            for choice in choices {
+                let content = choice["delta"]["content"].take();
+                choice["message"] = json!({"role": "assistant", "content": content});
+                if let Some(fields) = choice.as_object_mut() {
+                    fields.remove("delta");
+                }
+            }
+        }
+    }
+    shaped
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    #[test]
+    fn events_come_whole_however_they_are_cut() {
+        let mut reader = EventReader::default();
+        let mut found = Vec::new();
+        for byte in b"data: {\"a\":1}\n\n: note\n\ndata: x\ndata: y\n\ndata: part" {
+            reader.feed(&[*byte]).unwrap();
+            found.extend(reader.next_data());
+        }
+        assert_eq!(found, ["{\"a\":1}", "x\ny"]);
+        assert!(!reader.is_empty());
+        assert!(reader.feed(&vec![b'x'; MOST_EVENT_BYTES]).is_err());
+    }
+
+    #[test]
+    fn a_piece_of_another_shot_is_refused() {
+        let piece = r#"{"id":"s1","object":"text_completion","model":"m","choices":[]}"#;
+        assert!(check_piece(piece, "s1").is_ok());
+        assert_eq!(check_piece(piece, "s2").unwrap_err(), "a piece of another shot");
+        assert!(check_piece("{}", "s1").is_err());
+    }
+}
--- /dev/null
+++ b/crates/router/src/plan.rs
@@ -0,0 +1,176 @@
+//! The plan of a request, as data: who asks, what for, within which limit, and under which names its
+//! blocks may be kept. The engine is chosen from it shot by shot.
+
+use crate::prelude::*;
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub run: String,
+    pub tenant: TenantName,
+    pub key_hash: String,
+    pub kind: String,
+    pub model: ModelName,
+    pub prompt_text: Arc<String>,
+    pub max_tokens: u64,
+    pub streams: bool,
+    pub repeatable: bool,
+    pub limit: Instant,
+    pub share: u64,
+    pub form: Form,
+}
+
+/// Which of the two request forms was asked, and is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    Completion,
+    Chat,
+}
+
+/// Why a request is turned away before any shot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    pub status: StatusCode,
+    pub kind: &'static str,
+    pub reason: String,
+    pub retry_after: Option<u64>,
+}
+
+impl Refusal {
+    pub fn new(status: StatusCode, kind: &'static str, reason: impl Into<String>) -> Refusal {
+        Refusal { status, kind, reason: reason.into(), retry_after: None }
+    }
+
+    pub fn retry_after(mut self, seconds: u64) -> Refusal {
+        self.retry_after = Some(seconds);
+        self
+    }
+
+    /// Nothing of the request has run or will run.
+    pub fn into_answer(self) -> Answered {
+        let answered = refuse(self.status, self.kind, &self.reason).with_header(OUTCOME_HEADER, "not_run");
+        match self.retry_after {
+            Some(seconds) => answered.with_header("retry-after", &seconds.to_string()),
+            None => answered,
+        }
+    }
+}
+
+const LONGEST_LIMIT: u64 = 10_000;
+const MOST_TOKENS: u64 = 4096;
+const USUAL_TOKENS: u64 = 16;
+
+impl Plan {
+    pub fn make(
+        request: CallerRequest,
+        form: Form,
+        headers: &HeaderFields,
+        sight: &FleetSight,
+        run: String,
+        now: Instant,
+    ) -> Result<Plan, Refusal> {
+        let bad = |reason: String| Refusal::new(StatusCode::BAD_REQUEST, "bad_request", reason);
+        let Some(key_hash) = headers.key_hash.clone() else {
+            return Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown_key", "a key is needed"));
+        };
+        let Some(tenant) = sight.tenants_by_key.get(&key_hash).cloned() else {
+            return Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown_key", "the key is not known"));
+        };
+        let model = ModelName(request.model.clone());
+        if !sight.state.desired.models.contains_key(&model) {
+            return Err(Refusal::new(StatusCode::NOT_FOUND, "unknown_model", "the model is not known"));
+        }
+        let max_tokens = request.max_tokens.unwrap_or(USUAL_TOKENS);
+        if !(1..=MOST_TOKENS).contains(&max_tokens) {
+            return Err(bad(format!("max_tokens: 1 to {MOST_TOKENS}")));
+        }
+        if request.n.is_some_and(|count| count != 1) {
+            return Err(bad("n: only 1 is served".into()));
+        }
+        let limit_ms = headers.limit_ms.or(request.limit_ms).unwrap_or(sight.state.desired.routing.limit.as_millis());
+        if !(1..=LONGEST_LIMIT).contains(&limit_ms) {
+            return Err(bad(format!("limit_ms: 1 to {LONGEST_LIMIT}")));
+        }
+        let prompt_text = request.prompt_text().map_err(bad)?;
+        if prompt_text.is_empty() {
+            return Err(bad("prompt is empty".into()));
+        }
+        let kind = headers.kind.clone().or(request.kind).unwrap_or_default();
+        if !kind.is_empty() && !sight.state.desired.kinds.contains(&kind) {
+            return Err(bad("kind: not one of the desired state's".into()));
+        }
+        let share = sight.state.desired.tenants.get(&tenant).map_or(0, |wish| wish.share);
+        Ok(Plan {
+            run,
+            tenant,
+            key_hash,
+            kind,
+            model,
+            prompt_text: Arc::new(prompt_text),
+            max_tokens,
+            streams: request.stream,
+            repeatable: headers.repeatable.unwrap_or(request.repeatable),
+            limit: now + Span::millis(limit_ms),
+            share,
+            form,
+        })
+    }
+
+    /// The salt of this tenant's memory under an edition of the weights.
+    pub fn salt(&self, sight: &FleetSight, weights: WeightsEdition) -> Salt {
+        let wall = sight.state.wall_of(&self.tenant);
+        Salt::of(&self.model, weights, wall.id, wall.edition)
+    }
+
+    /// What the picker is asked: block names under every edition in use.
+    pub fn prompt(&self, sight: &FleetSight, tried: &[EngineName], now: Instant) -> Prompt {
+        let names = sight
+            .editions_in_use(&self.model, now)
+            .into_iter()
+            .map(|weights| (weights, cut(&self.salt(sight, weights), self.prompt_text.as_bytes())))
+            .collect();
+        Prompt {
+            tenant: self.tenant.clone(),
+            kind: self.kind.clone(),
+            model: self.model.clone(),
+            names,
+            blocks: blocks_of(self.prompt_text.len()),
+            answer_blocks: BlockCount(self.max_tokens.div_ceil(BLOCK_TOKENS as u64)),
+            tried: tried.to_vec(),
+        }
+    }
+}
+
+/// What of a request's headers matters.
+#[derive(Clone, Debug, Default)]
+pub struct HeaderFields {
+    pub key_hash: Option<String>,
+    pub kind: Option<String>,
+    pub limit_ms: Option<u64>,
+    pub repeatable: Option<bool>,
+}
+
+impl HeaderFields {
+    pub fn read(asked: &Asked) -> Result<HeaderFields, Refusal> {
+        let bad = |reason: &str| Refusal::new(StatusCode::BAD_REQUEST, "bad_request", reason);
+        let limit_ms = match asked.header("x-haremount-limit-ms") {
+            None => None,
+            Some(text) => Some(text.parse().map_err(|_| bad("x-haremount-limit-ms: no whole number"))?),
+        };
+        let repeatable = match asked.header("x-haremount-repeatable") {
+            None => None,
+            Some("true") => Some(true),
+            Some("false") => Some(false),
+            Some(_) => return Err(bad("x-haremount-repeatable: true or false")),
+        };
+        Ok(HeaderFields {
+            key_hash: asked.bearer().map(key_hash),
+            kind: asked.header("x-haremount-kind").map(str::to_owned),
+            limit_ms,
+            repeatable,
+        })
+    }
+}
+
+pub fn key_hash(key: &str) -> String {
+    Sha256::digest(key.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- /dev/null
+++ b/crates/router/src/table.rs
@@ -0,0 +1,199 @@
+//! The table: the one owner of the picker, the tenant shares and the retry budget, working through a
+//! queue of commands on a thread of its own. What is taken from it comes back by guards that give it
+//! up exactly once, however a request ends.
+
+use crate::prelude::*;
+
+pub enum TableCommand {
+    /// The fleet changed.
+    Fleet,
+    Admit {
+        tenant: TenantName,
+        share: u64,
+        reply: oneshot::Sender<bool>,
+    },
+    Release {
+        tenant: TenantName,
+    },
+    Pick {
+        prompt: Box<Prompt>,
+        is_retry: bool,
+        reply: oneshot::Sender<Picked>,
+    },
+    EndShot {
+        engine: EngineName,
+        blocks: BlockCount,
+    },
+    Kept {
+        engine: EngineName,
+        names: Vec<BlockHash>,
+    },
+    Fault {
+        engine: EngineName,
+    },
+    Place {
+        engine: EngineName,
+        reply: oneshot::Sender<Option<SourcePlace>>,
+    },
+    Snapshot {
+        engine: EngineName,
+        snapshot: KeptSnapshot,
+        names: Vec<BlockHash>,
+        asked: Instant,
+    },
+    Events {
+        engine: EngineName,
+        batch: EventBatch,
+        events: Vec<KeptEvent>,
+        asked: Instant,
+        reply: oneshot::Sender<bool>,
+    },
+    Count {
+        engine: EngineName,
+        running: u64,
+        asked: Instant,
+    },
+}
+
+pub enum Picked {
+    Placed(Box<Placement>),
+    /// No engine passes now.
+    NoEngine,
+    /// A second shot would go over the retry budget.
+    NoBudget,
+}
+
+/// The way to the table. A full ring is an answer of its own: the caller is turned away.
+#[derive(Clone)]
+pub struct TableAsker {
+    queue: Sender<TableCommand>,
+}
+
+impl TableAsker {
+    pub fn tell(&self, command: TableCommand) {
+        let _ = self.queue.send(command);
+    }
+
+    pub async fn ask<T>(&self, command: impl FnOnce(oneshot::Sender<T>) -> TableCommand) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.queue.try_send(command(reply)).ok()?;
+        answer.await.ok()
+    }
+}
+
+/// A tenant's seat, given back when dropped.
+pub struct Seat {
+    table: TableAsker,
+    tenant: TenantName,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.table.tell(TableCommand::Release { tenant: self.tenant.clone() });
+    }
+}
+
+/// A shot's occupancy, given back when dropped.
+pub struct ShotPlace {
+    table: TableAsker,
+    pub engine: EngineName,
+    blocks: BlockCount,
+}
+
+impl Drop for ShotPlace {
+    fn drop(&mut self) {
+        self.table.tell(TableCommand::EndShot { engine: self.engine.clone(), blocks: self.blocks });
+    }
+}
+
+impl TableAsker {
+    pub async fn admit(&self, tenant: &TenantName, share: u64) -> Option<Option<Seat>> {
+        let admitted = self.ask(|reply| TableCommand::Admit { tenant: tenant.clone(), share, reply }).await?;
+        Some(admitted.then(|| Seat { table: self.clone(), tenant: tenant.clone() }))
+    }
+
+    pub async fn pick(&self, prompt: Prompt, is_retry: bool) -> Option<(Picked, Option<ShotPlace>)> {
+        let blocks = BlockCount(prompt.blocks.0 + prompt.answer_blocks.0);
+        let picked = self.ask(|reply| TableCommand::Pick { prompt: Box::new(prompt), is_retry, reply }).await?;
+        let place = match &picked {
+            Picked::Placed(placement) => {
+                Some(ShotPlace { table: self.clone(), engine: placement.chosen.engine.clone(), blocks })
+            }
+            _ => None,
+        };
+        Some((picked, place))
+    }
+}
+
+pub fn start_table(router: NodeId, stand: Arc<Stand>) -> TableAsker {
+    let (queue, commands) = ring::<TableCommand>(8192);
+    duty("table", move || {
+        let mut table =
+            Table { picker: Picker::new(router), shares: Shares::default(), budget: RetryBudget::default(), stand };
+        while let Ok(command) = commands.recv() {
+            table.take(command);
+        }
+    });
+    TableAsker { queue }
+}
+
+struct Table {
+    picker: Picker,
+    shares: Shares,
+    budget: RetryBudget,
+    stand: Arc<Stand>,
+}
+
+impl Table {
+    fn take(&mut self, command: TableCommand) {
+        let now = boot_now();
+        match command {
+            TableCommand::Fleet => self.picker.keep_only(&self.stand.sight()),
+            TableCommand::Admit { tenant, share, reply } => {
+                let admitted = self.shares.take(&tenant, share);
+                if reply.send(admitted).is_err() && admitted {
+                    self.shares.release(&tenant);
+                }
+            }
+            TableCommand::Release { tenant } => self.shares.release(&tenant),
+            TableCommand::Pick { prompt, is_retry, reply } => {
+                let picked = self.pick(&prompt, is_retry, now);
+                if let Err(Picked::Placed(placement)) = reply.send(picked) {
+                    let blocks = BlockCount(prompt.blocks.0 + prompt.answer_blocks.0);
+                    self.picker.end_shot(&placement.chosen.engine, blocks);
+                }
+            }
+            TableCommand::EndShot { engine, blocks } => self.picker.end_shot(&engine, blocks),
+            TableCommand::Kept { engine, names } => self.picker.note_kept(&engine, &names, now),
+            TableCommand::Fault { engine } => self.picker.note_fault(&engine, now),
+            TableCommand::Place { engine, reply } => {
+                let _ = reply.send(self.picker.place_of(&engine));
+            }
+            TableCommand::Snapshot { engine, snapshot, names, asked } => {
+                self.picker.take_snapshot(&engine, &snapshot.boot, snapshot.next, names, asked);
+            }
+            TableCommand::Events { engine, batch, events, asked, reply } => {
+                let followed = self.picker.take_events(&engine, &batch.boot, batch.first, &events, asked);
+                let _ = reply.send(followed);
+            }
+            TableCommand::Count { engine, running, asked } => self.picker.take_count(&engine, running, asked),
+        }
+    }
+
+    fn pick(&mut self, prompt: &Prompt, is_retry: bool, now: Instant) -> Picked {
+        let sight = self.stand.sight();
+        let Some(placement) = self.picker.pick(&sight, prompt, now) else { return Picked::NoEngine };
+        if is_retry {
+            if !self.budget.spend() {
+                return Picked::NoBudget;
+            }
+            Counts::add(&self.stand.counts.retries, 1);
+        } else {
+            self.budget.earn(sight.state.desired.routing.retry_percent);
+        }
+        Counts::add(&self.stand.counts.shots, 1);
+        let blocks = BlockCount(prompt.blocks.0 + prompt.answer_blocks.0);
+        self.picker.begin_shot(&placement.chosen.engine, blocks);
+        Picked::Placed(Box::new(placement))
+    }
+}
--- /dev/null
+++ b/crates/verdict/src/judge.rs
@@ -0,0 +1,352 @@
+//! One judge for each of the twelve rules.
+
+use crate::prelude::*;
+
+pub const KEY_LIMIT_MS: u64 = 5_000;
+pub const LISTING_LIMIT_MS: u64 = 3_000;
+pub const CONFIGURATION_LIMIT_MS: u64 = 2_000;
+pub const WEIGHTS_LIMIT_MS: u64 = 20_000;
+pub const HOLDER_GAP_MS: u64 = 3_000;
+pub const RETRY_SHARE: f64 = 0.15;
+pub const RETRY_FLOAT: u64 = 30;
+pub const RECOVERY_LIMIT_MS: u64 = 12_000;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    pub rule: u8,
+    pub what: String,
+}
+
+/// Everything that broke a rule; empty for a clean run.
+pub fn judge(record: &Record) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    let judges: [(u8, fn(&Record) -> Vec<String>); 12] = [
+        (1, runs_once),
+        (2, answers_are_whole),
+        (3, streams_are_whole),
+        (4, memory_is_of_its_weights),
+        (5, memory_keeps_to_walls),
+        (6, withdrawn_keys_do_nothing),
+        (7, engines_listed_away_get_nothing),
+        (8, configurations_hold),
+        (9, old_weights_end),
+        (10, one_holder_orders),
+        (11, retries_are_few),
+        (12, service_returns),
+    ];
+    for (rule, judge_rule) in judges {
+        violations.extend(judge_rule(record).into_iter().map(|what| Violation { rule, what }));
+    }
+    violations
+}
+
+fn starts_by_run(record: &Record) -> BTreeMap<&str, Vec<&StartLine>> {
+    let mut starts: BTreeMap<&str, Vec<&StartLine>> = BTreeMap::new();
+    for start in record.starts() {
+        starts.entry(run_of(&start.shot)).or_default().push(start);
+    }
+    starts
+}
+
+fn runs_once(record: &Record) -> Vec<String> {
+    let starts = starts_by_run(record);
+    let mut found = Vec::new();
+    for caller in record.callers.iter().filter(|caller| !caller.run.is_empty()) {
+        let start_count = starts.get(caller.run.as_str()).map_or(0, Vec::len);
+        if !caller.repeatable && start_count > 1 {
+            found.push(format!("unrepeatable run {} started {start_count} times", caller.run));
+        }
+        if caller.outcome == "not_run" && start_count > 0 {
+            found.push(format!("run {} was said not to have run", caller.run));
+        }
+    }
+    found
+}
+
+fn answers_are_whole(record: &Record) -> Vec<String> {
+    wrong_answers(record, false)
+}
+
+fn streams_are_whole(record: &Record) -> Vec<String> {
+    wrong_answers(record, true)
+}
+
+fn wrong_answers(record: &Record, streams: bool) -> Vec<String> {
+    let wrong_callers = record.callers.iter().filter(|caller| caller.streams == streams && !caller.wrong.is_empty());
+    wrong_callers.map(|caller| format!("run {}: {}", caller.run, caller.wrong)).collect()
+}
+
+fn memory_is_of_its_weights(record: &Record) -> Vec<String> {
+    let foreign_starts = record.starts().filter(|start| !start.salt.starts_with(&format!("w{}.", start.weights)));
+    foreign_starts
+        .map(|start| format!("shot {} ran on weights {} with salt {}", start.shot, start.weights, start.salt))
+        .collect()
+}
+
+fn memory_keeps_to_walls(record: &Record) -> Vec<String> {
+    let tenants: BTreeMap<&str, &str> =
+        record.callers.iter().map(|caller| (caller.run.as_str(), caller.tenant.as_str())).collect();
+    let walled: BTreeSet<&str> = record
+        .world
+        .iter()
+        .filter_map(|line| match line {
+            WorldLine::Walled { tenant, .. } => Some(tenant.as_str()),
+            _ => None,
+        })
+        .collect();
+    let mut users: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for start in record.starts() {
+        if let Some(tenant) = tenants.get(run_of(&start.shot)) {
+            users.entry(start.salt.as_str()).or_default().insert(tenant);
+        }
+    }
+    users
+        .iter()
+        .filter(|(_, sharing)| sharing.len() > 1 && sharing.iter().any(|tenant| walled.contains(tenant)))
+        .map(|(salt, sharing)| format!("salt {salt} served {sharing:?}, of whom some are walled"))
+        .collect()
+}
+
+fn withdrawn_keys_do_nothing(record: &Record) -> Vec<String> {
+    let starts = starts_by_run(record);
+    let mut found = Vec::new();
+    for line in &record.world {
+        let WorldLine::KeyWithdrawn { at, key: withdrawn_key } = line else { continue };
+        for caller in record.callers.iter().filter(|caller| caller.key == *withdrawn_key && !caller.run.is_empty()) {
+            for start in starts.get(caller.run.as_str()).into_iter().flatten() {
+                if start.at > at + KEY_LIMIT_MS {
+                    found.push(format!("run {} began {} ms after its key's end", caller.run, start.at - at));
+                }
+            }
+        }
+    }
+    found
+}
+
+fn engines_listed_away_get_nothing(record: &Record) -> Vec<String> {
+    let mut found = Vec::new();
+    for line in &record.world {
+        let WorldLine::ListedAway { at, engine: left_engine } = line else { continue };
+        let back_at = record
+            .world
+            .iter()
+            .filter_map(|other| match other {
+                WorldLine::ListedOpen { at: opened, engine } if engine == left_engine && opened > at => Some(*opened),
+                _ => None,
+            })
+            .min()
+            .unwrap_or(u64::MAX);
+        for start in record.starts().filter(|start| start.engine == *left_engine) {
+            if start.at > at + LISTING_LIMIT_MS && start.at < back_at {
+                found.push(format!("engine {left_engine} began {} ms after it was listed away", start.at - at));
+            }
+        }
+    }
+    found
+}
+
+fn configurations_hold(record: &Record) -> Vec<String> {
+    let mut found = Vec::new();
+    let mut shown: BTreeMap<&str, u64> = BTreeMap::new();
+    for line in &record.world {
+        let WorldLine::Sample { at, router, edition, leased } = line else { continue };
+        let highest = shown.entry(router).or_insert(0);
+        if *edition < *highest {
+            found.push(format!("router {router} fell back from edition {highest} to {edition}"));
+        }
+        *highest = (*highest).max(*edition);
+        for acked in &record.world {
+            let WorldLine::Acked { at: acked_at, edition: acked_edition } = acked else { continue };
+            if *leased && *at > acked_at + CONFIGURATION_LIMIT_MS && edition < acked_edition {
+                found.push(format!(
+                    "router {router} served edition {edition} {} ms after {acked_edition}",
+                    at - acked_at
+                ));
+            }
+        }
+    }
+    found
+}
+
+fn old_weights_end(record: &Record) -> Vec<String> {
+    let mut found = Vec::new();
+    for line in &record.world {
+        let WorldLine::WeightsAcked { at, weights } = line else { continue };
+        for start in record.starts().filter(|start| start.weights < *weights) {
+            if start.at > at + WEIGHTS_LIMIT_MS {
+                found.push(format!(
+                    "shot {} began on weights {} {} ms late",
+                    start.shot,
+                    start.weights,
+                    start.at - at
+                ));
+            }
+        }
+    }
+    found
+}
+
+fn one_holder_orders(record: &Record) -> Vec<String> {
+    let mut orders: BTreeMap<&str, Vec<(u64, &str)>> = BTreeMap::new();
+    for line in &record.engines {
+        if let EngineLine::Order { at, engine, holder, .. } = line {
+            orders.entry(engine).or_default().push((*at, holder));
+        }
+    }
+    let mut found = Vec::new();
+    for (engine, mut engine_orders) in orders {
+        engine_orders.sort();
+        for pair in engine_orders.windows(2) {
+            let (earlier, later) = (pair[0], pair[1]);
+            if earlier.1 != later.1 && later.0 - earlier.0 < HOLDER_GAP_MS {
+                found.push(format!("engine {engine}: two holders within {} ms", later.0 - earlier.0));
+            }
+        }
+    }
+    found
+}
+
+fn retries_are_few(record: &Record) -> Vec<String> {
+    let first_shots = record.shots.saturating_sub(record.retries);
+    let allowed = (first_shots as f64 * RETRY_SHARE) as u64 + RETRY_FLOAT;
+    if record.retries <= allowed {
+        return Vec::new();
+    }
+    vec![format!("{} second shots on {first_shots} first ones", record.retries)]
+}
+
+fn service_returns(record: &Record) -> Vec<String> {
+    let over_at = record.world.iter().rev().find_map(|line| match line {
+        WorldLine::LastFaultOver { at } => Some(*at),
+        _ => None,
+    });
+    let ends_at = record.world.iter().rev().find_map(|line| match line {
+        WorldLine::RunEnds { at } => Some(*at),
+        _ => None,
+    });
+    let (Some(over_at), Some(ends_at)) = (over_at, ends_at) else { return Vec::new() };
+    if ends_at <= over_at + RECOVERY_LIMIT_MS {
+        return Vec::new();
+    }
+    let late_callers: Vec<&CallerLine> = record
+        .callers
+        .iter()
+        .filter(|caller| caller.at > over_at + RECOVERY_LIMIT_MS && caller.at < ends_at)
+        .collect();
+    let turned_away = late_callers
+        .iter()
+        .filter(|caller| matches!(caller.outcome.as_str(), "not_run" | "unknown" | "cut" | "no_answer"))
+        .count();
+    if late_callers.is_empty() {
+        return vec!["nobody called after the last fault; recovery was not seen".into()];
+    }
+    if turned_away * 100 > late_callers.len() {
+        return vec![format!("{turned_away} of {} late requests were not served", late_callers.len())];
+    }
+    Vec::new()
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    fn start(at: u64, engine: &str, shot: &str, weights: u64) -> EngineLine {
+        EngineLine::Start(StartLine {
+            at,
+            engine: engine.into(),
+            shot: shot.into(),
+            salt: format!("w{weights}.x"),
+            weights,
+            prompt_blocks: 1,
+            cached_blocks: 0,
+        })
+    }
+
+    fn order(at: u64, holder: &str) -> EngineLine {
+        let (engine, holder) = ("e1".into(), holder.into());
+        EngineLine::Order { at, engine, holder, term: 1, taken: true, order: String::new() }
+    }
+
+    fn caller(run: &str, outcome: &str) -> CallerLine {
+        CallerLine { run: run.into(), outcome: outcome.into(), ..CallerLine::default() }
+    }
+
+    /// A record that breaks no rule, with something for each judge to look at.
+    fn clean_record() -> Record {
+        let mut callers = vec![caller("r.1", "whole"), caller("r.2", "not_run"), caller("r.3", "whole")];
+        callers[0].tenant = "a".into();
+        callers[0].key = "ka".into();
+        callers[2].tenant = "b".into();
+        let mut late_caller = caller("r.4", "whole");
+        late_caller.at = 50_000;
+        callers.push(late_caller);
+        Record {
+            callers,
+            engines: vec![
+                start(100, "e1", "r.1.1", 1),
+                start(200, "e2", "r.3.1", 2),
+                order(10, "h1"),
+                order(4_000, "h2"),
+            ],
+            world: vec![
+                WorldLine::KeyWithdrawn { at: 0, key: "ka".into() },
+                WorldLine::ListedAway { at: 0, engine: "e1".into() },
+                WorldLine::Walled { at: 0, tenant: "a".into() },
+                WorldLine::WeightsAcked { at: 0, weights: 2 },
+                WorldLine::Acked { at: 0, edition: 4 },
+                WorldLine::Sample { at: 3_000, router: "r".into(), edition: 4, leased: true },
+                WorldLine::LastFaultOver { at: 30_000 },
+                WorldLine::RunEnds { at: 60_000 },
+            ],
+            shots: 1000,
+            retries: 100,
+        }
+    }
+
+    #[test]
+    fn a_clean_record_is_clean() {
+        assert_eq!(judge(&clean_record()), []);
+    }
+
+    /// One change to the clean record.
+    type Change = fn(&mut Record);
+
+    #[test]
+    fn each_judge_catches_its_violation() {
+        let changes: [(u8, Change); 15] = [
+            (1, |record| record.engines.push(start(101, "e2", "r.1.2", 1))),
+            (1, |record| record.engines.push(start(101, "e2", "r.2.1", 1))),
+            (2, |record| record.callers[0].wrong = "foreign".into()),
+            (3, |record| {
+                record.callers[0].streams = true;
+                record.callers[0].wrong = "piece lost".into();
+            }),
+            (4, |record| {
+                let EngineLine::Start(line) = &mut record.engines[0] else { panic!() };
+                line.salt = "w2.x".into();
+            }),
+            (5, |record| record.engines[1] = start(200, "e2", "r.3.1", 1)),
+            (6, |record| record.engines[0] = start(5_001, "e2", "r.1.1", 1)),
+            (7, |record| record.engines[0] = start(3_001, "e1", "r.1.1", 1)),
+            (8, |record| {
+                record.world.push(WorldLine::Sample { at: 9_000, router: "q".into(), edition: 3, leased: true });
+            }),
+            (8, |record| {
+                record.world.push(WorldLine::Sample { at: 9_000, router: "r".into(), edition: 3, leased: false });
+            }),
+            (9, |record| record.engines.push(start(20_001, "e2", "q.1.1", 1))),
+            (10, |record| record.engines.push(order(4_500, "h1"))),
+            (11, |record| record.retries = 300),
+            (12, |record| record.callers[3].outcome = "not_run".into()),
+            (12, |record| {
+                record.callers.truncate(3);
+            }),
+        ];
+        for (rule, change) in changes {
+            let mut record = clean_record();
+            change(&mut record);
+            let broken_rules: Vec<u8> = judge(&record).iter().map(|violation| violation.rule).collect();
+            assert_eq!(broken_rules, [rule]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/verdict/src/lines.rs
@@ -0,0 +1,98 @@
+//! The lines that are judged.
+
+use crate::prelude::*;
+
+/// What one caller saw of one request.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CallerLine {
+    pub at: u64,
+    pub ended: u64,
+    pub router: String,
+    /// Empty if no run was named.
+    pub run: String,
+    pub tenant: String,
+    pub key: String,
+    pub kind: String,
+    pub repeatable: bool,
+    pub streams: bool,
+    pub status: u16,
+    /// whole, not_run, unknown, cut, refused, no_answer, cancelled.
+    pub outcome: String,
+    pub first_ms: Option<u64>,
+    pub pieces: u64,
+    pub prompt_blocks: u64,
+    pub cached_blocks: u64,
+    /// What is wrong with the answer; empty if nothing.
+    pub wrong: String,
+}
+
+/// What else happened, and was acknowledged when.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "line", rename_all = "snake_case")]
+pub enum WorldLine {
+    KeyWithdrawn {
+        at: u64,
+        key: String,
+    },
+    ListedAway {
+        at: u64,
+        engine: String,
+    },
+    ListedOpen {
+        at: u64,
+        engine: String,
+    },
+    Acked {
+        at: u64,
+        edition: u64,
+    },
+    WeightsAcked {
+        at: u64,
+        weights: u64,
+    },
+    Walled {
+        at: u64,
+        tenant: String,
+    },
+    /// A router seen holding a lease with this edition in force.
+    Sample {
+        at: u64,
+        router: String,
+        edition: u64,
+        leased: bool,
+    },
+    Fault {
+        at: u64,
+        what: String,
+    },
+    LastFaultOver {
+        at: u64,
+    },
+    RunEnds {
+        at: u64,
+    },
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    pub callers: Vec<CallerLine>,
+    pub engines: Vec<EngineLine>,
+    pub world: Vec<WorldLine>,
+    /// Shots and second shots as the routers counted them, if known.
+    pub shots: u64,
+    pub retries: u64,
+}
+
+impl Record {
+    pub fn starts(&self) -> impl Iterator<Item = &StartLine> {
+        self.engines.iter().filter_map(|line| match line {
+            EngineLine::Start(start) => Some(start),
+            EngineLine::Order { .. } => None,
+        })
+    }
+}
+
+/// The run a shot belongs to: the shot's name without its last part.
+pub fn run_of(shot: &str) -> &str {
+    shot.rsplit_once('.').map_or(shot, |(run, _)| run)
+}
