--- /dev/null
+++ b/crates/simulator/src/net.rs
@@ -0,0 +1,43 @@
+//! The network: which machine cannot reach which, and how slow it is.
+
+use crate::prelude::*;
+
+/// Keepers are numbered from 0, nodes from `NODE_BASE`.
+pub const NODE_BASE: usize = 100;
+
+#[derive(Default)]
+pub struct Net {
+    pub cuts: BTreeSet<(usize, usize)>,
+    pub slow: bool,
+}
+
+impl Net {
+    pub fn is_cut(&self, from: usize, to: usize) -> bool {
+        self.cuts.contains(&(from, to))
+    }
+
+    pub fn cut_between(&mut self, left: &[usize], right: &[usize], both_ways: bool) {
+        for from in left {
+            for to in right.iter().filter(|to| *to != from) {
+                self.cuts.insert((*from, *to));
+                if both_ways {
+                    self.cuts.insert((*to, *from));
+                }
+            }
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.slow = false;
+    }
+
+    pub fn delay(&self, draw: &mut Draw) -> Span {
+        let micros = match (self.slow, draw.chance(2)) {
+            (true, _) => draw.between(20_000, 120_000),
+            (false, true) => draw.between(5_000, 60_000),
+            (false, false) => draw.between(200, 3_000),
+        };
+        Span(micros * 1000)
+    }
+}
--- /dev/null
+++ b/crates/simulator/src/prelude.rs
@@ -0,0 +1,18 @@
+//! The one import of this package's files.
+
+pub use crate::cast::*;
+pub use crate::faults::*;
+pub use crate::net::*;
+pub use crate::run::*;
+pub use crate::world::*;
+pub(crate) use blocks::prelude::Salt;
+pub(crate) use conductor::prelude::{Act, Conductor, Observed};
+pub(crate) use contract::prelude::{EngineLine, StartLine};
+pub(crate) use courier::prelude::{Courier, CourierEffect, CourierInput, RouterDown, RouterUp};
+pub(crate) use desired::prelude::{Listed, ListedEngine};
+pub(crate) use placement::prelude::FleetSight;
+pub(crate) use std::cmp::Reverse;
+pub(crate) use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+pub(crate) use units::prelude::*;
+pub(crate) use verdict::prelude::{CallerLine, Record, Violation, WorldLine, judge};
+pub(crate) use warden::prelude::*;
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod prelude;
 
 mod clock;
+mod draw;
 mod hash;
 mod names;
 mod numbers;
--- a/crates/units/src/prelude.rs
+++ b/crates/units/src/prelude.rs
@@ -1,6 +1,7 @@
 //! The one import of this package's files, and of others that want all its types.
 
 pub use crate::clock::*;
+pub use crate::draw::*;
 pub use crate::hash::*;
 pub use crate::names::*;
 pub use crate::numbers::*;
