--- a/crates/keeper/src/census.rs
+++ b/crates/keeper/src/census.rs
@@ -25,6 +25,7 @@
     let mut was_reachable = true;
     loop {
         pulse.tick().await;
+        let asked = boot_now();
         match read_listing(&platform, &known_tag).await {
             Ok(read) => {
                 health.last_read.store(boot_now().0 / 1_000_000, Ordering::Relaxed);
@@ -33,6 +34,10 @@
                     known_tag = tag;
                     newest = Some(listing);
                 }
+                if let Some(listing) = &newest {
+                    let (boot, number) = (listing.boot.clone(), listing.number);
+                    let _ = desk.queue.try_send(DeskCommand::ListingRead { boot, number, asked });
+                }
             }
             Err(reason) => {
                 if was_reachable {
--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -11,6 +11,7 @@
     Link(LinkEvent<Inbound>),
     Ask { question: Question, limit: Span, reply: oneshot::Sender<Answer> },
     Seeds(Vec<String>),
+    ListingRead { boot: String, number: ListingNumber, asked: Instant },
     Stop,
 }
 
@@ -92,6 +93,9 @@
                         plan.extend(self.warden.step(Input::Ask { ticket, question, limit: now + limit }, now));
                     }
                     DeskCommand::Seeds(seeds) => plan.extend(self.warden.step(Input::Seeds(seeds), boot_now())),
+                    DeskCommand::ListingRead { boot, number, asked } => {
+                        plan.extend(self.warden.step(Input::ListingRead { boot, number, asked }, boot_now()));
+                    }
                     DeskCommand::Stop => stops = true,
                 }
             }
--- a/crates/placement/src/picker.rs
+++ b/crates/placement/src/picker.rs
@@ -414,6 +414,16 @@
         let engine = "one".into();
         assert_eq!(pushed_sight.usable_weights(&engine, NOW + Span::millis(9999)), Some(WeightsEdition(1)));
         assert_eq!(pushed_sight.usable_weights(&engine, NOW + Span::seconds(10)), None);
-        assert_eq!(sight.following(state, None, NOW).usable_weights(&engine, NOW), None);
+        assert_eq!(sight.following(state.clone(), None, NOW).usable_weights(&engine, NOW), None);
+        state.desired.models.get_mut(&"m".into()).unwrap().weights = WeightsEdition(3);
+        let later = NOW + Span::seconds(9);
+        let moved_again = pushed_sight.following(state, Some(Span(0)), later);
+        assert_eq!(moved_again.usable_weights(&engine, later), Some(WeightsEdition(1)));
+        let past = NOW + Span::seconds(10);
+        assert_eq!(
+            moved_again.usable_weights(&engine, past),
+            None,
+            "a further move does not prolong the old edition"
+        );
     }
 }
--- a/crates/placement/src/sight.rs
+++ b/crates/placement/src/sight.rs
@@ -12,8 +12,9 @@
     pub default_table: Table,
     pub trial_tables: BTreeMap<TenantName, (String, Table)>,
     pub tenants_by_key: HashMap<String, TenantName>,
-    /// Until when editions below the wanted one may still be used, by model.
-    pub old_until: BTreeMap<ModelName, Instant>,
+    /// Until when an edition that is no longer wanted may still be used: from when the first newer one
+    /// was wanted, whatever came after that.
+    pub old_until: BTreeMap<(ModelName, WeightsEdition), Instant>,
 }
 
 impl FleetSight {
@@ -22,12 +23,13 @@
     pub fn following(&self, state: FleetState, age: Option<Span>, now: Instant) -> FleetSight {
         let mut old_until = self.old_until.clone();
         for (model, wish) in &state.desired.models {
-            let known_wish = self.state.desired.models.get(model);
-            if known_wish.is_some_and(|known| known.weights < wish.weights) {
+            let Some(known_wish) = self.state.desired.models.get(model) else { continue };
+            if known_wish.weights < wish.weights {
                 let span_left = age.map_or(Span(0), |age| Span(OLD_WEIGHTS_SPAN.0.saturating_sub(age.0)));
-                old_until.insert(model.clone(), now + span_left);
+                old_until.insert((model.clone(), known_wish.weights), now + span_left);
             }
         }
+        old_until.retain(|_, until| now < *until);
         let tenants: Vec<TenantName> = state.desired.tenants.keys().cloned().collect();
         let compile = |name: &str| {
             let policy = state.desired.policies.get(name).cloned().unwrap_or_else(Policy::default);
@@ -62,7 +64,7 @@
         let (confirmed, _) = standing.confirmed.as_ref()?;
         let wanted = self.state.desired.models.get(&listed.model)?.weights;
         let may_use = *confirmed == wanted
-            || (*confirmed < wanted && self.old_until.get(&listed.model).is_some_and(|until| now < *until));
+            || self.old_until.get(&(listed.model.clone(), *confirmed)).is_some_and(|until| now < *until);
         may_use.then_some(*confirmed)
     }
 
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -666,9 +666,17 @@
         if !warden.has_view() {
             return;
         }
+        let reading =
+            Input::ListingRead { boot: "p".into(), number: ListingNumber(self.listing_number), asked: local_now };
+        let life = keeper.life;
+        let reads_now = self.draw.chance(20);
         let state = warden.state().clone();
         let census = warden.holds_duty(DutyKind::Census, local_now);
         let conductor_term = warden.holds_duty(DutyKind::Conductor, local_now);
+        if reads_now {
+            self.later(Span::millis(3), Happening::KeeperInput { keeper: number, life: Some(life), input: reading });
+        }
+        let keeper = &mut self.keepers[number];
         if state.listing.number.0 < self.listing_number {
             let since = *keeper.census_since.get_or_insert(now);
             if census.is_some() || now.since(since) >= Span::millis(500) {
--- a/crates/warden/src/messages.rs
+++ b/crates/warden/src/messages.rs
@@ -122,6 +122,12 @@
         question: Question,
         limit: Instant,
     },
+    /// The platform's listing as this keeper read it; `asked` is when the reading began.
+    ListingRead {
+        boot: String,
+        number: ListingNumber,
+        asked: Instant,
+    },
     /// Seeds as the settings now name them.
     Seeds(Vec<String>),
 }
--- a/crates/warden/src/mind.rs
+++ b/crates/warden/src/mind.rs
@@ -44,6 +44,7 @@
     pub(crate) highest_round: u64,
     pub(crate) campaign_after: Instant,
     pub(crate) tail: Option<TailDuty>,
+    pub(crate) census: CensusSight,
     pub(crate) duty_lease: HeldLease,
     pub(crate) duties: BTreeMap<DutyKind, HeldDuty>,
     pub(crate) waiting: BTreeMap<u64, Waiting>,
@@ -77,6 +78,7 @@
             highest_round: 0,
             campaign_after: now,
             tail: None,
+            census: CensusSight::default(),
             duty_lease: HeldLease::default(),
             duties: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -111,6 +113,7 @@
             Input::Node { node, message } => self.hear_node(node, message, now),
             Input::NodeGone { node } => self.lose_node(node),
             Input::Ask { ticket, question, limit } => self.begin_ask(ticket, question, limit, now),
+            Input::ListingRead { boot, number, asked } => self.note_listing(boot, number, asked, now),
             Input::Seeds(seeds) => self.wishes.seeds = seeds,
         }
         while let Some(own_message) = self.inbox.pop_front() {
