A chain whose decided head never came is headed by one that stood in every chain since

Nothing is committed without every chain member, so a member that was whole and stood in every chain since still holds everything; views carry the chains before them so that a member can tell.

--- a/crates/keeper/src/filing.rs
+++ b/crates/keeper/src/filing.rs
@@ -24,6 +24,7 @@
             view: self.folder.plain("view")?,
             vote: self.folder.plain("vote")?.unwrap_or_default(),
             aligned: self.folder.plain("aligned")?.unwrap_or_default(),
+            whole: self.folder.plain("whole")?.unwrap_or_default(),
             mark,
             state,
             records: self.folder.numbered_after(mark.edition.0)?,
@@ -52,6 +53,7 @@
                 }
                 Stored::View(view) => rows.push(Row::plain("view", view)?),
                 Stored::Vote(vote) => rows.push(Row::plain("vote", vote)?),
+                Stored::Whole(view_number) => rows.push(Row::plain("whole", view_number)?),
                 Stored::Aligned(view_number) => rows.push(Row::plain("aligned", view_number)?),
             }
         }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -4,7 +4,7 @@
 
 pub const KEEPERS: usize = 4;
 pub const NODES: usize = 4;
-pub const ENGINES: usize = 4;
+pub const ENGINES: usize = 6;
 const MODEL: &str = "model";
 
 #[derive(Clone, Debug)]
@@ -64,9 +64,18 @@
 
 #[derive(Clone, Debug)]
 enum Meaning {
-    KeyAdded { key: String, tenant: String, number: u64 },
+    KeyAdded {
+        key: String,
+        tenant: String,
+        number: u64,
+    },
     KeyWithdrawn(String),
     Weights(u64),
+    /// The conductor's word on an engine: it waits for this before it goes on.
+    Stands {
+        keeper: usize,
+        engine: EngineName,
+    },
     Plain,
 }
 
@@ -744,6 +753,8 @@
                 (engine.name.clone(), seen)
             })
             .collect();
+        let now = self.now;
+        self.keepers[number].submitted.retain(|_, until| now < *until);
         let acts = self.keepers[number].conductor.direct(state, &observed, local_now);
         for act in acts {
             match act {
@@ -753,14 +764,16 @@
                     if waits {
                         continue;
                     }
-                    self.keepers[number].submitted.insert(engine.clone(), now + Span::millis(500));
+                    self.keepers[number].submitted.insert(engine.clone(), now + Span::seconds(5));
+                    let means = Meaning::Stands { keeper: number, engine: engine.clone() };
                     let request = RequestId(self.draw.next());
                     self.ask(
                         number,
                         Submission { request, command: Command::Stand { term, engine, standing } },
-                        None,
+                        Some(means),
                     );
                 }
+                Act::Load { engine, .. } if self.keepers[number].submitted.contains_key(&engine) => {}
                 Act::Load { engine, weights, .. } => {
                     let at = self.millis();
                     let holder = self.keepers[number].id.to_string();
@@ -793,6 +806,9 @@
 
     fn take_answer(&mut self, ticket: u64, answer: Answer) {
         let Some(asked) = self.asked.remove(&ticket) else { return };
+        if let Some(Meaning::Stands { keeper, engine }) = &asked.means {
+            self.keepers[*keeper].submitted.remove(engine);
+        }
         let Answer::Settled(Settled::Taken(edition)) = answer else { return };
         let at = self.millis();
         self.acked.insert(asked.request, edition);
@@ -804,7 +820,7 @@
             Meaning::KeyWithdrawn(key) => self.record.world.push(WorldLine::KeyWithdrawn { at, key }),
             Meaning::KeyAdded { key, tenant, number } => self.live_keys.push((key, tenant, number)),
             Meaning::Weights(weights) => self.record.world.push(WorldLine::WeightsAcked { at, weights }),
-            Meaning::Plain => {}
+            Meaning::Plain | Meaning::Stands { .. } => {}
         }
     }
 
@@ -846,7 +862,7 @@
         let engine = self.engines[number].name.0.clone();
         let away_count = self.engines.iter().filter(|engine| engine.listed != Some(Listed::Open)).count();
         let comes_back = self.engines[number].listed != Some(Listed::Open);
-        if !comes_back && away_count >= 1 {
+        if !comes_back && away_count >= 2 {
             return;
         }
         self.listing_number += 1;
@@ -934,7 +950,7 @@
         let others_aligned = self
             .keepers
             .iter()
-            .filter(|other| other.id != id && view.in_chain(other.id) && other.disk.aligned == view.number)
+            .filter(|other| other.id != id && view.in_chain(other.id) && other.disk.whole == view.number)
             .count();
         let voters_left = self.keepers.iter().filter(|other| other.id != id && view.votes(other.id)).count();
         others_aligned >= 1 && voters_left >= view.majority() && view.voters.len() == KEEPERS
@@ -971,5 +987,6 @@
         Stored::View(view) => disk.view = Some(view),
         Stored::Vote(vote) => disk.vote = vote,
         Stored::Aligned(view_number) => disk.aligned = view_number,
+        Stored::Whole(view_number) => disk.whole = view_number,
     }
 }
--- a/crates/view/src/agreed.rs
+++ b/crates/view/src/agreed.rs
@@ -19,8 +19,12 @@
     pub chain: Vec<NodeId>,
     pub voters: Vec<NodeId>,
     pub members: Vec<Member>,
+    /// The chains of the views before this one, latest first.
+    pub lineage: Vec<(ViewNumber, Vec<NodeId>)>,
 }
 
+const KEPT_LINEAGE: usize = 8;
+
 impl View {
     pub fn majority(&self) -> usize {
         self.voters.len() / 2 + 1
@@ -36,6 +40,18 @@
         self.chain.len() >= self.least_chain()
     }
 
+    /// The lineage that the next view carries.
+    pub fn next_lineage(&self) -> Vec<(ViewNumber, Vec<NodeId>)> {
+        let own_chain = (self.number, self.chain.clone());
+        std::iter::once(own_chain).chain(self.lineage.iter().cloned()).take(KEPT_LINEAGE).collect()
+    }
+
+    /// Whether a node stood in the chain of every view from `first` up to the one before this.
+    pub fn was_always_in_chain(&self, node: NodeId, first: ViewNumber) -> bool {
+        (first.0..self.number.0)
+            .all(|number| self.lineage.iter().any(|(view, chain)| view.0 == number && chain.contains(&node)))
+    }
+
     pub fn head(&self) -> Option<NodeId> {
         self.chain.first().copied()
     }
--- a/crates/warden/src/chaining.rs
+++ b/crates/warden/src/chaining.rs
@@ -101,7 +101,9 @@
             return;
         }
         self.aligned = self.view.number;
+        self.whole = self.view.number;
         self.store(Stored::Aligned(self.aligned));
+        self.store(Stored::Whole(self.whole));
         self.note("aligned", format!("view={} edition={}", self.aligned, self.log.last().edition));
         if let Some(successor) = self.view.after(self.me.id) {
             let news = CoreMessage::Pulse(self.news(self.last_pulse));
--- a/crates/warden/src/messages.rs
+++ b/crates/warden/src/messages.rs
@@ -9,6 +9,7 @@
     pub fleet: FleetId,
     pub view: ViewNumber,
     pub aligned: ViewNumber,
+    pub whole: ViewNumber,
     pub last: Mark,
     pub committed: Edition,
     pub tail_active: bool,
@@ -141,6 +142,7 @@
     View(View),
     Vote(Vote),
     Aligned(ViewNumber),
+    Whole(ViewNumber),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -159,6 +161,7 @@
     pub view: Option<View>,
     pub vote: Vote,
     pub aligned: ViewNumber,
+    pub whole: ViewNumber,
     pub mark: Mark,
     pub state: FleetState,
     pub records: Vec<Record>,
--- a/crates/warden/src/mind.rs
+++ b/crates/warden/src/mind.rs
@@ -31,6 +31,9 @@
     pub(crate) vote: Vote,
     pub(crate) sealed_since: Instant,
     pub(crate) aligned: ViewNumber,
+    /// The view before whose beginning everything committed is surely in this log: it was aligned in
+    /// an earlier one and has stood in every chain since, so nothing was committed without it.
+    pub(crate) whole: ViewNumber,
     pub(crate) log: Log,
     pub(crate) committed: Edition,
     /// When this life first saw recent records; those of an earlier life are not in it.
@@ -67,6 +70,7 @@
             vote: kept.vote,
             sealed_since: now,
             aligned: kept.aligned,
+            whole: kept.whole,
             log: Log::restore(kept.mark, kept.state, kept.records),
             committed: Edition(0),
             committed_at: BTreeMap::new(),
@@ -97,14 +101,21 @@
 
     /// What a founder's folder holds at first: a view of one, and the founding document.
     pub fn founding(me: &Member, fleet: FleetId, founding_state: FleetState) -> Vec<Stored> {
-        let first_view =
-            View { fleet, number: ViewNumber(1), chain: vec![me.id], voters: vec![me.id], members: vec![me.clone()] };
+        let first_view = View {
+            fleet,
+            number: ViewNumber(1),
+            chain: vec![me.id],
+            voters: vec![me.id],
+            members: vec![me.clone()],
+            lineage: Vec::new(),
+        };
         let mark = Mark { edition: founding_state.edition, view: ViewNumber(1) };
         vec![
             Stored::Snapshot { mark, state: Box::new(founding_state) },
             Stored::Vote(Vote::default()),
             Stored::View(first_view),
             Stored::Aligned(ViewNumber(1)),
+            Stored::Whole(ViewNumber(1)),
         ]
     }
 
@@ -227,6 +238,7 @@
             fleet: self.view.fleet,
             view: self.view.number,
             aligned: self.aligned,
+            whole: self.whole,
             last: self.log.last(),
             committed: self.committed,
             tail_active: self.tail_is_active(now),
--- a/crates/warden/src/viewing.rs
+++ b/crates/warden/src/viewing.rs
@@ -125,9 +125,9 @@
             .copied()
             .filter(|member| campaign.promised_by(*member) || self.is_alive(*member, now))
             .collect();
-        let first_aligned = living_chain.iter().copied().find(|member| self.holds_all_committed(*member))?;
-        let mut chain = vec![first_aligned];
-        chain.extend(living_chain.into_iter().filter(|member| *member != first_aligned));
+        let first_whole = living_chain.iter().copied().find(|member| self.holds_all_committed(*member))?;
+        let mut chain = vec![first_whole];
+        chain.extend(living_chain.into_iter().filter(|member| *member != first_whole));
         let mut voters = self.view.voters.clone();
         match self.growth(now) {
             Some(Growth::Join(newcomer)) => {
@@ -147,14 +147,21 @@
             .iter()
             .filter_map(|voter| self.acquaintances.get(voter).or_else(|| self.view.member(*voter)).cloned())
             .collect();
-        Some(View { fleet: self.view.fleet, number: campaign.next, chain, voters, members })
+        Some(View {
+            fleet: self.view.fleet,
+            number: campaign.next,
+            chain,
+            voters,
+            members,
+            lineage: self.view.next_lineage(),
+        })
     }
 
     fn holds_all_committed(&self, member: NodeId) -> bool {
         if member == self.me.id {
-            return self.is_aligned();
+            return self.whole == self.view.number;
         }
-        self.peer_news(member).is_some_and(|news| news.aligned == self.view.number)
+        self.peer_news(member).is_some_and(|news| news.whole == self.view.number)
     }
 
     /// A core still below its size takes newcomers quickly.
@@ -254,6 +261,11 @@
         }
         self.store(Stored::View(self.view.clone()));
         self.store(Stored::Vote(Vote::default()));
+        let stays_whole = self.whole != ViewNumber(0) && self.view.was_always_in_chain(self.me.id, self.whole);
+        if stays_whole {
+            self.whole = self.view.number;
+            self.store(Stored::Whole(self.whole));
+        }
         if self.view.head() == Some(self.me.id) {
             self.aligned = self.view.number;
             self.store(Stored::Aligned(self.aligned));
