--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -649,6 +649,11 @@
                 cached_blocks: 0,
             }));
         }
+        if line.outcome != "whole" && self.keeps_notes {
+            let leased = local_now < router.lease_until;
+            let usable_count = usable.len();
+            self.note(format!("n{number} starts nothing: leased={leased} usable={usable_count}"));
+        }
         self.record.callers.push(line);
     }
 
--- a/crates/warden/src/chaining.rs
+++ b/crates/warden/src/chaining.rs
@@ -37,8 +37,11 @@
             }
             ChainMessage::Level { view, nonce, previous, records } => {
                 if self.may_be_levelled(from, view, nonce) && previous == self.log.last() {
+                    let was_aligned = self.is_aligned();
                     self.take_records(previous, records);
-                    self.forget_dates();
+                    if !was_aligned {
+                        self.forget_dates();
+                    }
                     self.align();
                 }
             }
@@ -89,7 +92,8 @@
         !self.view.in_chain(self.me.id) || self.view.before(self.me.id) == Some(from)
     }
 
-    /// What others brought us may be older than our seeing it: its age is not known.
+    /// What was committed before we stood aligned may be older than our seeing it: its age is not
+    /// known. An aligned tail's own append is the commit, so its dates are right.
     fn forget_dates(&mut self) {
         self.restored_at = self.log.last().edition;
         self.committed_at.clear();
