--- a/crates/desired/src/fleet.rs
+++ b/crates/desired/src/fleet.rs
@@ -128,6 +128,8 @@
     pub shared_wall: WallEdition,
     pub walls: BTreeMap<TenantName, Wall>,
     pub listing: Listing,
+    /// The edition in which the listing was taken.
+    pub listing_edition: Edition,
     pub standings: BTreeMap<EngineName, Standing>,
     pub duties: BTreeMap<DutyKind, Duty>,
     pub settled: VecDeque<(RequestId, Settled)>,
@@ -268,6 +270,7 @@
             }
         }
         self.listing = listing.clone();
+        self.listing_edition = number;
         Settled::Taken(number)
     }
 
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -11,18 +11,21 @@
         setting("seed", Kind::Whole(0, 1 << 53), Some("1"), "the first seed"),
         setting("count", Kind::Whole(1, 1_000_000), Some("1"), "how many seeds"),
         setting("trouble_s", Kind::Whole(1, 600), Some("30"), "how long faults go on"),
+        setting("pause_ms", Kind::Whole(1, 60_000), Some("1500"), "mean pause between faults"),
         setting("notes", Kind::Flag, None, "print what happened"),
     ],
 };
 
 fn main() -> std::process::ExitCode {
     run_trade(&TRADE, |settings| {
+        let fault_pause_ms = settings.whole("pause_ms")?;
         let first_seed = settings.whole("seed")?;
         let mut broken_count = 0;
         let mut recoveries = Vec::new();
         for seed in first_seed..first_seed + settings.whole("count")? {
             let trouble = Span::seconds(settings.whole("trouble_s")?);
-            let outcome = play(&RunPlan { trouble, keeps_notes: settings.flag("notes"), ..RunPlan::of(seed) });
+            let outcome =
+                play(&RunPlan { trouble, fault_pause_ms, keeps_notes: settings.flag("notes"), ..RunPlan::of(seed) });
             for line in &outcome.notes {
                 println!("{line}");
             }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -967,6 +967,7 @@
         let now = self.now;
         for number in 0..KEEPERS {
             self.keepers[number].frozen_until = now;
+            self.keepers[number].busy_until = now;
             self.keepers[number].sync_span = Span::millis(2);
             self.start_keeper(number);
         }
--- a/crates/warden/src/tailing.rs
+++ b/crates/warden/src/tailing.rs
@@ -42,8 +42,9 @@
     newest: Option<(String, ListingNumber)>,
     /// When the latest reading that failed began.
     failed: Instant,
-    /// When the latest reading began that the state agreed with, then or later.
-    agreed: Instant,
+    /// The listings in the state, latest first: the edition each came in, and when the latest reading
+    /// began that agreed with it. Two are kept, for nodes that have yet to apply the latest.
+    agreed: VecDeque<(Edition, Instant)>,
 }
 
 /// How old the agreement of state and platform may be for a node's lease to be granted on it: with the
@@ -196,19 +197,30 @@
         }
     }
 
-    /// Whether nodes may be let start on the listing in the state.
-    fn listing_is_fresh(&mut self, now: Instant) -> bool {
+    /// Notes whether platform and state agree now.
+    fn compare_listing(&mut self) {
         let in_state = &self.log.state().listing;
+        let listing_edition = self.log.state().listing_edition;
+        if self.census.agreed.front().is_none_or(|(edition, _)| *edition != listing_edition) {
+            self.census.agreed.push_front((listing_edition, Instant(0)));
+            self.census.agreed.truncate(2);
+        }
         let agrees = self
             .census
             .newest
             .as_ref()
-            .is_none_or(|(boot, number)| *boot == in_state.boot && *number <= in_state.number);
-        if agrees {
-            self.census.agreed = self.census.agreed.max(self.census.asked);
+            .is_some_and(|(boot, number)| *boot == in_state.boot && *number <= in_state.number);
+        if agrees && let Some((_, agreed)) = self.census.agreed.front_mut() {
+            *agreed = (*agreed).max(self.census.asked);
         }
+    }
+
+    /// Whether a node that has applied so much may be let start on the listing it has.
+    fn listing_is_fresh(&self, applied: Edition, now: Instant) -> bool {
+        let own_agreed = self.census.agreed.iter().find(|(edition, _)| applied >= *edition);
+        let has_latest = self.census.agreed.front().is_some_and(|(edition, _)| applied >= *edition);
         let platform_away = self.census.failed >= self.census.asked && now.since(self.census.failed) < FAILED_AGE;
-        now.since(self.census.agreed) < LISTING_AGE || (agrees && platform_away)
+        own_agreed.is_some_and(|(_, agreed)| now.since(*agreed) < LISTING_AGE) || (has_latest && platform_away)
     }
 
     fn push_news(&mut self, now: Instant, read_until: Instant) {
@@ -246,7 +258,12 @@
         }
         let read_until = self.read_until();
         let last_edition = self.log.last().edition;
-        let listing_is_fresh = !self.wishes.has_census || self.listing_is_fresh(now);
+        self.compare_listing();
+        let applied_edition = match &message {
+            NodeUp::Renew { applied, .. } => applied.unwrap_or_default(),
+            NodeUp::Applied { edition } => *edition,
+        };
+        let listing_is_fresh = !self.wishes.has_census || self.listing_is_fresh(applied_edition, now);
         let Some(tail) = self.tail.as_mut() else { return };
         match message {
             NodeUp::Applied { edition } => {
--- a/crates/warden/src/viewing.rs
+++ b/crates/warden/src/viewing.rs
@@ -12,7 +12,7 @@
 /// A change of the view that nothing forces.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Growth {
-    /// A voter that is back, or a spare: to the end of the chain.
+    /// A voter that is back, or a spare, into the chain.
     Join(NodeId),
     /// A spare in the seat of a voter that stays dead.
     Replace { dead: NodeId, spare: NodeId },
@@ -131,7 +131,7 @@
         let mut voters = self.view.voters.clone();
         match self.growth(now) {
             Some(Growth::Join(newcomer)) => {
-                chain.push(newcomer);
+                seat(&mut chain, newcomer);
                 if !voters.contains(&newcomer) {
                     voters.push(newcomer);
                 }
@@ -139,7 +139,7 @@
             Some(Growth::Replace { dead, spare }) if !chain.contains(&dead) => {
                 voters.retain(|voter| *voter != dead);
                 voters.push(spare);
-                chain.push(spare);
+                seat(&mut chain, spare);
             }
             _ => {}
         }
@@ -285,6 +285,13 @@
     }
 }
 
+/// A newcomer sits before the tail, so that the tail, with all its leases, stays; only a chain of one,
+/// whose member must stay the head, gets a new tail.
+fn seat(chain: &mut Vec<NodeId>, newcomer: NodeId) {
+    let place = if chain.len() < 2 { chain.len() } else { chain.len() - 1 };
+    chain.insert(place, newcomer);
+}
+
 pub fn list_ids(nodes: &[NodeId]) -> String {
     let texts: Vec<String> = nodes.iter().map(NodeId::to_string).collect();
     texts.join(",")
