Console, whole-program tests; the chain's first living member takes newcomers

Cause (test loss_of_head): only the first living voter proposed newcomers, and when that voter was itself the one outside the chain, nobody did. Also: an engine that rests after a fault is chosen when every candidate rests, instead of turning the caller away.

--- a/crates/caller/src/office.rs
+++ b/crates/caller/src/office.rs
@@ -96,7 +96,7 @@
         let prefix_number = draw.below(kind.prefix_pool);
         let prefix = text_of(&format!("{tenant_place}/{}/{prefix_number}", kind.name), kind.prefix_blocks);
         let tail_blocks = kind.tail_blocks.0 + draw.below(kind.tail_blocks.1 - kind.tail_blocks.0 + 1);
-        let tail = text_of(&format!("own/{}", draw.next()), tail_blocks as usize);
+        let tail = text_of(&format!("own/{}", draw.number()), tail_blocks as usize);
         Request { tenant_place, kind, prompt: format!("{prefix}{tail}") }
     }
 }
--- /dev/null
+++ b/crates/console/src/prelude.rs
@@ -0,0 +1,8 @@
+//! The one import of this package's files.
+
+pub(crate) use crate::words::*;
+pub(crate) use serde_json::{Value, json};
+pub(crate) use std::process::ExitCode;
+pub(crate) use trade::prelude::*;
+pub(crate) use units::prelude::*;
+pub(crate) use web::prelude::{HeaderMap, Method, Question, StatusCode, ask_whole, small_runtime};
--- /dev/null
+++ b/crates/console/src/words.rs
@@ -0,0 +1,114 @@
+//! What was typed, read into a question to the operators' door.
+
+use crate::prelude::*;
+
+pub const HELP: &str = "The operators' command line of haremount.
+
+Usage: console --door IP:PORT[,IP:PORT...] [--json] COMMAND
+
+  fleet                              view, members, nodes, engines, duties
+  desired-state [show]               the desired state and its edition
+  desired-state put FILE             replace it whole (--base EDITION, or the present one)
+  desired-state patch FILE           merge a patch into it (--base EDITION, or the present one)
+  key add TENANT NAME KEY-FILE       let a tenant use the key in the file
+  key withdraw TENANT NAME           end a key; answered once no machine honours it
+  request ID                         how an earlier submission was settled
+
+  --door ADDRESSES     doors of keepers, tried in turn
+  --key-file FILE      the operator's key; else the environment's HAREMOUNT_KEY
+  --base EDITION       the edition a change is based on
+  --request ID         the request id of a submission, to ask for the same one again
+  --limit-s SECONDS    how long to wait for an answer (default 15)
+  --json               print the door's JSON as it came
+  --help, --version
+
+Exit codes: 0 done, 1 refused or not reached, 2 wrong usage, 3 outcome unknown (ask again with --request).";
+
+/// The command line as it was understood.
+#[derive(Debug, Default)]
+pub struct Words {
+    pub doors: Vec<String>,
+    pub key_file: Option<String>,
+    pub base: Option<u64>,
+    pub request: Option<String>,
+    pub limit_s: u64,
+    pub as_json: bool,
+    pub command: Vec<String>,
+}
+
+/// What to do about it.
+#[derive(Debug)]
+pub enum Deed {
+    Show { path: String },
+    Change { method: Method, file: String },
+    AddKey { path: String, key_file: String },
+    DropKey { path: String },
+}
+
+pub enum Read {
+    Words(Words),
+    Printed,
+}
+
+pub fn read_words() -> Result<Read, Report> {
+    let mut words = Words { limit_s: 15, ..Words::default() };
+    let mut parser = lexopt::Parser::from_env();
+    let fault = |fault: lexopt::Error| miette!("{fault}; see console --help");
+    while let Some(argument) = parser.next().map_err(fault)? {
+        let value = |parser: &mut lexopt::Parser| {
+            let value = parser.value().map_err(fault)?;
+            value.into_string().map_err(|_| miette!("not UTF-8; see console --help"))
+        };
+        match argument {
+            lexopt::Arg::Short('h') | lexopt::Arg::Long("help") => {
+                println!("{HELP}");
+                return Ok(Read::Printed);
+            }
+            lexopt::Arg::Short('V') | lexopt::Arg::Long("version") => {
+                println!("console {}", env!("CARGO_PKG_VERSION"));
+                return Ok(Read::Printed);
+            }
+            lexopt::Arg::Long("door") => words.doors = value(&mut parser)?.split(',').map(str::to_owned).collect(),
+            lexopt::Arg::Long("key-file") => words.key_file = Some(value(&mut parser)?),
+            lexopt::Arg::Long("base") => {
+                let text = value(&mut parser)?;
+                words.base = Some(text.parse().map_err(|_| miette!("--base: {text} is no edition"))?);
+            }
+            lexopt::Arg::Long("request") => words.request = Some(value(&mut parser)?),
+            lexopt::Arg::Long("limit-s") => {
+                let text = value(&mut parser)?;
+                let seconds = text.parse().ok().filter(|seconds| (1..=600).contains(seconds));
+                words.limit_s = seconds.ok_or_else(|| miette!("--limit-s: {text} is not 1 to 600"))?;
+            }
+            lexopt::Arg::Long("json") => words.as_json = true,
+            lexopt::Arg::Value(word) => {
+                words.command.push(word.into_string().map_err(|_| miette!("not UTF-8; see console --help"))?);
+            }
+            other => return Err(fault(other.unexpected())),
+        }
+    }
+    if words.doors.is_empty() {
+        return Err(miette!("--door is missing; see console --help"));
+    }
+    Ok(Read::Words(words))
+}
+
+impl Words {
+    pub fn deed(&self) -> Result<Deed, Report> {
+        let words: Vec<&str> = self.command.iter().map(String::as_str).collect();
+        let deed = match words.as_slice() {
+            ["fleet"] => Deed::Show { path: "/v1/fleet".into() },
+            ["desired-state"] | ["desired-state", "show"] => Deed::Show { path: "/v1/desired-state".into() },
+            ["desired-state", "put", file] => Deed::Change { method: Method::PUT, file: (*file).into() },
+            ["desired-state", "patch", file] => Deed::Change { method: Method::PATCH, file: (*file).into() },
+            ["key", "add", tenant, name, key_file] => {
+                Deed::AddKey { path: format!("/v1/tenants/{tenant}/keys/{name}"), key_file: (*key_file).into() }
+            }
+            ["key", "withdraw", tenant, name] => Deed::DropKey { path: format!("/v1/tenants/{tenant}/keys/{name}") },
+            ["request", id] => Deed::Show { path: format!("/v1/requests/{id}") },
+            [] => return Err(miette!("a command is missing; see console --help")),
+            _ => return Err(miette!("unknown command: {}; see console --help", words.join(" "))),
+        };
+        Ok(deed)
+    }
+}
--- a/crates/placement/src/picker.rs
+++ b/crates/placement/src/picker.rs
@@ -32,6 +32,8 @@
     pub cost: f64,
     /// Whether the overlap came from events (or else from our own history).
     pub by_events: bool,
+    /// Could not be reached a moment ago; chosen only if every candidate is such.
+    pub is_resting: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -255,9 +257,7 @@
             let Some(names) = prompt.names.get(&weights) else { continue };
             let unknown_engine = EngineSight::default();
             let known = self.engines.get(engine).unwrap_or(&unknown_engine);
-            if now < known.rest_until {
-                continue;
-            }
+            let is_resting = now < known.rest_until;
             let index = SourceIndex(known.index);
             let by_events =
                 routing.sight == Sight::Events && !Picker::events_are_late(known, routing.events_late, now);
@@ -278,8 +278,12 @@
                 weight,
                 cost: cost(weight, prefill_blocks, decode_blocks),
                 by_events,
+                is_resting,
             });
         }
+        if scores.iter().any(|score| !score.is_resting) {
+            scores.retain(|score| !score.is_resting);
+        }
         scores
     }
 
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -109,6 +109,9 @@
         warden.tail_is_active(keeper.clock.read(world.now)).then_some(warden)
     });
     let Some(tail) = tail else { return vec!["no tail acts at the end".into()] };
+    if tail.view().chain.len() != KEEPERS {
+        return vec![format!("the chain did not fill up again: {}", list_ids(&tail.view().chain))];
+    }
     world
         .acked
         .iter()
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -248,7 +248,7 @@
     /// An empty machine in the place of a lost one.
     pub fn replace_keeper(&mut self, number: usize, moves: bool) {
         self.kill_keeper(number);
-        let new_id = NodeId(self.draw.next() | 1 << 60);
+        let new_id = NodeId(self.draw.number() | 1 << 60);
         let keeper = &mut self.keepers[number];
         keeper.id = new_id;
         keeper.disk = Kept::default();
@@ -275,7 +275,7 @@
         if self.nodes[number].router.is_some() {
             return;
         }
-        let router = NodeId(self.draw.next() | 1);
+        let router = NodeId(self.draw.number() | 1);
         self.nodes[number].router = Some(SimRouter::new(router));
         let life = self.nodes[number].life;
         self.later(Span::millis(1), Happening::RouterDials { node: number, life, router });
@@ -771,7 +771,7 @@
                     }
                     self.keepers[number].submitted.insert(engine.clone(), now + Span::seconds(5));
                     let means = Meaning::Stands { keeper: number, engine: engine.clone() };
-                    let request = RequestId(self.draw.next());
+                    let request = RequestId(self.draw.number());
                     self.ask(
                         number,
                         Submission { request, command: Command::Stand { term, engine, standing } },
@@ -857,7 +857,7 @@
             }
         };
         self.note(format!("operator via k{keeper}: {patch}"));
-        let request = RequestId(self.draw.next());
+        let request = RequestId(self.draw.number());
         self.ask(keeper, Submission { request, command: Command::Merge { base: None, patch } }, Some(means));
     }
 
--- a/crates/units/src/draw.rs
+++ b/crates/units/src/draw.rs
@@ -10,7 +10,7 @@
         Draw(seed ^ 0x9e37_79b9_7f4a_7c15)
     }
 
-    pub fn next(&mut self) -> u64 {
+    pub fn number(&mut self) -> u64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut mixed = self.0;
         mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -19,7 +19,7 @@
     }
 
     pub fn below(&mut self, bound: u64) -> u64 {
-        self.next() % bound.max(1)
+        self.number() % bound.max(1)
     }
 
     pub fn between(&mut self, lowest: u64, highest: u64) -> u64 {
--- a/crates/warden/src/viewing.rs
+++ b/crates/warden/src/viewing.rs
@@ -207,8 +207,11 @@
         let patience = RANK_DELAY.times(rank);
         let member_lost = self.view.chain.iter().any(|member| self.silence(*member, now) >= SUSPECT_AFTER + patience);
         let seal_hangs = self.sealed() && now.since(self.sealed_since) >= SEALED_LIMIT + patience;
-        let is_steady =
-            rank == 0 && now.since(self.adopted) >= self.steady_span() && !self.sealed() && self.tail_seen(now);
+        let first_living = self.view.chain.iter().find(|member| self.is_alive(**member, now));
+        let is_steady = first_living == Some(&self.me.id)
+            && now.since(self.adopted) >= self.steady_span()
+            && !self.sealed()
+            && self.tail_seen(now);
         member_lost || seal_hangs || (is_steady && self.growth(now).is_some())
     }
 
--- /dev/null
+++ b/crates/yard/tests/data.rs
@@ -0,0 +1,239 @@
+//! The data plane by real processes: engines that crash, lie, cut and hide; engines listed away; new
+//! weights; callers that send nonsense or leave; draining.
+
+use std::io::{Read, Write};
+use yard::prelude::*;
+
+fn engine_faults(fleet: &Fleet, engine: usize, faults: Value) {
+    let answer = fleet.ask(&fleet.engines[engine].address, Method::POST, "/v1/faults", Some(&faults)).unwrap();
+    assert_eq!(answer.0, 200);
+}
+
+/// One raw exchange: what is sent, and all that comes back.
+fn raw(address: &str, sent: &[u8]) -> String {
+    raw_then(address, sent, false)
+}
+
+/// The same, with the sending side closed at once: a caller that leaves half-way.
+fn raw_then(address: &str, sent: &[u8], half_closes: bool) -> String {
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let _ = stream.write_all(sent);
+    if half_closes {
+        let _ = stream.shutdown(std::net::Shutdown::Write);
+    }
+    let mut received = Vec::new();
+    let _ = stream.read_to_end(&mut received);
+    String::from_utf8_lossy(&received).into_owned()
+}
+
+fn post(fleet: &Fleet, body: &Value) -> (u16, Value) {
+    let question = web::prelude::Question::with_json(Method::POST, "/v1/completions", body)
+        .header("authorization", format!("Bearer {}", fleet.tenants[0].1));
+    fleet.ask_question(&fleet.router_address(0), question).unwrap()
+}
+
+#[test]
+fn an_answer_that_is_not_the_engines_own_or_not_whole_never_passes() {
+    let fleet = Fleet::start(FleetPlan { nodes: 1, engines: 1, ..FleetPlan::small() }).unwrap();
+    engine_faults(&fleet, 0, json!({"wrong_shot": true}));
+    for stream in [true, false] {
+        let body = json!({"model": "model", "prompt": "foreign", "max_tokens": 4, "stream": stream});
+        let (status, answer) = post(&fleet, &body);
+        assert_eq!((status, answer["error"]["type"].as_str()), (502, Some("unknown")), "{answer}");
+    }
+    engine_faults(&fleet, 0, json!({"cut_after": 2}));
+    let body = json!({"model": "model", "prompt": "cut", "max_tokens": 6, "stream": true}).to_string();
+    let sent = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\ncontent-length: {}\r\n\r\n{body}",
+        fleet.tenants[0].1,
+        body.len()
+    );
+    let mut stream = std::net::TcpStream::connect(fleet.router_address(0)).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    stream.write_all(sent.as_bytes()).unwrap();
+    let mut received = Vec::new();
+    let _ = stream.read_to_end(&mut received);
+    let received = String::from_utf8_lossy(&received).into_owned();
+    assert_eq!(received.matches("text_completion").count(), 2, "{received}");
+    assert!(received.contains("event: error") && !received.contains("[DONE]"), "{received}");
+    assert!(!received.ends_with("0\r\n\r\n"), "a cut stream must not end cleanly");
+    engine_faults(&fleet, 0, json!({}));
+    assert_eq!(fleet.complete(0, 0, "well again").unwrap().0, 200);
+}
+
+#[test]
+fn a_lost_engine_is_told_apart_from_one_that_may_have_run() {
+    let mut fleet = Fleet::start(FleetPlan { nodes: 1, engines: 2, ..FleetPlan::small() }).unwrap();
+    engine_faults(&fleet, 0, json!({"refuse": true}));
+    engine_faults(&fleet, 1, json!({"refuse": true}));
+    let unrepeatable = post(&fleet, &json!({"model": "model", "prompt": "once", "max_tokens": 1}));
+    assert_eq!((unrepeatable.0, unrepeatable.1["error"]["type"].as_str()), (502, Some("unknown")));
+    engine_faults(&fleet, 0, json!({}));
+    engine_faults(&fleet, 1, json!({}));
+    fleet.engines[0].process = None;
+    fleet.engines[1].process = None;
+    let nobody = post(&fleet, &json!({"model": "model", "prompt": "nobody", "max_tokens": 1}));
+    assert_eq!((nobody.0, nobody.1["error"]["type"].as_str()), (503, Some("not_run")), "{}", nobody.1);
+    fleet.start_engine(1, 1).unwrap();
+    let served = wait_until(Duration::from_secs(20), || {
+        fleet.complete(0, 0, "one is back").is_ok_and(|answer| answer.0 == 200)
+    });
+    assert!(served);
+    assert_eq!(judge(&fleet.record(&[])), []);
+}
+
+#[test]
+fn an_engine_listed_away_gets_nothing_and_new_weights_go_round() {
+    let fleet = Fleet::start(FleetPlan { engines: 4, ..FleetPlan::small() }).unwrap();
+    let (calling, calls) = fleet.start_caller("day", 14, 30, 3).unwrap();
+    fleet.list_engine(0, "leaving").unwrap();
+    fleet.list_engine(1, "gone").unwrap();
+    fleet.patch_document(&json!({"models": {"model": {"weights": 2}}})).unwrap();
+    fleet.note(WorldLine::WeightsAcked { at: boot_millis(), weights: 2 });
+    let moved = wait_until(Duration::from_secs(30), || {
+        fleet.sample();
+        fleet.fleet_page().is_ok_and(|page| {
+            let engines = page["engines"].as_array().cloned().unwrap_or_default();
+            let open_engines: Vec<&Value> = engines.iter().filter(|engine| engine["listed"] == "open").collect();
+            open_engines.len() == 2
+                && open_engines.iter().all(|engine| engine["weights"] == 2 && engine["closed"] == false)
+        })
+    });
+    assert!(moved, "{:?}", fleet.fleet_page());
+    calling.join().unwrap().unwrap();
+    let report = DayReport::of(&fleet.record(&[calls]));
+    assert_eq!(report.violations, [], "{}", report.text());
+    assert!(report.outcomes["whole"] > 200, "{}", report.text());
+}
+
+#[test]
+fn nonsense_gets_a_clear_refusal_and_the_router_goes_on() {
+    let fleet = Fleet::start(FleetPlan { nodes: 1, engines: 1, ..FleetPlan::small() }).unwrap();
+    let refused_bodies = [
+        (json!({"model": "model", "prompt": "x", "surprise": 1}), 400),
+        (json!({"model": "other", "prompt": "x"}), 404),
+        (json!({"model": "model"}), 400),
+        (json!({"model": "model", "prompt": ""}), 400),
+        (json!({"model": "model", "prompt": "x", "messages": [{"role": "user", "content": "y"}]}), 400),
+        (json!({"model": "model", "prompt": "x", "max_tokens": 0}), 400),
+        (json!({"model": "model", "prompt": "x", "max_tokens": 1_000_000}), 400),
+        (json!({"model": "model", "prompt": "x", "limit_ms": 20_000}), 400),
+        (json!({"model": "model", "prompt": "x", "kind": "unheard of"}), 400),
+        (json!({"model": "model", "prompt": "x", "n": 2}), 400),
+        (json!([1, 2]), 400),
+    ];
+    for (body, expected_status) in refused_bodies {
+        let (status, answer) = post(&fleet, &body);
+        assert_eq!(status, expected_status, "{body}: {answer}");
+        assert!(!answer["error"]["message"].as_str().unwrap_or("").is_empty());
+    }
+    let address = fleet.router_address(0);
+    let key = &fleet.tenants[0].1;
+    let head = |length: usize| {
+        format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\nauthorization: Bearer {key}\r\ncontent-length: {length}\r\n\r\n"
+        )
+    };
+    let deep = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    assert!(raw(&address, format!("{}{deep}", head(deep.len())).as_bytes()).starts_with("HTTP/1.1 400"));
+    let mut not_text = head(4).into_bytes();
+    not_text.extend([0xff, 0xfe, b'{', b'}']);
+    assert!(raw(&address, &not_text).starts_with("HTTP/1.1 400"));
+    let large = "x".repeat(5 << 20);
+    assert!(raw(&address, format!("{}{large}", head(large.len())).as_bytes()).contains("413"));
+    let flood: String = (0..300).map(|number| format!("x-{number}: {}\r\n", "y".repeat(500))).collect();
+    let answer =
+        raw(&address, format!("GET /live HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{flood}\r\n").as_bytes());
+    assert!(
+        answer.is_empty() || answer.starts_with("HTTP/1.1 431") || answer.starts_with("HTTP/1.1 400"),
+        "{answer}"
+    );
+    raw_then(&address, head(1000).as_bytes(), true);
+    raw_then(&address, b"\x16\x03\x01 nonsense\r\n\r\n", true);
+    assert!(
+        raw(&fleet.keepers[0].address, b"GET / HTTP/1.1\r\n\r\n").len() < 400,
+        "an internal link says hello and no more"
+    );
+    raw_then(&fleet.keepers[0].address, &[0xff; 64], true);
+    assert_eq!(fleet.complete(0, 0, "still serving").unwrap().0, 200);
+    let log = std::fs::read_to_string(fleet.folder.join("router0.log")).unwrap();
+    assert!(!log.contains(key.as_str()), "no key is logged");
+    assert!(!log.contains("still serving"), "no prompt is logged");
+}
+
+#[test]
+fn a_departed_caller_frees_the_engine_and_a_stopping_router_drains() {
+    let slow = vec!["--prefill-us=0".to_owned(), "--decode-us=40000".to_owned()];
+    let mut fleet =
+        Fleet::start(FleetPlan { nodes: 1, engines: 1, engine_flags: slow, ..FleetPlan::small() }).unwrap();
+    let running =
+        |fleet: &Fleet| fleet.gauge(&fleet.engines[0].address, "vllm:num_requests_running{model_name=\"model\"}");
+    let address = fleet.router_address(0);
+    let begin = |tokens: u64| {
+        let body = json!({"model": "model", "prompt": "long", "max_tokens": tokens, "stream": true}).to_string();
+        let sent = format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\ncontent-length: {}\r\n\r\n{body}",
+            fleet.tenants[0].1,
+            body.len()
+        );
+        let mut stream = std::net::TcpStream::connect(&address).unwrap();
+        stream.write_all(sent.as_bytes()).unwrap();
+        let mut first_bytes = [0u8; 64];
+        stream.read_exact(&mut first_bytes).unwrap();
+        stream
+    };
+    let leaving = begin(150);
+    assert_eq!(running(&fleet), Some(1));
+    drop(leaving);
+    assert!(wait_until(Duration::from_secs(5), || running(&fleet) == Some(0)), "the shot was cancelled");
+    let mut staying = begin(30);
+    fleet.nodes[0].router.as_ref().unwrap().ask_to_stop();
+    let refused =
+        wait_until(Duration::from_secs(5), || fleet.complete(0, 0, "too late").is_ok_and(|answer| answer.0 == 503));
+    assert!(refused);
+    let mut rest = String::new();
+    staying.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    staying.read_to_string(&mut rest).ok();
+    assert!(rest.contains("[DONE]"), "the running stream was let finish: {rest}");
+    let code = fleet.nodes[0].router.as_mut().unwrap().wait_end(Duration::from_secs(20));
+    assert_eq!(code, Some(0));
+}
+
+#[test]
+fn a_frozen_router_woken_starts_nothing_on_what_it_knew() {
+    let fleet = Fleet::start(FleetPlan::small()).unwrap();
+    let frozen = fleet.nodes[0].router.as_ref().unwrap();
+    let frozen_agent = fleet.nodes[0].agent.as_ref().unwrap();
+    frozen.freeze();
+    frozen_agent.freeze();
+    let withdrawn = fleet.operate(Method::DELETE, "/v1/tenants/tenant3/keys/main", None, None).unwrap();
+    assert_eq!(withdrawn.0, 200, "acknowledged once the frozen node's lease has run out: {}", withdrawn.1);
+    frozen.wake();
+    let (status, answer) = fleet.complete(0, 3, "with a withdrawn key").unwrap();
+    assert!(status == 503 || status == 401, "{status} {answer}");
+    frozen_agent.wake();
+    let back = wait_until(Duration::from_secs(20), || {
+        fleet.complete(0, 2, "another key").is_ok_and(|answer| answer.0 == 200)
+    });
+    assert!(back);
+    assert_eq!(fleet.complete(0, 3, "with a withdrawn key").unwrap().0, 401);
+}
+
+#[test]
+fn hidden_events_fall_back_to_own_history() {
+    let fleet = Fleet::start(FleetPlan { nodes: 1, ..FleetPlan::small() }).unwrap();
+    for engine in 0..3 {
+        engine_faults(&fleet, engine, json!({"hide_events": true}));
+    }
+    let prompt = "a long shared score ".repeat(60);
+    let by_history = wait_until(Duration::from_secs(20), || {
+        assert_eq!(fleet.complete(0, 0, &prompt).unwrap().0, 200);
+        fleet.gauge(&fleet.router_address(0), "haremount_router_history_picks_total").unwrap_or(0) > 2
+    });
+    assert!(by_history, "late events must be noticed");
+    let reused_before = fleet.gauge(&fleet.router_address(0), "haremount_router_reused_blocks_total").unwrap();
+    assert_eq!(fleet.complete(0, 0, &prompt).unwrap().0, 200);
+    let reused_after = fleet.gauge(&fleet.router_address(0), "haremount_router_reused_blocks_total").unwrap();
+    assert!(reused_after > reused_before, "history finds the engine that keeps the prefix");
+}
