--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -58,22 +58,15 @@
     let hello_fleet = Arc::clone(&fleet);
     let own_hello = move || Hello::new(FleetId(hello_fleet.load(Ordering::SeqCst)), node, Purpose::Agent);
     accept_links(listener, own_hello, move |link_event| router_queue.send(AgentCommand::Router(link_event)).is_ok());
-    let signal_queue = queue.clone();
-    let mut settings_now = settings;
-    on_signals(move |signal| match signal {
-        Signal::Stop => {
-            let _ = signal_queue.send(AgentCommand::Stop);
-        }
-        Signal::Reload => match TRADE.read_again(&settings_now) {
-            Ok(read_settings) => {
-                let _ = logs.set_level(read_settings.maybe("log_level").unwrap_or("info"));
-                let _ = signal_queue.send(AgentCommand::Seeds(read_settings.addresses("seeds")));
-                settings_now = read_settings;
-                event!(info, "settings_reloaded");
-            }
-            Err(report) => event!(error, "settings_refused", reason = report),
-        },
-    })?;
+    let stop_queue = queue.clone();
+    let stop = move || {
+        let _ = stop_queue.send(AgentCommand::Stop);
+    };
+    let seeds_queue = queue.clone();
+    let reload = move |settings: &Settings| {
+        let _ = seeds_queue.send(AgentCommand::Seeds(settings.addresses("seeds")));
+    };
+    tend_signals(&TRADE, settings, logs, stop, reload)?;
     say_ready(&[("id", node.to_string()), ("address", address.to_string())]);
     event!(info, "started", id = node, address = address);
     let courier = Courier::new(seeds, node.0 as usize % 64);
--- a/crates/keeper/src/main.rs
+++ b/crates/keeper/src/main.rs
@@ -90,22 +90,14 @@
     }
     runtime.spawn(conduct(Arc::clone(&shelf), conductor_asker, identity));
     runtime.spawn(serve(door_listener, door));
-    let signal_queue = queue;
-    let mut settings_now = settings;
-    on_signals(move |signal| match signal {
-        Signal::Stop => {
-            let _ = signal_queue.send(DeskCommand::Stop);
-        }
-        Signal::Reload => match TRADE.read_again(&settings_now) {
-            Ok(read_settings) => {
-                let _ = logs.set_level(read_settings.maybe("log_level").unwrap_or("info"));
-                let _ = signal_queue.send(DeskCommand::Seeds(read_settings.addresses("seeds")));
-                settings_now = read_settings;
-                event!(info, "settings_reloaded");
-            }
-            Err(report) => event!(error, "settings_refused", reason = report),
-        },
-    })?;
+    let seeds_queue = queue.clone();
+    let stop = move || {
+        let _ = queue.send(DeskCommand::Stop);
+    };
+    let reload = move |settings: &Settings| {
+        let _ = seeds_queue.send(DeskCommand::Seeds(settings.addresses("seeds")));
+    };
+    tend_signals(&TRADE, settings, logs, stop, reload)?;
     say_ready(&[("id", identity.to_string()), ("address", me.address.clone()), ("door", me.door.clone())]);
     event!(info, "started", id = identity, address = me.address, door = me.door);
     let outcome = desk.work(&commands);
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -48,18 +48,7 @@
     runtime.spawn(serve(listener, entry));
     let stop = Arc::new(tokio::sync::Notify::new());
     let stop_notice = Arc::clone(&stop);
-    let mut settings_now = settings;
-    on_signals(move |signal| match signal {
-        Signal::Stop => stop_notice.notify_one(),
-        Signal::Reload => match TRADE.read_again(&settings_now) {
-            Ok(read_settings) => {
-                let _ = logs.set_level(read_settings.maybe("log_level").unwrap_or("info"));
-                settings_now = read_settings;
-                event!(info, "settings_reloaded");
-            }
-            Err(report) => event!(error, "settings_refused", reason = report),
-        },
-    })?;
+    tend_signals(&TRADE, settings, logs, move || stop_notice.notify_one(), |_| {})?;
     say_ready(&[("id", router.to_string()), ("address", address.to_string())]);
     event!(info, "started", id = router, address = address);
     runtime.block_on(async {
--- a/crates/trade/src/signals.rs
+++ b/crates/trade/src/signals.rs
@@ -22,6 +22,30 @@
     spawned.map(drop).map_err(|fault| miette!("no thread for signals: {fault}"))
 }
 
+/// A daemon's signals: stop, and reload under the same flags. Settings that are faulty are refused
+/// whole, and those in force stay.
+pub fn tend_signals(
+    trade: &'static Trade,
+    settings: Settings,
+    logs: LogsHandle,
+    mut stop: impl FnMut() + Send + 'static,
+    mut reload: impl FnMut(&Settings) + Send + 'static,
+) -> Result<(), Report> {
+    let mut settings_now = settings;
+    on_signals(move |signal| match signal {
+        Signal::Stop => stop(),
+        Signal::Reload => match trade.read_again(&settings_now) {
+            Ok(read_settings) => {
+                let _ = logs.set_level(read_settings.maybe("log_level").unwrap_or("info"));
+                reload(&read_settings);
+                settings_now = read_settings;
+                event!(info, "settings_reloaded");
+            }
+            Err(report) => event!(error, "settings_refused", reason = report),
+        },
+    })
+}
+
 /// The one line on standard output that says a daemon serves, and where.
 pub fn say_ready(details: &[(&str, String)]) {
     let mut line = String::from("ready");
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -60,7 +60,11 @@
     }
 }
 
-struct PieceBody(mpsc::Receiver<io::Result<Bytes>>);
+struct PieceBody {
+    pieces: mpsc::Receiver<io::Result<Bytes>>,
+    /// An abort that waits for one turn, so that the pieces before it are flushed first.
+    held_abort: Option<io::Error>,
+}
 
 impl Body for PieceBody {
     type Data = Bytes;
@@ -70,14 +74,24 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        self.0.poll_recv(context).map(|piece| piece.map(|piece| piece.map(Frame::data)))
+        if let Some(abort) = self.held_abort.take() {
+            return Poll::Ready(Some(Err(abort)));
+        }
+        match self.pieces.poll_recv(context) {
+            Poll::Ready(Some(Err(abort))) => {
+                self.held_abort = Some(abort);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            polled => polled.map(|piece| piece.map(|piece| piece.map(Frame::data))),
+        }
     }
 }
 
 /// An answer whose body is sent piece by piece.
 pub fn answer_pieces(status: StatusCode, content_type: &'static str, places: usize) -> (PieceSender, Answered) {
     let (sender, receiver) = mpsc::channel(places);
-    let mut answered = Response::new(UnsyncBoxBody::new(PieceBody(receiver)));
+    let mut answered = Response::new(UnsyncBoxBody::new(PieceBody { pieces: receiver, held_abort: None }));
     *answered.status_mut() = status;
     (PieceSender(sender), answered.with_header("content-type", content_type))
 }
