--- a/crates/conductor/src/mind.rs
+++ b/crates/conductor/src/mind.rs
@@ -33,13 +33,29 @@
         engine: EngineName,
         address: String,
     },
+    DoStep {
+        plan: Edition,
+        step: usize,
+    },
+    /// End a plan: halted with a reason, or expired.
+    EndPlan {
+        plan: Edition,
+        halted: Option<String>,
+    },
 }
 
 #[derive(Clone, Debug, Default)]
 pub struct Conductor {
     closed_since: BTreeMap<EngineName, Instant>,
+    /// Since when each plan's present step is known here.
+    plans_since: BTreeMap<(Edition, usize), Instant>,
 }
 
+/// An unconfirmed plan is dropped after this long with one conductor.
+pub const PLAN_LIMIT: Span = Span::seconds(300);
+/// A step that waits longer halts its plan.
+pub const WAIT_LIMIT: Span = Span::seconds(120);
+
 impl Conductor {
     pub fn direct(
         &mut self,
@@ -57,6 +73,39 @@
                 acts.extend(self.tend(state, engine, listed, seen, wish.weights, &mut room, now));
             }
         }
+        acts.extend(self.tend_plans(state, observed, now));
+        acts
+    }
+
+    fn tend_plans(
+        &mut self,
+        state: &FleetState,
+        observed: &BTreeMap<EngineName, Observed>,
+        now: Instant,
+    ) -> Vec<Act> {
+        let present_steps: BTreeMap<(Edition, usize), &Plan> = state
+            .plans
+            .iter()
+            .filter(|(_, plan)| !plan.is_over())
+            .map(|(number, plan)| ((*number, plan.done), plan))
+            .collect();
+        self.plans_since.retain(|naming, _| present_steps.contains_key(naming));
+        let mut acts = Vec::new();
+        for ((number, done), plan) in present_steps {
+            let waited = now.since(*self.plans_since.entry((number, done)).or_insert(now));
+            let Some(step) = plan.next_step() else {
+                if waited >= PLAN_LIMIT {
+                    acts.push(Act::EndPlan { plan: number, halted: None });
+                }
+                continue;
+            };
+            if may_do(state, step, observed, now) {
+                acts.push(Act::DoStep { plan: number, step: done });
+            } else if waited >= WAIT_LIMIT {
+                let reason = format!("step {} waited too long: {}", done + 1, step.words());
+                acts.push(Act::EndPlan { plan: number, halted: Some(reason) });
+            }
+        }
         acts
     }
 
@@ -113,6 +162,29 @@
     }
 }
 
+/// Whether a step's condition holds; steps that change something have none.
+fn may_do(state: &FleetState, step: &Step, observed: &BTreeMap<EngineName, Observed>, now: Instant) -> bool {
+    match step {
+        Step::Patch(_) | Step::Drain { .. } | Step::Undrain { .. } => true,
+        Step::WaitWeights { model, weights } => state
+            .listing
+            .engines
+            .iter()
+            .filter(|(_, listed)| listed.model == *model && listed.listed == Listed::Open)
+            .all(|(engine, _)| {
+                let standing = state.standings.get(engine);
+                let confirmed = standing.and_then(|standing| standing.confirmed.as_ref());
+                confirmed.is_some_and(|(edition, _)| edition >= weights)
+                    && standing.is_some_and(|standing| !standing.closed)
+            }),
+        Step::WaitIdle { engine } => {
+            let is_gone = !state.listing.engines.contains_key(engine);
+            let seen = observed.get(engine).filter(|seen| now.since(seen.at) < FRESH);
+            is_gone || seen.is_some_and(|seen| seen.running == 0)
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use crate::prelude::*;
@@ -147,6 +219,7 @@
                         engines.get_mut(&engine).unwrap().weights = weights;
                     }
                     Act::Open { engine, .. } => engines.get_mut(&engine).unwrap().accepting = true,
+                    other => panic!("no plan is there for {other:?}"),
                 }
             }
         }
--- a/crates/console/src/words.rs
+++ b/crates/console/src/words.rs
@@ -13,6 +13,17 @@
   key add TENANT NAME KEY-FILE       let a tenant use the key in the file
   key withdraw TENANT NAME           end a key; answered once no machine honours it
   request ID                         how an earlier submission was settled
+  policy check FILE                  the table a policy would compile to; nothing is changed
+  policy show NAME                   the table a policy compiles to
+  policy compare ROUTERS             figures of each policy from live traffic (IP:PORT,...)
+  intent trial POLICY TENANT...      state an intent; the plan of steps is shown
+  intent end-trial TENANT...
+  intent adopt POLICY
+  intent move-weights MODEL WEIGHTS
+  intent wall|unwall TENANT
+  intent drain|undrain ENGINE
+  plan list | plan show ID           plans and how far they are
+  plan confirm ID                    let a plan be carried out
 
   --door ADDRESSES     doors of keepers, tried in turn
   --key-file FILE      the operator's key; else the environment's HAREMOUNT_KEY
@@ -43,6 +54,9 @@
     Change { method: Method, file: String },
     AddKey { path: String, key_file: String },
     DropKey { path: String },
+    Post { path: String, body: Value },
+    PostFile { path: String, file: String },
+    Compare { routers: Vec<String> },
 }
 
 pub enum Read {
@@ -105,6 +119,15 @@
                 Deed::AddKey { path: format!("/v1/tenants/{tenant}/keys/{name}"), key_file: (*key_file).into() }
             }
             ["key", "withdraw", tenant, name] => Deed::DropKey { path: format!("/v1/tenants/{tenant}/keys/{name}") },
+            ["policy", "check", file] => Deed::PostFile { path: "/v1/policies/check".into(), file: (*file).into() },
+            ["policy", "show", name] => Deed::Show { path: format!("/v1/policies/{name}") },
+            ["policy", "compare", routers] => {
+                Deed::Compare { routers: routers.split(',').map(str::to_owned).collect() }
+            }
+            ["plan", "list"] => Deed::Show { path: "/v1/plans".into() },
+            ["plan", "show", id] => Deed::Show { path: format!("/v1/plans/{id}") },
+            ["plan", "confirm", id] => Deed::Post { path: format!("/v1/plans/{id}/confirm"), body: json!({}) },
+            ["intent", rest @ ..] => Deed::Post { path: "/v1/intents".into(), body: read_intent(rest)? },
             ["request", id] => Deed::Show { path: format!("/v1/requests/{id}") },
             [] => return Err(miette!("a command is missing; see console --help")),
             _ => return Err(miette!("unknown command: {}; see console --help", words.join(" "))),
@@ -112,3 +135,19 @@
         Ok(deed)
     }
 }
+
+fn read_intent(words: &[&str]) -> Result<Value, Report> {
+    let intent = match words {
+        ["trial", policy, tenants @ ..] => json!({"intent": "trial", "policy": policy, "tenants": tenants}),
+        ["end-trial", tenants @ ..] => json!({"intent": "end_trial", "tenants": tenants}),
+        ["adopt", policy] => json!({"intent": "adopt", "policy": policy}),
+        ["move-weights", model, weights] => {
+            let edition: u64 = weights.parse().map_err(|_| miette!("{weights} is no weights edition"))?;
+            json!({"intent": "move_weights", "model": model, "weights": edition})
+        }
+        [name @ ("wall" | "unwall"), tenant] => json!({"intent": name, "tenant": tenant}),
+        [name @ ("drain" | "undrain"), engine] => json!({"intent": name, "engine": engine}),
+        _ => return Err(miette!("unknown intent: {}; see console --help", words.join(" "))),
+    };
+    Ok(intent)
+}
--- a/crates/contract/src/engines.rs
+++ b/crates/contract/src/engines.rs
@@ -12,6 +12,34 @@
     pub max_tokens: u64,
     pub stream: bool,
     pub cache_salt: String,
+    /// Kept blocks of this prompt to be fetched before prefill, run after run.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub fetch: Vec<FetchOrder>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FetchOrder {
+    pub address: String,
+    pub block_hashes: Vec<String>,
+}
+
+/// What a peer or the store answers: how many of the asked blocks, from the first on, it keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Found {
+    pub found: u64,
+}
+
+/// Blocks asked for, or put into the store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NamedBlocks {
+    pub block_hashes: Vec<String>,
+}
+
+/// A prompt to be prefilled only, in a split pool.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PrefillRequest {
+    pub prompt: String,
+    pub cache_salt: String,
 }
 
 /// One streamed piece, or with `finish_reason` set the last; also the shape of a whole answer.
@@ -38,6 +66,9 @@
     pub completion_tokens: u64,
     /// Prompt tokens served from kept memory.
     pub cached_tokens: u64,
+    /// Of those, tokens fetched from a peer or the store for this request.
+    #[serde(default)]
+    pub fetched_tokens: u64,
 }
 
 pub const STREAM_END: &str = "[DONE]";
--- a/crates/courier/src/mind.rs
+++ b/crates/courier/src/mind.rs
@@ -11,7 +11,18 @@
 /// The router to its agent, over loopback.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RouterUp {
-    Applied { edition: Edition },
+    /// Who the router is and where callers reach it; said first.
+    Here {
+        router: NodeId,
+        address: String,
+    },
+    Applied {
+        edition: Edition,
+    },
+    Submit {
+        ticket: u64,
+        submission: Submission,
+    },
 }
 
 /// The agent to its router, over loopback.
@@ -20,6 +31,8 @@
     Snapshot(Box<FleetState>),
     Push { number: Edition, submission: Submission, age: Option<Span> },
     Lease { until: Instant },
+    Settled { ticket: u64, outcome: Settled },
+    Doors(Vec<RouterDoor>),
 }
 
 #[derive(Clone, Debug)]
@@ -57,6 +70,7 @@
 struct RouterPlace {
     life: u64,
     applied: Option<Edition>,
+    door: Option<RouterDoor>,
 }
 
 #[derive(Clone, Debug)]
@@ -121,10 +135,18 @@
             }
             CourierInput::RouterUp => {
                 self.lives += 1;
-                self.router = Some(RouterPlace { life: self.lives, applied: None });
+                self.router = Some(RouterPlace { life: self.lives, applied: None, door: None });
                 self.renew(now);
             }
             CourierInput::RouterDown => self.router = None,
+            CourierInput::Router(RouterUp::Here { router: named, address }) => {
+                if let Some(router) = self.router.as_mut() {
+                    router.door = Some((named, address));
+                }
+            }
+            CourierInput::Router(RouterUp::Submit { ticket, submission }) => {
+                self.say_core(NodeUp::Submit { ticket, submission });
+            }
             CourierInput::Router(RouterUp::Applied { edition }) => {
                 let Some(router) = self.router.as_mut() else { return Vec::new() };
                 let is_first = router.applied.is_none();
@@ -147,7 +169,8 @@
 
     fn renew(&mut self, now: Instant) {
         let Some(router) = &self.router else { return };
-        let renewal = NodeUp::Renew { sent: now, applied: router.applied, life: router.life };
+        let door = router.door.clone();
+        let renewal = NodeUp::Renew { sent: now, applied: router.applied, life: router.life, door };
         self.last_renewed = now;
         self.say_core(renewal);
     }
@@ -212,6 +235,10 @@
                 }
             }
             NodeDown::NotNow => {}
+            NodeDown::Settled { ticket, outcome } => {
+                self.plan.push(CourierEffect::SayRouter(RouterDown::Settled { ticket, outcome }));
+            }
+            NodeDown::Doors(doors) => self.plan.push(CourierEffect::SayRouter(RouterDown::Doors(doors))),
             NodeDown::Behind => {
                 let has_applied = self.router.as_ref().is_some_and(|router| router.applied.is_some());
                 if has_applied {
--- a/crates/desired/src/document.rs
+++ b/crates/desired/src/document.rs
@@ -10,6 +10,8 @@
     pub policies: BTreeMap<String, Policy>,
     pub trials: BTreeMap<TenantName, String>,
     pub routing: RoutingWish,
+    /// Where the prompt store answers, if there is one.
+    pub store: Option<String>,
     pub operators: BTreeMap<String, String>,
 }
 
@@ -42,6 +44,31 @@
     pub limit: Span,
     pub retry_percent: u64,
     pub events_late: Span,
+    /// What prefilling a block costs an engine, for weighing a fetch against it.
+    pub prefill_block: Span,
+    pub fetch: FetchWish,
+}
+
+/// What fetching kept blocks costs, by link.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FetchWish {
+    pub enabled: bool,
+    pub setup: Span,
+    pub same_zone_block: Span,
+    pub other_zone_block: Span,
+    pub store_block: Span,
+}
+
+impl Default for FetchWish {
+    fn default() -> Self {
+        FetchWish {
+            enabled: true,
+            setup: Span::micros(2000),
+            same_zone_block: Span::micros(100),
+            other_zone_block: Span::micros(300),
+            store_block: Span::micros(400),
+        }
+    }
 }
 
 impl Default for RoutingWish {
@@ -51,6 +78,8 @@
             limit: Span::seconds(8),
             retry_percent: 10,
             events_late: Span::seconds(2),
+            prefill_block: Span::micros(1500),
+            fetch: FetchWish::default(),
         }
     }
 }
@@ -111,6 +140,12 @@
     });
     desired_state.trials =
         document.named_texts("trials").into_iter().map(|(tenant, policy)| (TenantName(tenant), policy)).collect();
+    if let Some(store) = document.text("store") {
+        if store.parse::<std::net::SocketAddr>().is_err() {
+            document.complain("store", "expected an IP address and port");
+        }
+        desired_state.store = Some(store);
+    }
     desired_state.operators = document.named_texts("operators");
     for (name, key_hash) in desired_state.operators.clone() {
         check_key_hash(document, &format!("operators.{name}"), &key_hash);
@@ -139,6 +174,12 @@
         if let Some(millis) = fields.whole("events_late_ms", 100, 60_000) {
             routing.events_late = Span::millis(millis);
         }
+        if let Some(micros) = fields.whole("prefill_block_us", 0, 1_000_000) {
+            routing.prefill_block = Span::micros(micros);
+        }
+        if let Some(fetch_value) = fields.take("fetch") {
+            read_fetch(&mut fields, fetch_value, &mut routing.fetch);
+        }
         fields.close();
     }
     for complaint in complaints {
@@ -146,6 +187,28 @@
     }
 }
 
+fn read_fetch(routing: &mut Reader<'_>, value: &JsonValue, fetch: &mut FetchWish) {
+    let mut complaints = Vec::new();
+    if let Some(mut fields) = Reader::open("fetch", value, &mut complaints) {
+        fetch.enabled = fields.flag("enabled").unwrap_or(fetch.enabled);
+        let spans = [
+            ("setup_us", &mut fetch.setup),
+            ("same_zone_block_us", &mut fetch.same_zone_block),
+            ("other_zone_block_us", &mut fetch.other_zone_block),
+            ("store_block_us", &mut fetch.store_block),
+        ];
+        for (key, span) in spans {
+            if let Some(micros) = fields.whole(key, 0, 10_000_000) {
+                *span = Span::micros(micros);
+            }
+        }
+        fields.close();
+    }
+    for complaint in complaints {
+        routing.complain(&complaint.path, complaint.reason);
+    }
+}
+
 fn check_key_hash(reader: &mut Reader<'_>, key: &str, key_hash: &str) {
     let is_hex = key_hash.len() == 64 && key_hash.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
     if !is_hex {
--- a/crates/desired/src/fleet.rs
+++ b/crates/desired/src/fleet.rs
@@ -5,6 +5,8 @@
 use crate::prelude::*;
 
 const REMEMBERED_SUBMISSIONS: usize = 512;
+/// How many claims of idempotency keys are remembered.
+pub const KEPT_CLAIMS: usize = 8192;
 
 /// How the platform lists an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -90,6 +92,39 @@
         engine: EngineName,
         standing: Standing,
     },
+    /// An operator's intent; the plan made of it goes by this record's number.
+    Intend(Intent),
+    Confirm {
+        plan: Edition,
+    },
+    /// The conductor does a plan's next step.
+    DoStep {
+        term: Term,
+        plan: Edition,
+        step: usize,
+    },
+    /// The conductor ends a plan that cannot go on, or that nobody confirmed.
+    EndPlan {
+        term: Term,
+        plan: Edition,
+        halted: Option<String>,
+    },
+    /// A run claims an idempotency key, by the key's hash, for the first time or in vain.
+    Claim {
+        claim: BlockHash,
+        router: NodeId,
+        run: u64,
+    },
+    /// A run that surely did not run gives its claim back.
+    Release {
+        claim: BlockHash,
+        router: NodeId,
+        run: u64,
+    },
+}
+
+fn other_term() -> Settled {
+    Settled::Refused(vec![Complaint::at("duty", "another term holds the conductor's duty")])
 }
 
 impl Command {
@@ -132,6 +167,12 @@
     pub listing_edition: Edition,
     pub standings: BTreeMap<EngineName, Standing>,
     pub duties: BTreeMap<DutyKind, Duty>,
+    pub plans: BTreeMap<Edition, Plan>,
+    /// Engines an operator had drained.
+    pub drained: BTreeSet<EngineName>,
+    /// The latest claims, and which run made each.
+    pub claims: BTreeMap<BlockHash, (NodeId, u64)>,
+    pub claim_order: VecDeque<BlockHash>,
     pub settled: VecDeque<(RequestId, Settled)>,
 }
 
@@ -178,18 +219,143 @@
                 Settled::Taken(number)
             }
             Command::Stand { term, engine, standing } => {
-                let held_term = self.duties.get(&DutyKind::Conductor).map(|duty| duty.term);
-                if held_term != Some(*term) {
-                    return Settled::Refused(vec![Complaint::at("duty", "another term holds the conductor's duty")]);
+                if !self.conducts(*term) {
+                    return other_term();
                 }
                 if self.listing.engines.contains_key(engine) {
                     self.standings.insert(engine.clone(), standing.clone());
                 }
                 Settled::Taken(number)
             }
+            Command::Claim { claim, router, run } => self.claim(number, *claim, (*router, *run)),
+            Command::Release { claim, router, run } => self.release(number, *claim, (*router, *run)),
+            plan_command => self.plan_command(number, plan_command),
+        }
+    }
+
+    fn plan_command(&mut self, number: Edition, command: &Command) -> Settled {
+        match command {
+            Command::Intend(intent) => match self.plan_steps(intent) {
+                Ok(steps) => {
+                    let (intent, base) = (intent.clone(), self.desired_edition);
+                    let plan = Plan { intent, base, steps, done: 0, status: PlanStatus::Stated, confirmed: None };
+                    self.plans.insert(number, plan);
+                    self.drop_old_plans();
+                    Settled::Taken(number)
+                }
+                Err(complaints) => Settled::Refused(complaints),
+            },
+            Command::Confirm { plan } => self.confirm(number, *plan),
+            Command::DoStep { term, plan, step } => self.do_step(number, *term, *plan, *step),
+            Command::EndPlan { term, plan, halted } => {
+                if !self.conducts(*term) {
+                    return other_term();
+                }
+                let Some(ended) = self.plans.get_mut(plan).filter(|plan| !plan.is_over()) else {
+                    return Settled::Refused(vec![Complaint::at("plan", "unknown or over")]);
+                };
+                ended.status = halted.clone().map_or(PlanStatus::Expired, PlanStatus::Halted);
+                Settled::Taken(number)
+            }
+            _ => Settled::Refused(vec![Complaint::at("", "not a plan's command")]),
+        }
+    }
+
+    fn conducts(&self, term: Term) -> bool {
+        self.duties.get(&DutyKind::Conductor).map(|duty| duty.term) == Some(term)
+    }
+
+    fn drop_old_plans(&mut self) {
+        while self.plans.len() > KEPT_PLANS {
+            let oldest_over = self.plans.iter().find(|(_, plan)| plan.is_over()).map(|(number, _)| *number);
+            let Some(dropped) = oldest_over.or_else(|| self.plans.keys().next().copied()) else { return };
+            self.plans.remove(&dropped);
+        }
+    }
+
+    fn confirm(&mut self, number: Edition, plan_number: Edition) -> Settled {
+        let desired_edition = self.desired_edition;
+        let refused = |reason: String| Settled::Refused(vec![Complaint::at("plan", reason)]);
+        let Some(plan) = self.plans.get_mut(&plan_number) else { return refused("unknown plan".into()) };
+        if let Some(confirmed) = plan.confirmed {
+            return Settled::Taken(confirmed);
+        }
+        match &plan.status {
+            PlanStatus::Stated if plan.base != desired_edition => Settled::Stale { now: desired_edition },
+            PlanStatus::Stated => {
+                plan.status = PlanStatus::Confirmed;
+                plan.confirmed = Some(number);
+                Settled::Taken(number)
+            }
+            PlanStatus::Expired => refused("the plan has expired".into()),
+            other => refused(format!("the plan is {other:?}")),
         }
     }
 
+    fn do_step(&mut self, number: Edition, term: Term, plan_number: Edition, step_number: usize) -> Settled {
+        if !self.conducts(term) {
+            return other_term();
+        }
+        let next_step =
+            self.plans.get(&plan_number).filter(|plan| plan.done == step_number).and_then(Plan::next_step);
+        let Some(step) = next_step.cloned() else {
+            return Settled::Refused(vec![Complaint::at("step", "not the next one")]);
+        };
+        let outcome = match step {
+            Step::Patch(patch) => {
+                let current_text = self.desired_text.clone();
+                self.take_document(number, &current_text, Some(&patch))
+            }
+            Step::Drain { engine } => {
+                self.drained.insert(engine);
+                Settled::Taken(number)
+            }
+            Step::Undrain { engine } => {
+                self.drained.remove(&engine);
+                Settled::Taken(number)
+            }
+            Step::WaitWeights { .. } | Step::WaitIdle { .. } => Settled::Taken(number),
+        };
+        if let Some(plan) = self.plans.get_mut(&plan_number) {
+            match &outcome {
+                Settled::Refused(complaints) => {
+                    let reasons: Vec<String> = complaints.iter().map(Complaint::to_string).collect();
+                    plan.status = PlanStatus::Halted(reasons.join("; "));
+                }
+                _ => {
+                    plan.done += 1;
+                    if plan.done == plan.steps.len() {
+                        plan.status = PlanStatus::Done;
+                    }
+                }
+            }
+        }
+        outcome
+    }
+
+    fn claim(&mut self, number: Edition, claim: BlockHash, holder: (NodeId, u64)) -> Settled {
+        if let Some((router, run)) = self.claims.get(&claim) {
+            let path = format!("{router}.{run}");
+            return Settled::Refused(vec![Complaint::at(&path, "claimed")]);
+        }
+        self.claims.insert(claim, holder);
+        self.claim_order.push_back(claim);
+        while self.claim_order.len() > KEPT_CLAIMS {
+            if let Some(oldest_claim) = self.claim_order.pop_front() {
+                self.claims.remove(&oldest_claim);
+            }
+        }
+        Settled::Taken(number)
+    }
+
+    fn release(&mut self, number: Edition, claim: BlockHash, holder: (NodeId, u64)) -> Settled {
+        if self.claims.get(&claim) == Some(&holder) {
+            self.claims.remove(&claim);
+            self.claim_order.retain(|known_claim| *known_claim != claim);
+        }
+        Settled::Taken(number)
+    }
+
     fn stale(&self, base: Option<Edition>) -> Option<Settled> {
         base.filter(|base| *base != self.desired_edition).map(|_| Settled::Stale { now: self.desired_edition })
     }
@@ -263,6 +429,7 @@
         if listing.boot == self.listing.boot && listing.number <= self.listing.number {
             return Settled::Refused(vec![Complaint::at("listing", format!("already at {}", self.listing.number))]);
         }
+        self.drained.retain(|engine| listing.engines.contains_key(engine));
         for (engine, known) in &self.listing.engines {
             let moved = listing.engines.get(engine).is_none_or(|listed| listed.address != known.address);
             if moved {
@@ -360,4 +527,51 @@
         assert!(matches!(submit(&mut state, Command::List(listing(4))), Settled::Refused(_)));
         assert_eq!(state.listing.number, ListingNumber(5));
     }
+
+    #[test]
+    fn a_plan_is_confirmed_once_and_no_step_is_done_twice() {
+        let mut state = FleetState::default();
+        merge_in(&mut state, r#"{"models":{"m":{"weights":1}},"tenants":{"a":{}},"policies":{"p":{"weight":4}}}"#);
+        submit(&mut state, Command::Appoint { kind: DutyKind::Conductor, from_term: Term(0), holder: NodeId(1) });
+        let intend = |state: &mut FleetState, intent| match submit(state, Command::Intend(intent)) {
+            Settled::Taken(plan) => plan,
+            other => panic!("{other:?}"),
+        };
+        let tenants = vec![TenantName::from("a")];
+        let plan = intend(&mut state, Intent::Trial { policy: "p".into(), tenants: tenants.clone() });
+        let step = |term, step| Command::DoStep { term: Term(term), plan, step };
+        assert!(matches!(submit(&mut state, step(1, 0)), Settled::Refused(_)), "not confirmed yet");
+        let confirmed = submit(&mut state, Command::Confirm { plan });
+        assert_eq!(submit(&mut state, Command::Confirm { plan }), confirmed, "twice is once");
+        assert!(matches!(submit(&mut state, step(2, 0)), Settled::Refused(_)), "another term");
+        assert!(matches!(submit(&mut state, step(1, 0)), Settled::Taken(_)));
+        assert_eq!(state.desired.trials[&tenants[0]], "p");
+        assert!(matches!(submit(&mut state, step(1, 0)), Settled::Refused(_)), "a step is done once");
+        assert_eq!(state.plans[&plan].status, PlanStatus::Done);
+
+        let late_plan = intend(&mut state, Intent::Adopt { policy: "p".into() });
+        merge_in(&mut state, r#"{"kinds":["moved"]}"#);
+        assert!(matches!(submit(&mut state, Command::Confirm { plan: late_plan }), Settled::Stale { .. }));
+        let adopted = intend(&mut state, Intent::Adopt { policy: "p".into() });
+        submit(&mut state, Command::EndPlan { term: Term(1), plan: late_plan, halted: None });
+        assert!(matches!(submit(&mut state, Command::Confirm { plan: late_plan }), Settled::Refused(_)), "expired");
+        submit(&mut state, Command::Confirm { plan: adopted });
+        submit(&mut state, Command::DoStep { term: Term(1), plan: adopted, step: 0 });
+        assert_eq!((state.desired.policies["default"].weight, state.desired.trials.len()), (4.0, 0));
+        let unknown = Intent::Wall { tenant: "nobody".into() };
+        assert!(matches!(submit(&mut state, Command::Intend(unknown)), Settled::Refused(_)));
+    }
+
+    #[test]
+    fn a_claim_is_held_until_released_by_its_own_run() {
+        let mut state = FleetState::default();
+        let claim = |run| Command::Claim { claim: BlockHash(7), router: NodeId(1), run };
+        assert!(matches!(submit(&mut state, claim(1)), Settled::Taken(_)));
+        let Settled::Refused(complaints) = submit(&mut state, claim(2)) else { panic!("claimed twice") };
+        assert_eq!(complaints[0].path, format!("{}.1", NodeId(1)));
+        submit(&mut state, Command::Release { claim: BlockHash(7), router: NodeId(1), run: 2 });
+        assert!(matches!(submit(&mut state, claim(3)), Settled::Refused(_)), "not its own run");
+        submit(&mut state, Command::Release { claim: BlockHash(7), router: NodeId(1), run: 1 });
+        assert!(matches!(submit(&mut state, claim(3)), Settled::Taken(_)));
+    }
 }
--- a/crates/desired/src/lib.rs
+++ b/crates/desired/src/lib.rs
@@ -7,5 +7,6 @@
 
 mod document;
 mod fleet;
+mod plans;
 mod read;
 mod scan;
--- a/crates/desired/src/prelude.rs
+++ b/crates/desired/src/prelude.rs
@@ -2,6 +2,7 @@
 
 pub use crate::document::*;
 pub use crate::fleet::*;
+pub use crate::plans::*;
 pub use crate::read::*;
 pub use crate::scan::*;
 pub use policy::prelude::{Band, Policy, Rule, Table};
--- a/crates/engine/src/main.rs
+++ b/crates/engine/src/main.rs
@@ -2,12 +2,7 @@
 //! them by numbered events, emulates prefill and decode cost by blocks, takes the conductor's orders,
 //! and logs every start with its salt and weights so that a run can be judged from the engine's side.
 
-mod cost;
-mod memory;
-mod prelude;
-mod site;
-
-use crate::prelude::*;
+use engine::prelude::*;
 
 static TRADE: Trade = Trade {
     program: "engine",
@@ -21,6 +16,8 @@
         setting("prefill_us", Kind::Whole(0, 1_000_000), Some("1500"), "cost of a prefill block, microseconds"),
         setting("decode_us", Kind::Whole(0, 1_000_000), Some("4000"), "cost of a token, microseconds"),
         setting("load_ms", Kind::Whole(0, 60_000), Some("500"), "how long loading weights takes"),
+        setting("link_us", Kind::Whole(0, 1_000_000), Some("100"), "cost of fetching a block, microseconds"),
+        setting("store", Kind::Address, None, "the prompt store, to which new blocks are put"),
         setting("starts", Kind::Path, None, "file to which each start is appended"),
         setting("threads", Kind::Whole(1, 64), Some("1"), "threads for HTTP"),
         LOG_LEVEL,
--- a/crates/engine/src/prelude.rs
+++ b/crates/engine/src/prelude.rs
@@ -1,16 +1,16 @@
-//! The one import of this package's files.
+//! The one import of this package's files, and of the store's.
 
-pub(crate) use crate::cost::*;
-pub(crate) use crate::memory::*;
-pub(crate) use crate::site::*;
-pub(crate) use blocks::prelude::*;
-pub(crate) use contract::prelude::*;
-pub(crate) use serde_json::{Value, json};
+pub use crate::cost::*;
+pub use crate::memory::*;
+pub use crate::site::*;
+pub use blocks::prelude::*;
+pub use contract::prelude::*;
+pub use serde_json::{Value, json};
 pub(crate) use std::collections::{BTreeMap, HashMap, VecDeque};
 pub(crate) use std::io::Write as _;
-pub(crate) use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-pub(crate) use std::sync::{Arc, Mutex};
+pub use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+pub use std::sync::{Arc, Mutex};
 pub(crate) use std::time::Duration;
-pub(crate) use trade::prelude::*;
-pub(crate) use units::prelude::*;
-pub(crate) use web::prelude::*;
+pub use trade::prelude::*;
+pub use units::prelude::*;
+pub use web::prelude::*;
--- a/crates/engine/src/site.rs
+++ b/crates/engine/src/site.rs
@@ -2,6 +2,8 @@
 
 use crate::prelude::*;
 
+const FETCH_LIMIT: Span = Span::millis(800);
+
 /// Faults that a test or yard may ask for.
 #[derive(Clone, Debug, Default)]
 pub struct Faults {
@@ -25,6 +27,9 @@
     name: String,
     model: String,
     load_time: Duration,
+    link_block: Duration,
+    store: Option<String>,
+    fetched: AtomicU64,
     memory: Mutex<Memory>,
     news: tokio::sync::watch::Sender<u64>,
     weights: Mutex<Weights>,
@@ -70,6 +75,9 @@
             name: settings.text("name")?.to_owned(),
             model: settings.text("model")?.to_owned(),
             load_time: settings.millis("load_ms")?.as_duration(),
+            link_block: Duration::from_micros(settings.whole("link_us")?),
+            store: settings.maybe("store").map(str::to_owned),
+            fetched: AtomicU64::new(0),
             memory: Mutex::new(Memory::new(boot, settings.whole("blocks")? as usize)),
             news: tokio::sync::watch::channel(0).0,
             weights: Mutex::new(Weights { edition: settings.whole("weights")?, accepting: true, highest_term: 0 }),
@@ -114,6 +122,8 @@
                 let snapshot = held(&self.memory).snapshot();
                 answer_json(StatusCode::OK, &json!(snapshot))
             }
+            ("POST", ["v1", "kept", "blocks"]) => self.tell_blocks(asked).await,
+            ("POST", ["v1", "prefill"]) => self.prefill_only(asked).await,
             ("GET", ["v1", "state"]) => answer_json(StatusCode::OK, &json!(self.state())),
             ("GET", ["metrics"]) => self.metrics(),
             ("GET", ["live"]) => answer_bytes(StatusCode::OK, "text/plain", "live\n"),
@@ -146,10 +156,12 @@
         let kept_share = held(&self.memory).kept_share();
         let text = format!(
             "vllm:num_requests_running{labels} {}\nvllm:num_requests_waiting{labels} {}\n\
-             vllm:kv_cache_usage_perc{labels} {kept_share:.4}\nharemount:blocks_in_work{labels} {}\n",
+             vllm:kv_cache_usage_perc{labels} {kept_share:.4}\nharemount:blocks_in_work{labels} {}\n\
+             haremount:fetched_blocks{labels} {}\n",
             self.running.load(Ordering::SeqCst),
             self.waiting.load(Ordering::SeqCst),
             self.pace.blocks_in_work(),
+            self.fetched.load(Ordering::SeqCst),
         );
         answer_bytes(StatusCode::OK, "text/plain; version=0.0.4", text)
     }
@@ -167,25 +179,7 @@
     }
 
     async fn events(&self, number: u64, wait_ms: u64) -> Answered {
-        let wait_ms = wait_ms.min(5000);
-        let mut news = self.news.subscribe();
-        let give_up = tokio::time::sleep(Duration::from_millis(wait_ms));
-        tokio::pin!(give_up);
-        loop {
-            news.borrow_and_update();
-            let hidden = held(&self.faults).hide_events;
-            let batch = held(&self.memory).events_from(number);
-            if !batch.events.is_empty() && !hidden {
-                return answer_json(StatusCode::OK, &json!(batch));
-            }
-            tokio::select! {
-                _ = &mut give_up => {
-                    let empty = EventBatch { boot: batch.boot, first: number, events: Vec::new() };
-                    return answer_json(StatusCode::OK, &json!(empty));
-                }
-                _ = news.changed() => {}
-            }
-        }
+        tell_events(&self.memory, &self.news, || held(&self.faults).hide_events, number, wait_ms).await
     }
 
     async fn take_order(&self, mut asked: Asked) -> Answered {
@@ -274,7 +268,7 @@
             tokio::spawn(async move {
                 let running = Running(&this.running);
                 tokio::select! {
-                    () = this.run(&request, &names, cached_blocks, &reported_shot, &faults, Some(&pieces)) => {}
+                    _ = this.run(&request, &names, cached_blocks, &reported_shot, &faults, Some(&pieces)) => {}
                     () = pieces.gone() => {}
                 }
                 drop(running);
@@ -282,8 +276,7 @@
             return answered;
         }
         let running = Running(&self.running);
-        let text = self.run(&request, &names, cached_blocks, &reported_shot, &faults, None);
-        text.await;
+        let fetched_blocks = self.run(&request, &names, cached_blocks, &reported_shot, &faults, None).await;
         let whole_text: String =
             (0..request.max_tokens).map(|place| stand_in_piece(&request.prompt, &reported_shot, place)).collect();
         drop(running);
@@ -292,7 +285,7 @@
             object: "text_completion".into(),
             model: self.model.clone(),
             choices: vec![Choice { index: 0, text: whole_text, finish_reason: Some("length".into()) }],
-            usage: Some(usage(&request, cached_blocks)),
+            usage: Some(usage(&request, cached_blocks + fetched_blocks, fetched_blocks)),
         };
         answer_json(StatusCode::OK, &json!(completion)).with_header(SHOT_HEADER, &reported_shot)
     }
@@ -323,21 +316,22 @@
         shot: &str,
         faults: &Faults,
         pieces: Option<&PieceSender>,
-    ) {
+    ) -> u64 {
         let prompt_blocks = blocks_of(request.prompt.len()).0;
         let _in_work = self.pace.begin(prompt_blocks);
+        let fetched_blocks = self.fetch(&request.fetch, names, cached_blocks as usize).await;
+        let cached_blocks = cached_blocks + fetched_blocks;
         {
             let _waiting = Counted::new(&self.waiting);
             self.pace.prefill(prompt_blocks - cached_blocks).await;
         }
-        held(&self.memory).keep(names);
-        self.news.send_modify(|count| *count += 1);
+        self.keep(names, cached_blocks as usize);
         for place in 0..request.max_tokens {
             self.pace.decode_token().await;
             let Some(pieces) = pieces else { continue };
             if faults.cut_after == Some(place) {
                 pieces.abort("told to cut").await;
-                return;
+                return fetched_blocks;
             }
             let is_last = place + 1 == request.max_tokens;
             let completion = Completion {
@@ -349,16 +343,118 @@
                     text: stand_in_piece(&request.prompt, shot, place),
                     finish_reason: is_last.then(|| "length".into()),
                 }],
-                usage: is_last.then(|| usage(request, cached_blocks)),
+                usage: is_last.then(|| usage(request, cached_blocks, fetched_blocks)),
             };
             if !pieces.send(Bytes::from(format!("data: {}\n\n", json!(completion)))).await {
-                return;
+                return fetched_blocks;
             }
         }
         if let Some(pieces) = pieces {
             pieces.send(Bytes::from(format!("data: {STREAM_END}\n\n"))).await;
         }
+        fetched_blocks
+    }
+
+    /// Keeps a prompt's blocks, and puts those that were not kept before into the store.
+    fn keep(&self, names: &[BlockHash], known_count: usize) {
+        held(&self.memory).keep(names);
+        self.news.send_modify(|count| *count += 1);
+        let Some(store) = self.store.clone().filter(|_| known_count < names.len()) else { return };
+        let new_blocks = NamedBlocks { block_hashes: write_hashes(names) };
+        tokio::spawn(async move {
+            let question = Question::with_json(Method::POST, "/v1/blocks", &json!(new_blocks));
+            let _ = ask_whole(&store, question, FETCH_LIMIT, 1 << 16).await;
+        });
+    }
+
+    /// Fetches runs of blocks, each of which must go on where the last ended and bear the names that
+    /// this prompt has under its own salt. A fault or a late answer leaves the rest to prefill.
+    async fn fetch(&self, orders: &[FetchOrder], names: &[BlockHash], own_count: usize) -> u64 {
+        let mut place = own_count;
+        for order in orders {
+            let Some(asked_names) = read_hashes(&order.block_hashes) else { break };
+            let wanted: Vec<BlockHash> = match names.get(place..) {
+                Some(rest) if rest.starts_with(&asked_names) => asked_names,
+                _ if names.starts_with(&asked_names) && asked_names.len() > place => asked_names[place..].to_vec(),
+                _ => break,
+            };
+            let question = NamedBlocks { block_hashes: write_hashes(&wanted) };
+            let question = Question::with_json(Method::POST, "/v1/kept/blocks", &json!(question));
+            let Ok((_, _, body)) = ask_whole(&order.address, question, FETCH_LIMIT, 1 << 16).await else { break };
+            let Ok(answer) = serde_json::from_slice::<Found>(&body) else { break };
+            let found_count = (answer.found as usize).min(wanted.len());
+            tokio::time::sleep(self.link_block * found_count as u32).await;
+            place += found_count;
+            if found_count < wanted.len() {
+                break;
+            }
+        }
+        let fetched_count = (place - own_count) as u64;
+        self.fetched.fetch_add(fetched_count, Ordering::SeqCst);
+        fetched_count
     }
+
+    async fn tell_blocks(&self, mut asked: Asked) -> Answered {
+        let Some(names) = read_names(&mut asked).await else { return bad_names() };
+        let found = held(&self.memory).overlap(&names) as u64;
+        answer_json(StatusCode::OK, &json!(Found { found }))
+    }
+
+    /// Prefills a prompt and keeps its blocks, for another engine to fetch and decode.
+    async fn prefill_only(&self, mut asked: Asked) -> Answered {
+        let body = asked.read_body(MOST_REQUEST_BYTES * 2).await.unwrap_or_default();
+        let Ok(request) = serde_json::from_slice::<PrefillRequest>(&body) else {
+            return refuse(StatusCode::BAD_REQUEST, "bad_request", "no prefill request");
+        };
+        if !held(&self.weights).accepting {
+            return refuse(StatusCode::SERVICE_UNAVAILABLE, "not_accepting", "this engine starts nothing now");
+        }
+        let names = cut(&Salt(request.cache_salt), request.prompt.as_bytes());
+        let known_count = held(&self.memory).overlap(&names);
+        let prompt_blocks = blocks_of(request.prompt.len()).0;
+        let _in_work = self.pace.begin(prompt_blocks);
+        self.pace.prefill(prompt_blocks - known_count as u64).await;
+        self.keep(&names, known_count);
+        answer_json(StatusCode::OK, &json!(Found { found: names.len() as u64 }))
+    }
+}
+
+/// Answers a poll for events: at once if there are any, else when some come or the wait is over.
+pub async fn tell_events(
+    memory: &Mutex<Memory>,
+    news: &tokio::sync::watch::Sender<u64>,
+    hides: impl Fn() -> bool,
+    number: u64,
+    wait_ms: u64,
+) -> Answered {
+    let mut news = news.subscribe();
+    let give_up = tokio::time::sleep(Duration::from_millis(wait_ms.min(5000)));
+    tokio::pin!(give_up);
+    loop {
+        news.borrow_and_update();
+        let batch = held(memory).events_from(number);
+        if !batch.events.is_empty() && !hides() {
+            return answer_json(StatusCode::OK, &json!(batch));
+        }
+        tokio::select! {
+            _ = &mut give_up => {
+                let empty = EventBatch { boot: batch.boot, first: number, events: Vec::new() };
+                return answer_json(StatusCode::OK, &json!(empty));
+            }
+            _ = news.changed() => {}
+        }
+    }
+}
+
+/// The block names in a request's body.
+pub async fn read_names(asked: &mut Asked) -> Option<Vec<BlockHash>> {
+    let body = asked.read_body(8 << 20).await.ok()?;
+    let named: NamedBlocks = serde_json::from_slice(&body).ok()?;
+    read_hashes(&named.block_hashes)
+}
+
+pub fn bad_names() -> Answered {
+    refuse(StatusCode::BAD_REQUEST, "bad_request", "no block names")
 }
 
 /// Counts a run down when it ends, however it ends.
@@ -370,11 +466,12 @@
     }
 }
 
-fn usage(request: &EngineRequest, cached_blocks: u64) -> Usage {
+fn usage(request: &EngineRequest, cached_blocks: u64, fetched_blocks: u64) -> Usage {
     Usage {
         prompt_tokens: request.prompt.len().div_ceil(TOKEN_BYTES) as u64,
         completion_tokens: request.max_tokens,
         cached_tokens: cached_blocks * BLOCK_TOKENS as u64,
+        fetched_tokens: fetched_blocks * BLOCK_TOKENS as u64,
     }
 }
 
--- a/crates/keeper/src/conducting.rs
+++ b/crates/keeper/src/conducting.rs
@@ -25,21 +25,23 @@
         for act in conductor.direct(&seen.state, &observed, boot_now()) {
             match act {
                 Act::Stand { engine, standing } => {
-                    if ordering.contains_key(&engine) {
-                        continue;
-                    }
                     event!(info, "engine_stands", engine = engine, closed = standing.closed, term = term);
-                    let (desk, naming) = (desk.clone(), engine.clone());
-                    let command = Command::Stand { term, engine, standing };
-                    let submitting = async move {
-                        desk.submit(RequestId::random(), command, Span::seconds(5)).await;
-                    };
-                    ordering.insert(naming, tokio::spawn(submitting));
+                    let naming = engine.clone();
+                    submit_once(&desk, &mut ordering, naming, Command::Stand { term, engine, standing });
                 }
                 Act::Load { engine, address, weights } => {
                     let wish = OrderWish::LoadWeights { weights: weights.0 };
                     give_order(&shelf, &mut ordering, engine, address, term, me, wish);
                 }
+                Act::DoStep { plan, step } => {
+                    event!(info, "plan_step", plan = plan, step = step + 1, term = term);
+                    let naming = EngineName(format!("plan {plan}"));
+                    submit_once(&desk, &mut ordering, naming, Command::DoStep { term, plan, step });
+                }
+                Act::EndPlan { plan, halted } => {
+                    let naming = EngineName(format!("plan {plan}"));
+                    submit_once(&desk, &mut ordering, naming, Command::EndPlan { term, plan, halted });
+                }
                 Act::Open { engine, address } => {
                     give_order(&shelf, &mut ordering, engine, address, term, me, OrderWish::Open);
                 }
@@ -48,6 +50,23 @@
     }
 }
 
+/// Submits what the conductor wants for one engine or plan, unless an earlier wish is under way.
+fn submit_once(
+    desk: &DeskAsker,
+    ordering: &mut HashMap<EngineName, tokio::task::JoinHandle<()>>,
+    naming: EngineName,
+    command: Command,
+) {
+    if ordering.contains_key(&naming) {
+        return;
+    }
+    let desk = desk.clone();
+    let submitting = async move {
+        desk.submit(RequestId::random(), command, Span::seconds(5)).await;
+    };
+    ordering.insert(naming, tokio::spawn(submitting));
+}
+
 fn give_order(
     shelf: &Shelf,
     ordering: &mut HashMap<EngineName, tokio::task::JoinHandle<()>>,
--- a/crates/keeper/src/door.rs
+++ b/crates/keeper/src/door.rs
@@ -60,6 +60,24 @@
                 }
                 Err(_) => refuse(StatusCode::BAD_REQUEST, "bad_request", "a request id has 16 hex digits"),
             },
+            ("POST", ["v1", "intents"]) => self.take_intent(asked).await,
+            ("GET", ["v1", "plans"]) => {
+                let plans: Vec<Value> = state.plans.iter().map(|(number, plan)| show_plan(*number, plan)).collect();
+                answer_json(StatusCode::OK, &json!({"plans": plans}))
+            }
+            ("GET", ["v1", "plans", plan]) => match find_plan(&state, plan) {
+                Some((number, plan)) => answer_json(StatusCode::OK, &show_plan(number, plan)),
+                None => refuse(StatusCode::NOT_FOUND, "not_found", "no such plan"),
+            },
+            ("POST", ["v1", "plans", plan, "confirm"]) => match find_plan(&state, plan) {
+                Some((number, _)) => self.submit(&asked, Command::Confirm { plan: number }).await,
+                None => refuse(StatusCode::NOT_FOUND, "not_found", "no such plan"),
+            },
+            ("POST", ["v1", "policies", "check"]) => check_policy(&state, asked).await,
+            ("GET", ["v1", "policies", policy]) => match state.desired.policies.get(*policy) {
+                Some(found) => answer_json(StatusCode::OK, &show_table(&state, found)),
+                None => refuse(StatusCode::NOT_FOUND, "not_found", "no such policy"),
+            },
             ("GET", ["v1", "fleet"]) => self.show_fleet(&state).await,
             _ => no_such_page(),
         }
@@ -105,6 +123,22 @@
         self.submit(&asked, command).await
     }
 
+    /// Takes an intent and answers with the plan of steps it became.
+    async fn take_intent(&self, mut asked: Asked) -> Answered {
+        let intent = match read_document_of(&mut asked).await.and_then(|document| read_intent(&document)) {
+            Ok(intent) => intent,
+            Err(complaints) => return tell_complaints(&complaints),
+        };
+        let request = RequestId::random();
+        let answer = self.desk.submit(request, Command::Intend(intent), CHANGE_LIMIT).await;
+        let Answer::Settled(Settled::Taken(number)) = answer else { return tell_outcome(request, answer) };
+        let Some(state) = self.read_state().await else { return no_core() };
+        match state.plans.get(&number) {
+            Some(plan) => answer_json(StatusCode::CREATED, &show_plan(number, plan)),
+            None => no_core(),
+        }
+    }
+
     async fn put_key(&self, mut asked: Asked, tenant: &str, key_name: &str) -> Answered {
         let body = asked.read_body(4096).await.unwrap_or_default();
         let given: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
@@ -216,6 +250,69 @@
     }
 }
 
+async fn read_document_of(asked: &mut Asked) -> Result<JsonValue, Vec<Complaint>> {
+    let unreadable = |reason: &str| vec![Complaint::at("", reason)];
+    let body = asked.read_body(1 << 20).await.map_err(|fault| unreadable(&format!("{fault:?}")))?;
+    let text = std::str::from_utf8(&body).map_err(|_| unreadable("not UTF-8"))?;
+    parse_bounded(text, DOCUMENT_BOUNDS).map_err(|complaint| vec![complaint])
+}
+
+fn find_plan<'a>(state: &'a FleetState, number_text: &str) -> Option<(Edition, &'a Plan)> {
+    let number = Edition(number_text.parse().ok()?);
+    state.plans.get(&number).map(|plan| (number, plan))
+}
+
+fn show_plan(number: Edition, plan: &Plan) -> Value {
+    let steps: Vec<Value> = plan
+        .steps
+        .iter()
+        .enumerate()
+        .map(|(place, step)| json!({"step": place + 1, "what": step.words(), "done": place < plan.done}))
+        .collect();
+    let (status, reason) = match &plan.status {
+        PlanStatus::Stated => ("stated", None),
+        PlanStatus::Confirmed => ("confirmed", None),
+        PlanStatus::Done => ("done", None),
+        PlanStatus::Halted(reason) => ("halted", Some(reason.as_str())),
+        PlanStatus::Expired => ("expired", None),
+    };
+    json!({"plan": number.0, "base": plan.base.0, "status": status, "reason": reason, "steps": steps,
+           "expires": "five minutes after it was stated, unless confirmed"})
+}
+
+/// The fixed table a policy compiles to, row by row.
+fn show_table(state: &FleetState, policy: &Policy) -> Value {
+    let tenants: Vec<TenantName> = state.desired.tenants.keys().cloned().collect();
+    let table = policy.compile(&tenants, &state.desired.kinds);
+    let mut rows = Vec::new();
+    for tenant in &tenants {
+        for kind in &state.desired.kinds {
+            let weights = Band::ALL.map(|band| table.weight(tenant, kind, band));
+            rows.push(json!({"tenant": tenant.as_str(), "kind": kind, "calm": weights[0], "steady": weights[1], "busy": weights[2]}));
+        }
+    }
+    json!({"weight": policy.weight, "rules": policy.rules.len(), "table": rows})
+}
+
+/// Reads a policy as it would stand in the document, and shows its table; nothing is changed.
+async fn check_policy(state: &FleetState, mut asked: Asked) -> Answered {
+    let document = match read_document_of(&mut asked).await {
+        Ok(document) => document,
+        Err(complaints) => return tell_complaints(&complaints),
+    };
+    let policies = JsonValue::Object([("checked".to_owned(), document)].into());
+    let patch = JsonValue::Object([("policies".to_owned(), policies)].into());
+    let mut whole = parse_bounded(&state.desired_text, DOCUMENT_BOUNDS).unwrap_or(JsonValue::Object([].into()));
+    merge(&mut whole, &patch);
+    match read_document(&whole) {
+        Ok(desired) => match desired.policies.get("checked") {
+            Some(policy) => answer_json(StatusCode::OK, &show_table(state, policy)),
+            None => refuse(StatusCode::BAD_REQUEST, "bad_request", "no policy"),
+        },
+        Err(complaints) => tell_complaints(&complaints),
+    }
+}
+
 fn no_core() -> Answered {
     refuse(StatusCode::SERVICE_UNAVAILABLE, "no_core", "the core does not answer now; a majority may be away")
         .with_header("retry-after", "2")
--- a/crates/keeper/src/main.rs
+++ b/crates/keeper/src/main.rs
@@ -34,6 +34,7 @@
 
 fn keep(settings: Settings) -> Result<(), Report> {
     let logs = start_logs(TRADE.program, settings.text("log_level")?)?;
+    outlive_file_limits()?;
     let data_folder = settings.text("data")?.to_owned();
     let listener = std::net::TcpListener::bind(settings.address("listen")?)
         .map_err(|fault| miette!("listen: {}: {fault}", settings.text("listen").unwrap_or("")))?;
--- a/crates/keeper/src/prelude.rs
+++ b/crates/keeper/src/prelude.rs
@@ -8,7 +8,8 @@
 pub(crate) use conductor::prelude::{Act, Conductor, Observed};
 pub(crate) use contract::prelude::*;
 pub(crate) use desired::prelude::{
-    DOCUMENT_BOUNDS, JsonValue, Listed, ListedEngine, Role, parse_bounded, read_document, write_sorted,
+    Band, DOCUMENT_BOUNDS, JsonValue, Listed, ListedEngine, Plan, PlanStatus, Policy, Role, merge, parse_bounded,
+    read_document, read_intent, write_sorted,
 };
 pub(crate) use ledger::prelude::{DiskFault, Folder, Row};
 pub(crate) use links::prelude::{Hello, Link, LinkEvent, LinkId, Post, Purpose, accept_links};
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod prelude;
 
+mod fetch;
 mod picker;
 mod sight;
--- a/crates/placement/src/picker.rs
+++ b/crates/placement/src/picker.rs
@@ -2,6 +2,8 @@
 
 use crate::prelude::*;
 
+/// The name under which the store's events are followed; no engine can have it.
+pub const STORE_SOURCE: &str = "@store";
 const HISTORY_BLOCKS: usize = 8192;
 const COUNT_SPAN: Span = Span::seconds(3);
 const REST_AFTER_FAULT: Span = Span::millis(700);
@@ -25,6 +27,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Score {
     pub engine: EngineName,
+    pub role: Role,
     pub weights: WeightsEdition,
     pub prefill_blocks: BlockCount,
     pub decode_blocks: BlockCount,
@@ -34,6 +37,8 @@
     pub by_events: bool,
     /// Could not be reached a moment ago; chosen only if every candidate is such.
     pub is_resting: bool,
+    /// Decodes in another zone than ours, which loses ties.
+    pub is_far: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -44,6 +49,17 @@
     /// What the default policy would have chosen.
     pub default_engine: EngineName,
     pub policy: String,
+    /// Where the chosen engine gets blocks it lacks; the rest it prefills.
+    pub fetches: Vec<FetchRun>,
+    /// In a split pool: the engine that prefills before the chosen one decodes.
+    pub prefill: Option<PrefillPlace>,
+}
+
+/// Where a prompt is prefilled in a split pool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PrefillPlace {
+    pub engine: EngineName,
+    pub address: String,
 }
 
 #[derive(Debug, Default)]
@@ -64,7 +80,8 @@
 #[derive(Debug)]
 pub struct Picker {
     router: NodeId,
-    tree: PrefixTree,
+    zone: Zone,
+    pub(crate) tree: PrefixTree,
     history: SentHistory,
     engines: BTreeMap<EngineName, EngineSight>,
     next_index: u32,
@@ -72,9 +89,10 @@
 }
 
 impl Picker {
-    pub fn new(router: NodeId) -> Picker {
+    pub fn new(router: NodeId, zone: Zone) -> Picker {
         Picker {
             router,
+            zone,
             tree: PrefixTree::default(),
             history: SentHistory::new(HISTORY_BLOCKS),
             engines: BTreeMap::new(),
@@ -93,12 +111,11 @@
 
     /// Engines no longer listed are forgotten, with all that was known of them.
     pub fn keep_only(&mut self, sight: &FleetSight) {
-        let gone_engines: Vec<EngineName> = self
-            .engines
-            .keys()
-            .filter(|engine| !sight.state.listing.engines.contains_key(*engine))
-            .cloned()
-            .collect();
+        let stays = |engine: &EngineName| match engine.as_str() {
+            STORE_SOURCE => sight.state.desired.store.is_some(),
+            _ => sight.state.listing.engines.contains_key(engine),
+        };
+        let gone_engines: Vec<EngineName> = self.engines.keys().filter(|engine| !stays(engine)).cloned().collect();
         for engine in gone_engines {
             if let Some(known) = self.engines.remove(&engine) {
                 self.tree.drop_source(SourceIndex(known.index));
@@ -107,6 +124,10 @@
         }
     }
 
+    pub(crate) fn index_of(&self, engine: &EngineName) -> Option<SourceIndex> {
+        self.engines.get(engine).map(|known| SourceIndex(known.index))
+    }
+
     /// The place from which an engine's events are to be asked; nothing if its snapshot is needed.
     pub fn place_of(&mut self, engine: &EngineName) -> Option<SourcePlace> {
         self.engine(engine).place.clone()
@@ -220,27 +241,53 @@
         self.tree.block_count()
     }
 
-    /// The lowest-cost engine among those that pass; nothing if none does.
+    /// The lowest-cost engine among those that pass; nothing if none does. In a split pool the engine
+    /// that prefills is picked by overlap, and the one that decodes by blocks in use and added.
     pub fn pick(&mut self, sight: &FleetSight, prompt: &Prompt, now: Instant) -> Option<Placement> {
         let (policy, table) = match sight.trial_tables.get(&prompt.tenant) {
             Some((name, table)) => (name.clone(), table),
             None => (DEFAULT_POLICY.to_owned(), &sight.default_table),
         };
-        let mut candidates = self.score(sight, prompt, table, now);
-        if candidates.is_empty() {
-            return None;
-        }
+        let scores = self.score(sight, prompt, table, now);
+        let (mut candidates, prefillers): (Vec<Score>, Vec<Score>) =
+            scores.into_iter().partition(|score| score.role != Role::Prefill);
+        let chosen = self.cheapest(&candidates, prompt)?.clone();
         let default_engine = if policy == DEFAULT_POLICY {
-            None
+            chosen.engine.clone()
         } else {
             let default_scores = self.score(sight, prompt, &sight.default_table, now);
-            self.cheapest(&default_scores, prompt).map(|score| score.engine.clone())
+            let default_candidates: Vec<Score> =
+                default_scores.into_iter().filter(|score| score.role != Role::Prefill).collect();
+            self.cheapest(&default_candidates, prompt)?.engine.clone()
         };
-        let chosen = self.cheapest(&candidates, prompt)?.clone();
         candidates.sort_by(|left, right| left.cost.total_cmp(&right.cost));
         let address = sight.state.listing.engines.get(&chosen.engine)?.address.clone();
-        let default_engine = default_engine.unwrap_or_else(|| chosen.engine.clone());
-        Some(Placement { chosen, address, candidates, default_engine, policy })
+        let names = prompt.names.get(&chosen.weights).map(Vec::as_slice).unwrap_or_default();
+        let mut placement = Placement {
+            chosen: chosen.clone(),
+            address,
+            candidates,
+            default_engine,
+            policy,
+            fetches: Vec::new(),
+            prefill: None,
+        };
+        if chosen.role != Role::Decode {
+            placement.fetches = self.plan_fetch(sight, names, &chosen);
+            return Some(placement);
+        }
+        let same_weights: Vec<Score> =
+            prefillers.into_iter().filter(|score| score.weights == chosen.weights).collect();
+        let prefiller = self.cheapest(&same_weights, prompt).cloned();
+        if let Some(prefiller) = prefiller
+            && let Some(listed) = sight.state.listing.engines.get(&prefiller.engine)
+        {
+            let address = listed.address.clone();
+            let from = FetchFrom::Peer(prefiller.engine.clone());
+            placement.fetches = vec![FetchRun { from, address: address.clone(), names: names.to_vec() }];
+            placement.prefill = Some(PrefillPlace { engine: prefiller.engine, address });
+        }
+        Some(placement)
     }
 
     fn score(&self, sight: &FleetSight, prompt: &Prompt, table: &Table, now: Instant) -> Vec<Score> {
@@ -270,15 +317,21 @@
             let decode_blocks = self.decode_blocks(known, now);
             let prefill_blocks = BlockCount(prompt.blocks.0 - overlap.0.min(prompt.blocks.0));
             let weight = table.weight(&prompt.tenant, &prompt.kind, Band::of(decode_blocks));
+            let cost = match listed.role {
+                Role::Decode => (decode_blocks.0 + prompt.blocks.0 + prompt.answer_blocks.0) as f64,
+                _ => cost(weight, prefill_blocks, decode_blocks),
+            };
             scores.push(Score {
+                role: listed.role,
                 engine: engine.clone(),
                 weights,
                 prefill_blocks,
                 decode_blocks,
                 weight,
-                cost: cost(weight, prefill_blocks, decode_blocks),
+                cost,
                 by_events,
                 is_resting,
+                is_far: listed.role == Role::Decode && listed.zone != self.zone,
             });
         }
         if scores.iter().any(|score| !score.is_resting) {
@@ -287,18 +340,25 @@
         scores
     }
 
-    /// Equal costs go by a hash of prefix, router and engine, so that routers do not all choose alike.
+    /// Equal costs go to our own zone if the engine decodes, and else by a hash of prefix, router and
+    /// engine, so that routers do not all choose alike.
     fn cheapest<'a>(&self, scores: &'a [Score], prompt: &Prompt) -> Option<&'a Score> {
         let prefix = prompt.names.values().next().and_then(|names| names.first()).map_or(0, |name| name.0);
-        let spread = |score: &Score| {
-            BlockHash::over(&[&prefix.to_le_bytes(), &self.router.0.to_le_bytes(), score.engine.as_str().as_bytes()])
-        };
-        scores
-            .iter()
-            .min_by(|left, right| left.cost.total_cmp(&right.cost).then_with(|| spread(left).cmp(&spread(right))))
+        let spread = |score: &Score| spread_of(prefix, self.router, &score.engine);
+        scores.iter().min_by(|left, right| {
+            left.cost
+                .total_cmp(&right.cost)
+                .then_with(|| left.is_far.cmp(&right.is_far))
+                .then_with(|| spread(left).cmp(&spread(right)))
+        })
     }
 }
 
+/// The order among equal costs.
+pub fn spread_of(prefix: u64, router: NodeId, engine: &EngineName) -> BlockHash {
+    BlockHash::over(&[&prefix.to_le_bytes(), &router.0.to_le_bytes(), engine.as_str().as_bytes()])
+}
+
 #[cfg(test)]
 mod tests {
     use crate::prelude::*;
@@ -356,7 +416,7 @@
             let asked_prompt = prompt(&"x".repeat(6400));
             let names = asked_prompt.names[&WeightsEdition(1)].clone();
             assert_eq!(names.len(), 100);
-            let mut picker = Picker::new(NodeId(1));
+            let mut picker = Picker::new(NodeId(1), "a".into());
             for (engine, kept_count, busy_blocks) in [("busy", 90, 300), ("middle", 50, 170), ("idle", 0, 40)] {
                 picker.take_snapshot(&engine.into(), "x", 1, names[..kept_count].to_vec(), NOW);
                 picker.begin_shot(&engine.into(), BlockCount(busy_blocks));
@@ -372,7 +432,7 @@
         let sight = fleet(&["one", "two"], DOCUMENT);
         let asked_prompt = prompt(&"y".repeat(640));
         let names = asked_prompt.names[&WeightsEdition(1)].clone();
-        let mut picker = Picker::new(NodeId(1));
+        let mut picker = Picker::new(NodeId(1), "a".into());
         for engine in ["one", "two"] {
             picker.take_snapshot(&engine.into(), "x", 1, Vec::new(), NOW);
         }
@@ -401,7 +461,7 @@
         state.listing.engines.remove(&"gone".into());
         state.listing.engines.get_mut(&"leaving".into()).unwrap().listed = Listed::Leaving;
         let sight = sight.following(state, None, NOW);
-        let mut picker = Picker::new(NodeId(1));
+        let mut picker = Picker::new(NodeId(1), "a".into());
         picker.note_fault(&"resting".into(), NOW);
         let asked_prompt = Prompt { tried: vec!["tried".into()], ..prompt("z") };
         let placement = picker.pick(&sight, &asked_prompt, NOW).unwrap();
@@ -430,4 +490,61 @@
             "a further move does not prolong the old edition"
         );
     }
+
+    #[test]
+    fn missing_blocks_come_from_where_they_are_cheapest() {
+        let document = |other_zone_us: u64| {
+            format!(
+                r#"{{"models":{{"m":{{"weights":1}}}},"tenants":{{"t":{{}}}},"store":"127.0.0.1:9",
+                "routing":{{"fetch":{{"other_zone_block_us":{other_zone_us},"store_block_us":1000}}}}}}"#
+            )
+        };
+        let asked_prompt = prompt(&"f".repeat(6400));
+        let names = asked_prompt.names[&WeightsEdition(1)].clone();
+        let plan = |other_zone_us: u64, peer_blocks: usize| {
+            let sight = fleet(&["chosen", "peer"], &document(other_zone_us));
+            let mut state = (*sight.state).clone();
+            state.listing.engines.get_mut(&"peer".into()).unwrap().zone = "b".into();
+            let sight = sight.following(state, None, NOW);
+            let mut picker = Picker::new(NodeId(1), "a".into());
+            picker.take_snapshot(&"chosen".into(), "x", 1, names[..10].to_vec(), NOW);
+            picker.take_snapshot(&"peer".into(), "x", 1, names[..peer_blocks].to_vec(), NOW);
+            picker.take_snapshot(&STORE_SOURCE.into(), "x", 1, names[..80].to_vec(), NOW);
+            picker.begin_shot(&"peer".into(), BlockCount(500));
+            let placement = picker.pick(&sight, &asked_prompt, NOW).unwrap();
+            assert_eq!(placement.chosen.engine, "chosen".into());
+            placement.fetches.into_iter().map(|run| (run.from, run.names.len())).collect::<Vec<_>>()
+        };
+        let peer = || FetchFrom::Peer("peer".into());
+        assert_eq!(plan(300, 60), [(peer(), 50), (FetchFrom::Store, 20)]);
+        assert_eq!(plan(2500, 60), [(FetchFrom::Store, 70)], "a slow link is no use");
+        assert_eq!(plan(2500, 90), [(FetchFrom::Store, 70)], "what only a slow peer keeps is prefilled");
+    }
+
+    #[test]
+    fn a_split_pool_decodes_by_blocks_in_use_and_prefers_its_zone() {
+        let sight = fleet(&["far", "near", "prefill"], DOCUMENT);
+        let mut state = (*sight.state).clone();
+        for (name, zone, role) in
+            [("far", "b", Role::Decode), ("near", "a", Role::Decode), ("prefill", "b", Role::Prefill)]
+        {
+            let listed = state.listing.engines.get_mut(&name.into()).unwrap();
+            (listed.zone, listed.role) = (zone.into(), role);
+        }
+        let sight = sight.following(state, None, NOW);
+        let mut picker = Picker::new(NodeId(1), "a".into());
+        let asked_prompt = prompt(&"s".repeat(640));
+        let names = asked_prompt.names[&WeightsEdition(1)].clone();
+        for engine in ["far", "near", "prefill"] {
+            picker.take_snapshot(&engine.into(), "x", 1, Vec::new(), NOW);
+        }
+        picker.take_snapshot(&"far".into(), "x", 1, names.clone(), NOW);
+        let placement = picker.pick(&sight, &asked_prompt, NOW).unwrap();
+        assert_eq!(placement.chosen.engine, "near".into(), "overlap is off for decode, and the zone breaks the tie");
+        assert_eq!(placement.chosen.cost, 11.0, "blocks in use plus those added");
+        assert_eq!(placement.prefill.as_ref().map(|place| place.engine.clone()), Some("prefill".into()));
+        assert_eq!(placement.fetches[0].names, names);
+        picker.begin_shot(&"near".into(), BlockCount(1));
+        assert_eq!(picker.pick(&sight, &asked_prompt, NOW).unwrap().chosen.engine, "far".into());
+    }
 }
--- a/crates/placement/src/prelude.rs
+++ b/crates/placement/src/prelude.rs
@@ -1,9 +1,11 @@
 //! The one import of this package's files.
 
+pub use crate::fetch::*;
 pub use crate::picker::*;
 pub use crate::sight::*;
 pub use blocks::prelude::{KeptEvent, PrefixTree, SentHistory, SourceIndex, SourcePlace};
-pub(crate) use desired::prelude::{FleetState, Listed, Policy, Role, Sight};
+pub use desired::prelude::Role;
+pub(crate) use desired::prelude::{FleetState, Listed, Policy, Sight};
 pub(crate) use policy::prelude::{Band, Table, cost};
 pub(crate) use std::collections::{BTreeMap, HashMap};
 pub(crate) use std::sync::Arc;
--- a/crates/placement/src/sight.rs
+++ b/crates/placement/src/sight.rs
@@ -61,6 +61,9 @@
     pub fn usable_weights(&self, engine: &EngineName, now: Instant) -> Option<WeightsEdition> {
         let listed = self.state.listing.engines.get(engine).filter(|listed| listed.listed == Listed::Open)?;
         let standing = self.state.standings.get(engine).filter(|standing| !standing.closed)?;
+        if self.state.drained.contains(engine) {
+            return None;
+        }
         let (confirmed, _) = standing.confirmed.as_ref()?;
         let wanted = self.state.desired.models.get(&listed.model)?.weights;
         let may_use = *confirmed == wanted
--- /dev/null
+++ b/crates/replay/src/prelude.rs
@@ -0,0 +1,17 @@
+//! The one import of this package's files.
+
+pub(crate) use crate::live::*;
+pub(crate) use crate::offline::*;
+pub(crate) use crate::words::*;
+pub(crate) use desired::prelude::{DOCUMENT_BOUNDS, JsonValue, parse_bounded, read_document};
+pub(crate) use placement::prelude::spread_of;
+pub(crate) use policy::prelude::{Band, Policy, Table, cost};
+pub(crate) use recording::prelude::{Day, RecordedPick, RecordedRun, RecordedScore, read_day};
+pub(crate) use serde_json::json;
+pub(crate) use std::collections::{BTreeMap, BTreeSet};
+pub(crate) use std::process::ExitCode;
+pub(crate) use std::sync::{Arc, Mutex};
+pub(crate) use std::time::Duration;
+pub(crate) use trade::prelude::*;
+pub(crate) use units::prelude::*;
+pub(crate) use web::prelude::{Method, Question, open_stream, small_runtime};
--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -40,12 +40,46 @@
     pub plan: Plan,
     /// Given back when the run ends, however it ends.
     pub _held: (Seat, Running),
+    pub router: NodeId,
     pub stand: Arc<Stand>,
     pub table: TableAsker,
+    pub book: Arc<RunBook>,
+    pub core_line: Arc<CoreLine>,
+    pub recorder: Recorder,
+    /// What the last pick looked like, for the recording.
+    pub draft: Option<RecordedPick>,
 }
 
 impl Run {
-    pub async fn carry(self) -> Answered {
+    /// Claims the request's key, if it has one, and carries it; a run that surely did not run gives the
+    /// claim back.
+    pub async fn carry_claimed(self) -> Answered {
+        let Some(claim) = self.plan.claim else { return self.carry().await };
+        let (router, run) = (self.router, self.plan.run_number);
+        let core_line = Arc::clone(&self.core_line);
+        match core_line.submit(Command::Claim { claim, router, run }).await {
+            Some(Settled::Taken(_)) => {}
+            Some(Settled::Refused(complaints)) => {
+                let holder = complaints.first().map(|complaint| complaint.path.clone()).unwrap_or_default();
+                let reason = "this key is claimed by an earlier request; it is not run again";
+                let told = json!({"error": {"type": "claimed", "message": reason}, "run": holder});
+                Counts::add(&self.stand.counts.refused, 1);
+                return answer_json(StatusCode::CONFLICT, &told).with_header(OUTCOME_HEADER, "claimed");
+            }
+            _ => {
+                core_line.submit(Command::Release { claim, router, run }).await;
+                return self.give_up(false, false, "the claim could not be settled");
+            }
+        }
+        let answered = self.carry().await;
+        let outcome = answered.headers().get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
+        if outcome == Some("not_run") {
+            tokio::spawn(async move { core_line.submit(Command::Release { claim, router, run }).await });
+        }
+        answered
+    }
+
+    pub async fn carry(mut self) -> Answered {
         let mut tried: Vec<EngineName> = Vec::new();
         let mut may_have_run = false;
         let mut last_reason = String::from("no engine is free to take it");
@@ -68,6 +102,7 @@
             };
             let shot = format!("{}.{shot_number}", self.plan.run);
             self.log_pick(&placement, &shot);
+            self.draft = self.recorder.is_on().then(|| RecordedPick::of(&placement));
             let kept_names = names.get(&placement.chosen.weights).cloned().unwrap_or_default();
             match self.begin(&placement, &sight, &shot).await {
                 Ok(begun) => {
@@ -77,6 +112,7 @@
                     return self.answer(begun, place, shot);
                 }
                 Err(fault) => {
+                    self.stand.note_policy(&placement.policy, |figures| figures.faults += 1);
                     event!(
                         warn,
                         "shot_fault",
@@ -126,6 +162,7 @@
             (&self.stand.counts.not_run, "not_run")
         };
         Counts::add(counter, 1);
+        self.record(outcome, None);
         let status = match (may_have_run, limit_passed) {
             (_, true) => StatusCode::GATEWAY_TIMEOUT,
             (true, false) => StatusCode::BAD_GATEWAY,
@@ -145,6 +182,34 @@
             .with_header("retry-after", "1")
     }
 
+    fn record(&self, outcome: &str, first_ms: Option<u64>) {
+        if !self.recorder.is_on() {
+            return;
+        }
+        let sight = self.stand.sight();
+        let weights = self.draft.as_ref().map(|draft| WeightsEdition(draft.weights));
+        let names = weights
+            .map(|weights| cut(&self.plan.salt(&sight, weights), self.plan.prompt_text.as_bytes()))
+            .unwrap_or_default();
+        self.recorder.write(RecordedRun {
+            at: wall_millis(),
+            began: self.plan.began.0 / 1_000_000,
+            run: self.plan.run.clone(),
+            tenant: self.plan.tenant.0.clone(),
+            kind: self.plan.kind.clone(),
+            model: self.plan.model.0.clone(),
+            block_hashes: write_hashes(&names),
+            prompt_blocks: blocks_of(self.plan.prompt_text.len()).0,
+            max_tokens: self.plan.max_tokens,
+            streams: self.plan.streams,
+            repeatable: self.plan.repeatable,
+            pick: self.draft.clone(),
+            outcome: outcome.to_owned(),
+            first_ms,
+            total_ms: boot_now().since(self.plan.began).as_millis(),
+        });
+    }
+
     fn log_pick(&self, placement: &Placement, shot: &str) {
         let candidates: Vec<String> = placement
             .candidates
@@ -167,6 +232,7 @@
             cost = format!("{:.1}", chosen.cost),
             weights = chosen.weights,
             by = if chosen.by_events { "events" } else { "history" },
+            fetch = placement.fetches.iter().map(|run| run.names.len()).sum::<usize>(),
             policy = placement.policy,
             default_engine = placement.default_engine,
             candidates = candidates.join(",")
@@ -178,6 +244,17 @@
         Counts::add(&self.stand.counts.prompt_blocks, prompt_blocks);
         let reused_blocks = prompt_blocks.saturating_sub(placement.chosen.prefill_blocks.0);
         Counts::add(&self.stand.counts.reused_blocks, reused_blocks);
+        let first_ms = boot_now().since(self.plan.began).as_millis();
+        self.stand.note_policy(&placement.policy, |figures| {
+            figures.requests += 1;
+            figures.first_ms_sum += first_ms;
+            figures.prompt_blocks += prompt_blocks;
+            figures.reused_blocks += reused_blocks;
+            figures.differs += u64::from(placement.default_engine != placement.chosen.engine);
+            *figures.engines.entry(placement.chosen.engine.clone()).or_default() += 1;
+        });
+        let fetched_blocks = placement.fetches.iter().map(|run| run.names.len() as u64).sum();
+        Counts::add(&self.stand.counts.fetch_blocks, fetched_blocks);
     }
 
     /// One shot, up to its first piece or its whole answer.
@@ -192,7 +269,11 @@
             max_tokens: self.plan.max_tokens,
             stream: self.plan.streams,
             cache_salt: self.plan.salt(sight, weights).0,
+            fetch: fetch_orders(&placement.fetches),
         };
+        if let Some(prefill_place) = &placement.prefill {
+            self.prefill(prefill_place, &engine_request.cache_salt).await;
+        }
         let question = Question::with_json(Method::POST, "/v1/completions", &json!(engine_request))
             .header(SHOT_HEADER, shot)
             .header(WEIGHTS_HEADER, weights.to_string());
@@ -227,6 +308,17 @@
         }
     }
 
+    /// In a split pool, asks for the prefill first. If it fails, the decoding engine prefills itself.
+    async fn prefill(&self, prefill_place: &PrefillPlace, cache_salt: &str) {
+        let (prompt, cache_salt) = ((*self.plan.prompt_text).clone(), cache_salt.to_owned());
+        let request = json!(PrefillRequest { prompt, cache_salt });
+        let question = Question::with_json(Method::POST, "/v1/prefill", &request);
+        let half_left = Span(self.plan.limit.since(boot_now()).0 / 2);
+        if let Err(reason) = ask_whole(&prefill_place.address, question, half_left, 1 << 16).await {
+            event!(warn, "prefill_fault", run = self.plan.run, engine = prefill_place.engine, reason = reason);
+        }
+    }
+
     async fn read_beginning(&self, mut replied: Replied, shot: &str) -> Result<Begun, ShotFault> {
         let perhaps = |reason: String| ShotFault::new(Ran::Perhaps, reason);
         let status = replied.status;
@@ -269,28 +361,80 @@
         match begun {
             Begun::Whole(completion) => {
                 Counts::add(&self.stand.counts.whole, 1);
+                self.record("whole", Some(boot_now().since(self.plan.began).as_millis()));
                 event!(info, "request_ended", run = run, tenant = self.plan.tenant, outcome = "whole");
                 answer_json(StatusCode::OK, &shape_whole(*completion, &run, self.plan.form))
                     .with_header(RUN_HEADER, &run)
                     .with_header(OUTCOME_HEADER, "whole")
             }
             Begun::Streaming { replied, reader, first } => {
-                let (pieces, answered) = answer_pieces(StatusCode::OK, "text/event-stream", PIECE_PLACES);
-                let relay = Relay { run: self, place, shot, pieces, piece_count: 0 };
+                let held_run = match self.plan.resumes {
+                    true => self.book.open(self.plan.run_number, &self.plan.tenant),
+                    false => None,
+                };
+                let (sink, answered) = match held_run {
+                    Some(held_run) => (Sink::Book(Arc::clone(&held_run)), held_run.stream_from(0)),
+                    None => {
+                        let (pieces, answered) = answer_pieces(StatusCode::OK, "text/event-stream", PIECE_PLACES);
+                        (Sink::Caller(pieces), answered.with_header("cache-control", "no-store"))
+                    }
+                };
+                let first_ms = boot_now().since(self.plan.began).as_millis();
+                let relay = Relay { run: self, place, shot, sink: Arc::new(sink), piece_count: 0, first_ms };
                 tokio::spawn(relay.work(*replied, reader, *first));
-                answered.with_header(RUN_HEADER, &run).with_header("cache-control", "no-store")
+                answered.with_header(RUN_HEADER, &run)
             }
         }
     }
 }
 
+fn fetch_orders(fetches: &[FetchRun]) -> Vec<FetchOrder> {
+    fetches
+        .iter()
+        .map(|run| FetchOrder { address: run.address.clone(), block_hashes: write_hashes(&run.names) })
+        .collect()
+}
+
+/// Where the pieces go: to the caller, or into the book that callers are served from.
+enum Sink {
+    Caller(PieceSender),
+    Book(Arc<HeldRun>),
+}
+
+impl Sink {
+    async fn send(&self, event: Bytes) -> bool {
+        match self {
+            Sink::Caller(pieces) => pieces.send(event).await,
+            Sink::Book(held_run) => held_run.hold(event),
+        }
+    }
+
+    /// Resolves when nobody waits any more; a run in the book goes on without its caller.
+    async fn gone(&self) {
+        match self {
+            Sink::Caller(pieces) => pieces.gone().await,
+            Sink::Book(_) => std::future::pending().await,
+        }
+    }
+
+    async fn end(&self, cut: Option<&str>) {
+        match (self, cut) {
+            (Sink::Caller(pieces), Some(reason)) => end_cut(pieces, reason).await,
+            (Sink::Caller(_), None) => {}
+            (Sink::Book(held_run), Some(reason)) => held_run.end(HeldEnd::Cut(reason.to_owned())),
+            (Sink::Book(held_run), None) => held_run.end(HeldEnd::Whole),
+        }
+    }
+}
+
 /// A stream under way.
 struct Relay {
     run: Run,
     place: ShotPlace,
     shot: String,
-    pieces: PieceSender,
+    sink: Arc<Sink>,
     piece_count: u64,
+    first_ms: u64,
 }
 
 /// How a stream ended.
@@ -303,34 +447,22 @@
 impl Relay {
     async fn work(mut self, replied: Replied, reader: EventReader, first: Completion) {
         let limit_left = self.run.plan.limit.since(boot_now()).as_duration();
-        let pieces = self.pieces.clone();
+        let sink = Arc::clone(&self.sink);
         let end = tokio::select! {
             end = self.relay(replied, reader, first) => end,
-            () = pieces.gone() => StreamEnd::CallerGone,
+            () = sink.gone() => StreamEnd::CallerGone,
             () = tokio::time::sleep(limit_left) => StreamEnd::Cut("the limit passed".into()),
         };
         let counts = &self.run.stand.counts;
-        let (outcome, reason) = match end {
-            StreamEnd::Whole => {
-                Counts::add(&counts.whole, 1);
-                ("whole", String::new())
-            }
-            StreamEnd::CallerGone => {
-                Counts::add(&counts.cancelled, 1);
-                ("cancelled", String::new())
-            }
-            StreamEnd::Cut(reason) => {
-                Counts::add(&counts.cut, 1);
-                let told = json!({"error": {"type": "cut", "message": reason}});
-                let last_event = Bytes::from(format!("event: error\ndata: {told}\n\n"));
-                let ending = async {
-                    self.pieces.send(last_event).await;
-                    self.pieces.abort("the stream was cut").await;
-                };
-                let _ = tokio::time::timeout(Duration::from_millis(500), ending).await;
-                ("cut", reason)
-            }
+        let (counter, outcome, reason) = match end {
+            StreamEnd::Whole => (&counts.whole, "whole", None),
+            StreamEnd::CallerGone => (&counts.cancelled, "cancelled", None),
+            StreamEnd::Cut(reason) => (&counts.cut, "cut", Some(reason)),
         };
+        Counts::add(counter, 1);
+        sink.end(reason.as_deref()).await;
+        self.run.record(outcome, Some(self.first_ms));
+        let reason = reason.unwrap_or_default();
         let plan = &self.run.plan;
         event!(
             info,
@@ -384,7 +516,7 @@
             Err(reason) => return StreamEnd::Cut(reason),
         }
         let end_event = format!("id: {}.{}\ndata: {STREAM_END}\n\n", self.run.plan.run, self.piece_count);
-        if self.pieces.send(Bytes::from(end_event)).await { StreamEnd::Whole } else { StreamEnd::CallerGone }
+        if self.sink.send(Bytes::from(end_event)).await { StreamEnd::Whole } else { StreamEnd::CallerGone }
     }
 
     async fn send_piece(&mut self, completion: Completion) -> bool {
@@ -392,6 +524,6 @@
         let shaped = shape_piece(completion, &plan.run, plan.form);
         let event_text = format!("id: {}.{}\ndata: {shaped}\n\n", plan.run, self.piece_count);
         self.piece_count += 1;
-        self.pieces.send(Bytes::from(event_text)).await
+        self.sink.send(Bytes::from(event_text)).await
     }
 }
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -7,6 +7,9 @@
     pub stand: Arc<Stand>,
     pub table: TableAsker,
     pub next_run: AtomicU64,
+    pub book: Arc<RunBook>,
+    pub core_line: Arc<CoreLine>,
+    pub recorder: Recorder,
 }
 
 /// Counts a request as running until dropped.
@@ -30,6 +33,10 @@
         match (method.as_str(), segments.as_slice()) {
             ("POST", ["v1", "completions"]) => self.take(asked, Form::Completion).await,
             ("POST", ["v1", "chat", "completions"]) => self.take(asked, Form::Chat).await,
+            ("GET", ["v1", "runs", run]) => {
+                let (run, last_event) = ((*run).to_owned(), asked.header("last-event-id").map(str::to_owned));
+                self.resume(&asked, &run, last_event.as_deref()).await
+            }
             ("GET", ["live"]) => answer_bytes(StatusCode::OK, "text/plain", "live\n"),
             ("GET", ["ready"]) => self.ready(),
             ("GET", ["metrics"]) => self.metrics(),
@@ -37,15 +44,64 @@
         }
     }
 
+    /// Goes on with a run where the caller left off; never begins one.
+    async fn resume(&self, asked: &Asked, run: &str, last_event: Option<&str>) -> Answered {
+        let bad = |reason: &str| refuse(StatusCode::BAD_REQUEST, "bad_request", reason);
+        let gone = || refuse(StatusCode::GONE, "gone", "this run is not held any more; it is not begun anew");
+        let Some(named) = EventName::read(run).filter(|named| named.piece.is_none()) else {
+            return bad("a run is ROUTER.NUMBER, as told in x-haremount-run");
+        };
+        let last_piece = match last_event.map(EventName::read) {
+            None => None,
+            Some(Some(last)) if (last.router, last.run) == (named.router, named.run) && last.piece.is_some() => {
+                last.piece
+            }
+            Some(_) => return bad("Last-Event-ID is no event of this run"),
+        };
+        let sight = self.stand.sight();
+        let key_hash = asked.bearer().map(sha256_hex).unwrap_or_default();
+        let Some(tenant) = sight.tenants_by_key.get(&key_hash) else {
+            return refuse(StatusCode::UNAUTHORIZED, "unknown_key", "the key is not known");
+        };
+        if named.router != self.router {
+            let may_carry = asked.header("x-haremount-carried").is_none();
+            return match self.stand.door_of(named.router).filter(|_| may_carry) {
+                Some(door) => carry_resume(&door, asked, run, last_event).await.unwrap_or_else(|_| gone()),
+                None => gone(),
+            };
+        }
+        let Some(held_run) = self.book.find(named.run).filter(|held_run| held_run.tenant == *tenant) else {
+            return gone();
+        };
+        let first = last_piece.map_or(0, |piece| piece + 1) as usize;
+        if first > held_run.event_count() {
+            return bad("Last-Event-ID names a piece that was never sent");
+        }
+        held_run.stream_from(first).with_header(RUN_HEADER, run)
+    }
+
     async fn take(&self, mut asked: Asked, form: Form) -> Answered {
+        if let Some(last_event) = asked.header("last-event-id").map(str::to_owned) {
+            let run = last_event.rsplit_once('.').map_or("", |(run, _)| run).to_owned();
+            return self.resume(&asked, &run, Some(&last_event)).await;
+        }
         Counts::add(&self.stand.counts.requests, 1);
         self.stand.counts.running.fetch_add(1, Ordering::SeqCst);
         let running = Running(Arc::clone(&self.stand));
         match self.admit(&mut asked, form).await {
             Ok((plan, seat)) => {
-                let run =
-                    Run { plan, _held: (seat, running), stand: Arc::clone(&self.stand), table: self.table.clone() };
-                run.carry().await
+                let run = Run {
+                    plan,
+                    _held: (seat, running),
+                    router: self.router,
+                    stand: Arc::clone(&self.stand),
+                    table: self.table.clone(),
+                    book: Arc::clone(&self.book),
+                    core_line: Arc::clone(&self.core_line),
+                    recorder: self.recorder.clone(),
+                    draft: None,
+                };
+                run.carry_claimed().await
             }
             Err(refusal) => {
                 Counts::add(&self.stand.counts.refused, 1);
@@ -77,7 +133,7 @@
         let request: CallerRequest = serde_json::from_slice(&body)
             .map_err(|fault| Refusal::new(StatusCode::BAD_REQUEST, "bad_request", fault.to_string()))?;
         let run_number = self.next_run.fetch_add(1, Ordering::SeqCst);
-        let run = format!("{}.{run_number}", self.router);
+        let run = (format!("{}.{run_number}", self.router), run_number);
         let plan = Plan::make(request, form, &headers, &self.stand.sight(), run, now)?;
         let overloaded = || {
             let reason = "the router is overloaded";
@@ -118,6 +174,7 @@
             ("refused_total", &counts.refused),
             ("prompt_blocks_total", &counts.prompt_blocks),
             ("reused_blocks_total", &counts.reused_blocks),
+            ("fetch_blocks_total", &counts.fetch_blocks),
             ("history_picks_total", &counts.history_picks),
         ];
         for (name, counter) in counters {
@@ -125,6 +182,43 @@
         }
         text.push_str(&format!("haremount_router_edition {}\n", sight.state.edition));
         text.push_str(&format!("haremount_router_lease_left_ms {}\n", self.stand.lease_left(now).as_millis()));
+        text.push_str(&self.stand.policy_metrics());
         answer_bytes(StatusCode::OK, "text/plain; version=0.0.4", text)
     }
 }
+
+/// Asks the router that holds the run, and passes its stream on byte by byte.
+async fn carry_resume(door: &str, asked: &Asked, run: &str, last_event: Option<&str>) -> Result<Answered, String> {
+    let mut question = Question::get(&format!("/v1/runs/{run}"))
+        .header("authorization", asked.header("authorization").unwrap_or(""))
+        .header("x-haremount-carried", "true");
+    if let Some(last_event) = last_event {
+        question = question.header("last-event-id", last_event);
+    }
+    let stream = open_stream(door, Span::millis(700)).await?;
+    let mut replied = stream.send(question).await.map_err(|fault| fault.reason)?;
+    if replied.status != StatusCode::OK {
+        let status = replied.status;
+        let body = read_whole(&mut replied.body, 1 << 16, Duration::from_secs(2)).await.unwrap_or_default();
+        return Ok(answer_bytes(status, "application/json", body));
+    }
+    let (pieces, answered) = answer_pieces(StatusCode::OK, "text/event-stream", 32);
+    tokio::spawn(async move {
+        loop {
+            let piece = tokio::select! {
+                piece = replied.next_piece() => piece,
+                () = pieces.gone() => return,
+            };
+            match piece {
+                Ok(Some(bytes)) => {
+                    if !pieces.send(bytes).await {
+                        return;
+                    }
+                }
+                Ok(None) => return,
+                Err(reason) => return pieces.abort(&reason).await,
+            }
+        }
+    });
+    Ok(answered.with_header(RUN_HEADER, run))
+}
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -5,10 +5,67 @@
 
 const REDIAL_PAUSE: Duration = Duration::from_millis(100);
 
-pub fn keep_feed(agent_address: String, router: NodeId, stand: Arc<Stand>, table: TableAsker) {
+/// The way to the core: the stream to the agent, and who waits for an answer over it.
+#[derive(Default)]
+pub struct CoreLine {
+    link: Mutex<Option<Link>>,
+    waiting: Mutex<HashMap<u64, oneshot::Sender<Settled>>>,
+    next_ticket: AtomicU64,
+}
+
+const CLAIM_LIMIT: Duration = Duration::from_millis(2500);
+
+impl CoreLine {
+    fn say(&self, message: &RouterUp) {
+        if let Some(link) = self.link.lock().expect("no holder of this lock panics").as_ref() {
+            link.say(message);
+        }
+    }
+
+    /// Submits a claim or its release; nothing if its outcome is not known in time.
+    pub async fn submit(&self, command: Command) -> Option<Settled> {
+        let submission = Submission { request: RequestId::random(), command };
+        let ticket = self.next_ticket.fetch_add(1, Ordering::SeqCst);
+        let (reply, answer) = oneshot::channel();
+        self.waiting.lock().expect("no holder of this lock panics").insert(ticket, reply);
+        let mut again = tokio::time::interval(Duration::from_millis(400));
+        let asking = async {
+            loop {
+                again.tick().await;
+                self.say(&RouterUp::Submit { ticket, submission: submission.clone() });
+            }
+        };
+        let settled = tokio::select! {
+            settled = answer => settled.ok(),
+            () = asking => None,
+            () = tokio::time::sleep(CLAIM_LIMIT) => None,
+        };
+        self.waiting.lock().expect("no holder of this lock panics").remove(&ticket);
+        settled
+    }
+
+    fn settle(&self, ticket: u64, outcome: Settled) {
+        let reply = self.waiting.lock().expect("no holder of this lock panics").remove(&ticket);
+        if let Some(reply) = reply {
+            let _ = reply.send(outcome);
+        }
+    }
+}
+
+pub struct FeedPlan {
+    pub agent_address: String,
+    pub router: NodeId,
+    pub own_address: String,
+    pub stand: Arc<Stand>,
+    pub table: TableAsker,
+    pub core_line: Arc<CoreLine>,
+}
+
+pub fn keep_feed(plan: FeedPlan) {
     duty("feed", move || {
-        let (pause_end, pause) = ring::<()>(1);
-        let feed = Mutex::new(Feed { stand, table, link: None });
+        let (_pause_end, pause) = ring::<()>(1);
+        let (agent_address, router) = (plan.agent_address.clone(), plan.router);
+        let feed = Mutex::new(Feed { plan, link: None });
         let tell = |link_event| {
             feed.lock().expect("no holder of this lock panics").take(link_event);
             true
@@ -19,14 +76,12 @@
                 event!(debug, "agent_unreachable", reason = reason);
             }
             let _ = pause.recv_timeout(REDIAL_PAUSE);
-            let _ = &pause_end;
         }
     });
 }
 
 struct Feed {
-    stand: Arc<Stand>,
-    table: TableAsker,
+    plan: FeedPlan,
     link: Option<Link>,
 }
 
@@ -34,9 +89,12 @@
     fn take(&mut self, link_event: LinkEvent<RouterDown>) {
         match link_event {
             LinkEvent::Up(link, _) => {
+                *self.plan.core_line.link.lock().expect("no holder of this lock panics") = Some(link.clone());
                 self.link = Some(link);
+                let (router, address) = (self.plan.router, self.plan.own_address.clone());
+                self.plan.core_line.say(&RouterUp::Here { router, address });
                 event!(info, "agent_up");
-                let edition = self.stand.sight().state.edition;
+                let edition = self.plan.stand.sight().state.edition;
                 if edition > Edition(0) {
                     self.say_applied(edition);
                 }
@@ -45,14 +103,18 @@
                 self.link = None;
                 event!(warn, "agent_down", reason = reason);
             }
-            LinkEvent::Said(_, RouterDown::Lease { until }) => self.stand.extend_lease(until),
+            LinkEvent::Said(_, RouterDown::Settled { ticket, outcome }) => {
+                self.plan.core_line.settle(ticket, outcome);
+            }
+            LinkEvent::Said(_, RouterDown::Doors(doors)) => self.plan.stand.know_doors(doors),
+            LinkEvent::Said(_, RouterDown::Lease { until }) => self.plan.stand.extend_lease(until),
             LinkEvent::Said(_, RouterDown::Snapshot(state)) => {
-                if state.edition > self.stand.sight().state.edition {
+                if state.edition > self.plan.stand.sight().state.edition {
                     self.put_in_force(*state, None);
                 }
             }
             LinkEvent::Said(_, RouterDown::Push { number, submission, age }) => {
-                let current = self.stand.sight();
+                let current = self.plan.stand.sight();
                 if number <= current.state.edition {
                     return;
                 }
@@ -72,9 +134,9 @@
 
     fn put_in_force(&mut self, state: FleetState, age: Option<Span>) {
         let edition = state.edition;
-        let sight = self.stand.sight().following(state, age, boot_now());
-        self.stand.publish(sight);
-        self.table.tell(TableCommand::Fleet);
+        let sight = self.plan.stand.sight().following(state, age, boot_now());
+        self.plan.stand.publish(sight);
+        self.plan.table.tell(TableCommand::Fleet);
         self.say_applied(edition);
         event!(debug, "applied", edition = edition);
     }
--- a/crates/router/src/followers.rs
+++ b/crates/router/src/followers.rs
@@ -17,13 +17,16 @@
     loop {
         pulse.tick().await;
         let sight = stand.sight();
-        let listed: HashMap<(EngineName, String), ()> = sight
+        let mut listed: HashMap<(EngineName, String), ()> = sight
             .state
             .listing
             .engines
             .iter()
             .map(|(engine, listed)| ((engine.clone(), listed.address.clone()), ()))
             .collect();
+        if let Some(store) = &sight.state.desired.store {
+            listed.insert((EngineName::from(STORE_SOURCE), store.clone()), ());
+        }
         followers.retain(|naming, follower| {
             let stays = listed.contains_key(naming);
             if !stays {
@@ -63,7 +66,7 @@
     last_count: &mut Instant,
 ) -> Result<(), String> {
     let asked = boot_now();
-    if asked.since(*last_count) >= COUNT_EVERY {
+    if asked.since(*last_count) >= COUNT_EVERY && engine.as_str() != STORE_SOURCE {
         let (_, _, body) = stream.ask_again(Question::get("/metrics"), POLL_LIMIT, 1 << 20).await?;
         if let Some(running) = read_running(&String::from_utf8_lossy(&body)) {
             table.tell(TableCommand::Count { engine: engine.clone(), running, asked });
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -9,6 +9,8 @@
 mod pieces;
 mod plan;
 mod prelude;
+mod recorder;
+mod runs;
 mod stand;
 mod table;
 
@@ -22,6 +24,8 @@
         setting("agent", Kind::Address, None, "this machine's agent, on loopback"),
         setting("zone", Kind::Text, Some("a"), "the zone this machine stands in"),
         setting("drain_s", Kind::Whole(0, 600), Some("12"), "seconds that running streams get when stopping"),
+        setting("record", Kind::Path, None, "folder for recordings of the day; none if left out"),
+        setting("record_mb", Kind::Whole(1, 4096), Some("64"), "size of a recording file; four are kept"),
         setting("threads", Kind::Whole(1, 64), Some("2"), "threads for HTTP"),
         LOG_LEVEL,
     ],
@@ -40,11 +44,31 @@
     let address = listener.local_addr().map_err(|fault| miette!("listen: {fault}"))?;
     let router = NodeId::random();
     let stand = Arc::new(Stand::default());
-    let table = start_table(router, Arc::clone(&stand));
-    keep_feed(agent_address, router, Arc::clone(&stand), table.clone());
+    let table = start_table(router, Zone(settings.text("zone")?.to_owned()), Arc::clone(&stand));
+    let core_line = Arc::new(CoreLine::default());
+    keep_feed(FeedPlan {
+        agent_address,
+        router,
+        own_address: address.to_string(),
+        stand: Arc::clone(&stand),
+        table: table.clone(),
+        core_line: Arc::clone(&core_line),
+    });
+    let recorder = match settings.maybe("record") {
+        Some(folder) => Recorder::start(folder, router, settings.whole("record_mb")? << 20)?,
+        None => Recorder::default(),
+    };
     let runtime = small_runtime(settings.whole("threads")? as usize).map_err(|fault| miette!("{fault}"))?;
     runtime.spawn(keep_followers(Arc::clone(&stand), table.clone()));
-    let entry = Arc::new(Entry { router, stand: Arc::clone(&stand), table, next_run: AtomicU64::new(1) });
+    let entry = Arc::new(Entry {
+        router,
+        stand: Arc::clone(&stand),
+        table,
+        next_run: AtomicU64::new(1),
+        book: Arc::default(),
+        core_line,
+        recorder,
+    });
     runtime.spawn(serve(listener, entry));
     let stop = Arc::new(tokio::sync::Notify::new());
     let stop_notice = Arc::clone(&stop);
--- a/crates/router/src/plan.rs
+++ b/crates/router/src/plan.rs
@@ -6,6 +6,11 @@
 #[derive(Clone, Debug)]
 pub struct Plan {
     pub run: String,
+    pub run_number: u64,
+    /// The hash of tenant and idempotency key, for a request that may not be repeated.
+    pub claim: Option<BlockHash>,
+    /// The caller may come back for the rest of a broken stream.
+    pub resumes: bool,
     pub tenant: TenantName,
     pub key_hash: String,
     pub kind: String,
@@ -14,6 +19,7 @@
     pub max_tokens: u64,
     pub streams: bool,
     pub repeatable: bool,
+    pub began: Instant,
     pub limit: Instant,
     pub share: u64,
     pub form: Form,
@@ -65,7 +71,7 @@
         form: Form,
         headers: &HeaderFields,
         sight: &FleetSight,
-        run: String,
+        run: (String, u64),
         now: Instant,
     ) -> Result<Plan, Refusal> {
         let bad = |reason: String| Refusal::new(StatusCode::BAD_REQUEST, "bad_request", reason);
@@ -98,9 +104,18 @@
         if !kind.is_empty() && !sight.state.desired.kinds.contains(&kind) {
             return Err(bad("kind: not one of the desired state's".into()));
         }
+        let repeatable = headers.repeatable.unwrap_or(request.repeatable);
+        let claim = headers
+            .idempotency_key
+            .as_ref()
+            .filter(|_| !repeatable)
+            .map(|key| BlockHash::over(&[b"claim", tenant.as_str().as_bytes(), key.as_bytes()]));
         let share = sight.state.desired.tenants.get(&tenant).map_or(0, |wish| wish.share);
         Ok(Plan {
-            run,
+            run: run.0,
+            run_number: run.1,
+            claim,
+            resumes: headers.resumes,
             tenant,
             key_hash,
             kind,
@@ -108,7 +123,8 @@
             prompt_text: Arc::new(prompt_text),
             max_tokens,
             streams: request.stream,
-            repeatable: headers.repeatable.unwrap_or(request.repeatable),
+            repeatable,
+            began: now,
             limit: now + Span::millis(limit_ms),
             share,
             form,
@@ -147,6 +163,8 @@
     pub kind: Option<String>,
     pub limit_ms: Option<u64>,
     pub repeatable: Option<bool>,
+    pub idempotency_key: Option<String>,
+    pub resumes: bool,
 }
 
 impl HeaderFields {
@@ -162,7 +180,13 @@
             Some("false") => Some(false),
             Some(_) => return Err(bad("x-haremount-repeatable: true or false")),
         };
+        let idempotency_key = asked.header("idempotency-key").map(str::to_owned);
+        if idempotency_key.as_ref().is_some_and(|key| key.is_empty() || key.len() > 256) {
+            return Err(bad("idempotency-key: 1 to 256 characters"));
+        }
         Ok(HeaderFields {
+            idempotency_key,
+            resumes: asked.header("x-haremount-resume") == Some("true"),
             key_hash: asked.bearer().map(sha256_hex),
             kind: asked.header("x-haremount-kind").map(str::to_owned),
             limit_ms,
--- a/crates/router/src/prelude.rs
+++ b/crates/router/src/prelude.rs
@@ -6,17 +6,20 @@
 pub(crate) use crate::followers::*;
 pub(crate) use crate::pieces::*;
 pub(crate) use crate::plan::*;
+pub(crate) use crate::recorder::*;
+pub(crate) use crate::runs::*;
 pub(crate) use crate::stand::*;
 pub(crate) use crate::table::*;
 pub(crate) use admission::prelude::{RetryBudget, Shares};
 pub(crate) use blocks::prelude::{BLOCK_TOKENS, Salt, blocks_of, cut};
 pub(crate) use contract::prelude::*;
-pub(crate) use desired::prelude::FleetState;
+pub(crate) use desired::prelude::{Command, FleetState, Settled, Submission};
 pub(crate) use links::prelude::{Hello, Link, LinkEvent, Purpose, dial_and_hold};
 pub(crate) use placement::prelude::*;
+pub(crate) use recording::prelude::{DayWriter, RecordedPick, RecordedRun, RecordedScore};
 pub(crate) use rings::prelude::*;
 pub(crate) use serde_json::{Value, json};
-pub(crate) use std::collections::HashMap;
+pub(crate) use std::collections::{BTreeMap, HashMap};
 pub(crate) use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 pub(crate) use std::sync::{Arc, Mutex, RwLock};
 pub(crate) use std::time::Duration;
@@ -25,7 +28,7 @@
 pub(crate) use units::prelude::*;
 pub(crate) use web::prelude::{
     AnswerFuture, Answered, AnsweredExt, Asked, BodyFault, Bytes, Method, OpenStream, PieceSender, Question, Replied,
-    SendFault, Site, StatusCode, answer_bytes, answer_json, answer_pieces, bind, no_such_page, open_stream,
-    read_whole, refuse, serve, small_runtime,
+    SendFault, Site, StatusCode, answer_bytes, answer_json, answer_pieces, ask_whole, bind, no_such_page,
+    open_stream, read_whole, refuse, serve, small_runtime,
 };
 pub(crate) use wire::prelude::{RouterDown, RouterUp};
--- a/crates/router/src/stand.rs
+++ b/crates/router/src/stand.rs
@@ -9,6 +9,21 @@
     lease_until: AtomicU64,
     pub draining: AtomicBool,
     pub counts: Counts,
+    doors: RwLock<HashMap<NodeId, String>>,
+    policies: Mutex<BTreeMap<String, PolicyFigures>>,
+}
+
+/// What live traffic showed of one policy on this router.
+#[derive(Clone, Debug, Default)]
+pub struct PolicyFigures {
+    pub requests: u64,
+    pub first_ms_sum: u64,
+    pub faults: u64,
+    pub prompt_blocks: u64,
+    pub reused_blocks: u64,
+    /// Picks in which the default policy would have chosen another engine.
+    pub differs: u64,
+    pub engines: BTreeMap<EngineName, u64>,
 }
 
 /// Counters for `/metrics`.
@@ -26,6 +41,7 @@
     pub refused: AtomicU64,
     pub prompt_blocks: AtomicU64,
     pub reused_blocks: AtomicU64,
+    pub fetch_blocks: AtomicU64,
     pub history_picks: AtomicU64,
 }
 
@@ -44,6 +60,44 @@
         *self.sight.write().expect("no holder of this lock panics") = Arc::new(sight);
     }
 
+    pub fn note_policy(&self, policy: &str, note: impl FnOnce(&mut PolicyFigures)) {
+        let mut policies = self.policies.lock().expect("no holder of this lock panics");
+        note(policies.entry(policy.to_owned()).or_default());
+    }
+
+    pub fn policy_metrics(&self) -> String {
+        let policies = self.policies.lock().expect("no holder of this lock panics");
+        let mut text = String::new();
+        for (policy, figures) in policies.iter() {
+            let rows = [
+                ("requests_total", figures.requests),
+                ("first_ms_sum", figures.first_ms_sum),
+                ("faults_total", figures.faults),
+                ("prompt_blocks_total", figures.prompt_blocks),
+                ("reused_blocks_total", figures.reused_blocks),
+                ("differs_total", figures.differs),
+            ];
+            for (name, value) in rows {
+                text.push_str(&format!("haremount_policy_{name}{{policy=\"{policy}\"}} {value}\n"));
+            }
+            for (engine, count) in &figures.engines {
+                text.push_str(&format!(
+                    "haremount_policy_engine_total{{policy=\"{policy}\",engine=\"{engine}\"}} {count}\n"
+                ));
+            }
+        }
+        text
+    }
+
+    pub fn know_doors(&self, doors: Vec<(NodeId, String)>) {
+        *self.doors.write().expect("no holder of this lock panics") = doors.into_iter().collect();
+    }
+
+    /// Where another router is reached, if it holds a lease as far as we were told.
+    pub fn door_of(&self, router: NodeId) -> Option<String> {
+        self.doors.read().expect("no holder of this lock panics").get(&router).cloned()
+    }
+
     pub fn extend_lease(&self, until: Instant) {
         self.lease_until.fetch_max(until.0, Ordering::SeqCst);
     }
--- a/crates/router/src/table.rs
+++ b/crates/router/src/table.rs
@@ -125,11 +125,15 @@
     }
 }
 
-pub fn start_table(router: NodeId, stand: Arc<Stand>) -> TableAsker {
+pub fn start_table(router: NodeId, zone: Zone, stand: Arc<Stand>) -> TableAsker {
     let (queue, commands) = ring::<TableCommand>(8192);
     duty("table", move || {
-        let mut table =
-            Table { picker: Picker::new(router), shares: Shares::default(), budget: RetryBudget::default(), stand };
+        let mut table = Table {
+            picker: Picker::new(router, zone),
+            shares: Shares::default(),
+            budget: RetryBudget::default(),
+            stand,
+        };
         while let Ok(command) = commands.recv() {
             table.take(command);
         }
--- a/crates/simulator/src/prelude.rs
+++ b/crates/simulator/src/prelude.rs
@@ -9,7 +9,7 @@
 pub(crate) use conductor::prelude::{Act, Conductor, Observed};
 pub(crate) use contract::prelude::{EngineLine, StartLine};
 pub(crate) use courier::prelude::{Courier, CourierEffect, CourierInput, RouterDown, RouterUp};
-pub(crate) use desired::prelude::{Listed, ListedEngine};
+pub(crate) use desired::prelude::{Intent, Listed, ListedEngine};
 pub(crate) use placement::prelude::FleetSight;
 pub(crate) use std::cmp::Reverse;
 pub(crate) use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -76,6 +76,8 @@
         keeper: usize,
         engine: EngineName,
     },
+    /// An intent was stated; its plan is confirmed next, through any keeper.
+    Intended,
     Plain,
 }
 
@@ -560,6 +562,7 @@
         let local_now = node.clock.read(now);
         let Some(router) = node.router.as_mut().filter(|router| router.id == router_id) else { return };
         let (state, age) = match message {
+            RouterDown::Settled { .. } | RouterDown::Doors(_) => return,
             RouterDown::Lease { until } => {
                 router.lease_until = router.lease_until.max(until);
                 return;
@@ -795,10 +798,25 @@
                     }
                 }
                 Act::Open { .. } => {}
+                Act::DoStep { plan, step } => self.step_plan(number, plan, Command::DoStep { term, plan, step }),
+                Act::EndPlan { plan, halted } => {
+                    self.step_plan(number, plan, Command::EndPlan { term, plan, halted });
+                }
             }
         }
     }
 
+    fn step_plan(&mut self, number: usize, plan: Edition, command: Command) {
+        let naming = EngineName(format!("plan {plan}"));
+        if self.keepers[number].submitted.contains_key(&naming) {
+            return;
+        }
+        self.keepers[number].submitted.insert(naming.clone(), self.now + Span::seconds(5));
+        let request = RequestId(self.draw.number());
+        let means = Meaning::Stands { keeper: number, engine: naming };
+        self.ask(number, Submission { request, command }, Some(means));
+    }
+
     fn ask(&mut self, keeper: usize, submission: Submission, means: Option<Meaning>) {
         self.next_ticket += 1;
         let ticket = self.next_ticket;
@@ -825,6 +843,12 @@
             Meaning::KeyWithdrawn(key) => self.record.world.push(WorldLine::KeyWithdrawn { at, key }),
             Meaning::KeyAdded { key, tenant, number } => self.live_keys.push((key, tenant, number)),
             Meaning::Weights(weights) => self.record.world.push(WorldLine::WeightsAcked { at, weights }),
+            Meaning::Intended => {
+                let keeper = self.draw.below(KEEPERS as u64) as usize;
+                let request = RequestId(self.draw.number());
+                let command = Command::Confirm { plan: edition };
+                self.ask(keeper, Submission { request, command }, Some(Meaning::Plain));
+            }
             Meaning::Plain | Meaning::Stands { .. } => {}
         }
     }
@@ -856,11 +880,30 @@
                 (patch, Meaning::Plain)
             }
         };
+        if self.draw.chance(10) {
+            self.intend(keeper);
+            return;
+        }
         self.note(format!("operator via k{keeper}: {patch}"));
         let request = RequestId(self.draw.number());
         self.ask(keeper, Submission { request, command: Command::Merge { base: None, patch } }, Some(means));
     }
 
+    /// An operator states an intent; the conductor carries the plan out.
+    fn intend(&mut self, keeper: usize) {
+        let intent = match self.draw.below(3) {
+            0 => Intent::Wall { tenant: "a".into() },
+            1 => Intent::Unwall { tenant: "a".into() },
+            _ => {
+                self.wanted_weights += 1;
+                Intent::MoveWeights { model: MODEL.into(), weights: WeightsEdition(self.wanted_weights) }
+            }
+        };
+        self.note(format!("operator via k{keeper} intends {intent:?}"));
+        let request = RequestId(self.draw.number());
+        self.ask(keeper, Submission { request, command: Command::Intend(intent) }, Some(Meaning::Intended));
+    }
+
     fn change_listing(&mut self) {
         let number = self.draw.below(ENGINES as u64) as usize;
         let at = self.millis();
--- /dev/null
+++ b/crates/store/src/main.rs
@@ -0,0 +1,87 @@
+//! Stand-in for the prompt store: keeps blocks by name for any engine, tells of them by the same
+//! numbered events, and starts empty each time.
+
+use engine::prelude::*;
+
+static TRADE: Trade = Trade {
+    program: "store",
+    about: "Stand-in for the prompt store.",
+    settings: &[
+        setting("listen", Kind::Address, Some("127.0.0.1:0"), "where blocks are put and asked for"),
+        setting("blocks", Kind::Whole(16, 1 << 24), Some("65536"), "how many blocks it keeps"),
+        LOG_LEVEL,
+    ],
+};
+
+struct StoreSite {
+    memory: Mutex<Memory>,
+    news: tokio::sync::watch::Sender<u64>,
+}
+
+impl Site for StoreSite {
+    fn answer(self: Arc<Self>, asked: Asked) -> AnswerFuture {
+        Box::pin(self.route(asked))
+    }
+}
+
+impl StoreSite {
+    fn memory(&self) -> std::sync::MutexGuard<'_, Memory> {
+        self.memory.lock().expect("no holder of this lock panics")
+    }
+
+    async fn route(self: Arc<Self>, mut asked: Asked) -> Answered {
+        let (method, segments) = asked.way();
+        match (method.as_str(), segments.as_slice()) {
+            ("GET", ["v1", "kept", "events"]) => {
+                let number = asked.query_value("from").and_then(|text| text.parse().ok()).unwrap_or(1);
+                let wait_ms = asked.query_value("wait_ms").and_then(|text| text.parse().ok()).unwrap_or(0);
+                drop(asked);
+                tell_events(&self.memory, &self.news, || false, number, wait_ms).await
+            }
+            ("GET", ["v1", "kept", "snapshot"]) => {
+                let snapshot = self.memory().snapshot();
+                answer_json(StatusCode::OK, &json!(snapshot))
+            }
+            ("GET", ["live"]) => answer_bytes(StatusCode::OK, "text/plain", "live\n"),
+            ("GET", ["metrics"]) => {
+                let text = format!("haremount_store_kept_share {:.4}\n", self.memory().kept_share());
+                answer_bytes(StatusCode::OK, "text/plain; version=0.0.4", text)
+            }
+            ("POST", ["v1", "blocks"]) => {
+                let Some(names) = read_names(&mut asked).await else { return bad_names() };
+                self.memory().keep(&names);
+                self.news.send_modify(|count| *count += 1);
+                answer_json(StatusCode::OK, &json!(Found { found: names.len() as u64 }))
+            }
+            ("POST", ["v1", "kept", "blocks"]) => {
+                let Some(names) = read_names(&mut asked).await else { return bad_names() };
+                let found = self.memory().overlap(&names) as u64;
+                answer_json(StatusCode::OK, &json!(Found { found }))
+            }
+            _ => no_such_page(),
+        }
+    }
+}
+
+fn main() -> std::process::ExitCode {
+    run_trade(&TRADE, |settings| {
+        let _logs = start_logs(TRADE.program, settings.text("log_level")?)?;
+        let listener = bind(settings.address("listen")?).map_err(|fault| miette!("listen: {fault}"))?;
+        let address = listener.local_addr().map_err(|fault| miette!("listen: {fault}"))?;
+        let memory = Memory::new(Incarnation::random().to_string(), settings.whole("blocks")? as usize);
+        let site = Arc::new(StoreSite { memory: Mutex::new(memory), news: tokio::sync::watch::channel(0).0 });
+        let runtime = small_runtime(1).map_err(|fault| miette!("{fault}"))?;
+        let stop = Arc::new(tokio::sync::Notify::new());
+        let stop_notice = Arc::clone(&stop);
+        on_signals(move |signal| {
+            if signal == Signal::Stop {
+                stop_notice.notify_one();
+            }
+        })?;
+        say_ready(&[("address", address.to_string())]);
+        let serving = runtime.spawn(serve(listener, site));
+        runtime.block_on(stop.notified());
+        serving.abort();
+        Ok(())
+    })
+}
--- a/crates/trade/src/signals.rs
+++ b/crates/trade/src/signals.rs
@@ -22,6 +22,13 @@
     spawned.map(drop).map_err(|fault| miette!("no thread for signals: {fault}"))
 }
 
+/// Lets a write beyond a file-size limit fail as an error instead of ending the process.
+pub fn outlive_file_limits() -> Result<(), Report> {
+    signal_hook::flag::register(signal_hook::consts::SIGXFSZ, std::sync::Arc::default())
+        .map(drop)
+        .map_err(|fault| miette!("signals cannot be taken: {fault}"))
+}
+
 /// A daemon's signals: stop, and reload under the same flags. Settings that are faulty are refused
 /// whole, and those in force stay.
 pub fn tend_signals(
--- a/crates/units/src/numbers.rs
+++ b/crates/units/src/numbers.rs
@@ -75,6 +75,9 @@
     pub const fn millis(count: u64) -> Span {
         Span(count * 1_000_000)
     }
+    pub const fn micros(count: u64) -> Span {
+        Span(count * 1000)
+    }
     pub const fn seconds(count: u64) -> Span {
         Span::millis(count * 1000)
     }
--- a/crates/warden/src/asks.rs
+++ b/crates/warden/src/asks.rs
@@ -66,10 +66,11 @@
             Question::Submit(_) => return,
             Question::Settled(request) => {
                 let Some(tail) = self.tail.as_mut() else { return };
-                let is_known = tail.asked.iter_mut().find(|asked| asked.from == from && asked.ticket == ticket);
+                let is_known =
+                    tail.asked.iter_mut().find(|asked| asked.from == AskedBy::Keeper(from) && asked.ticket == ticket);
                 match is_known {
                     Some(asked) => asked.since = now,
-                    None => tail.asked.push(Asked { from, ticket, request, since: now }),
+                    None => tail.asked.push(Asked { from: AskedBy::Keeper(from), ticket, request, since: now }),
                 }
                 return;
             }
--- a/crates/warden/src/messages.rs
+++ b/crates/warden/src/messages.rs
@@ -76,11 +76,27 @@
     pub lease_left: Span,
 }
 
+/// A router and its address.
+pub type RouterDoor = (NodeId, String);
+
 /// From a node's agent to a keeper.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum NodeUp {
-    Renew { sent: Instant, applied: Option<Edition>, life: u64 },
-    Applied { edition: Edition },
+    /// `door` names the router behind the agent, and where callers reach it.
+    Renew {
+        sent: Instant,
+        applied: Option<Edition>,
+        life: u64,
+        door: Option<RouterDoor>,
+    },
+    /// A claim, or the giving back of one; answered once it is committed.
+    Submit {
+        ticket: u64,
+        submission: Submission,
+    },
+    Applied {
+        edition: Edition,
+    },
 }
 
 /// From a keeper to a node's agent.
@@ -98,6 +114,12 @@
     /// Not renewed: the node lags behind.
     Behind,
     Snapshot(Box<FleetState>),
+    Settled {
+        ticket: u64,
+        outcome: Settled,
+    },
+    /// The routers that hold leases now.
+    Doors(Vec<RouterDoor>),
     /// The next change, and how long ago it was committed, if that is known.
     Push {
         number: Edition,
--- a/crates/warden/src/tailing.rs
+++ b/crates/warden/src/tailing.rs
@@ -17,6 +17,8 @@
     pub(crate) fresh: VecDeque<(Edition, Instant)>,
     pub(crate) due: Edition,
     pub(crate) asked: Vec<Asked>,
+    pub(crate) doors: BTreeMap<NodeId, RouterDoor>,
+    pub(crate) told_doors: Vec<RouterDoor>,
 }
 
 /// A linked node: the life of the router behind it, and the edition it was pushed last.
@@ -26,9 +28,16 @@
     pub(crate) pushed: Option<Edition>,
 }
 
+/// Who waits for a settlement: a keeper's door, until it is in force, or a node, until it is committed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AskedBy {
+    Keeper(NodeId),
+    Node(NodeId),
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Asked {
-    pub(crate) from: NodeId,
+    pub(crate) from: AskedBy,
     pub(crate) ticket: u64,
     pub(crate) request: RequestId,
     pub(crate) since: Instant,
@@ -72,6 +81,8 @@
             fresh: VecDeque::new(),
             due: Edition(0),
             asked: Vec::new(),
+            doors: BTreeMap::new(),
+            told_doors: Vec::new(),
         }
     }
 }
@@ -182,6 +193,7 @@
             self.note("tail_begins", format!("view={} edition={last_edition}", self.view.number));
         }
         self.push_news(now, read_until);
+        self.tell_doors(read_until);
         self.settle_asked(now, read_until);
         self.appoint(now);
     }
@@ -250,6 +262,36 @@
         self.plan.extend(told_effects);
     }
 
+    /// Tells every linked node which routers serve, whenever that changes.
+    fn tell_doors(&mut self, read_until: Instant) {
+        let Some(tail) = self.tail.as_mut() else { return };
+        let leased: Vec<NodeId> = tail.leases.nodes().map(|(node, _)| *node).collect();
+        tail.doors.retain(|node, _| leased.contains(node));
+        let doors: Vec<RouterDoor> = tail.doors.values().cloned().collect();
+        if doors == tail.told_doors {
+            return;
+        }
+        tail.told_doors = doors.clone();
+        for node in tail.pushed.keys() {
+            let message = NodeDown::Doors(doors.clone());
+            self.plan.push(Effect::Tell { node: *node, message, until: Some(read_until) });
+        }
+    }
+
+    /// Claims and their giving back go from nodes to the head; the node is told once that is committed.
+    fn hear_claim(&mut self, node: NodeId, ticket: u64, submission: Submission, now: Instant) {
+        if !matches!(submission.command, Command::Claim { .. } | Command::Release { .. }) {
+            return;
+        }
+        let request = submission.request;
+        if let Some(tail) = self.tail.as_mut() {
+            tail.asked.push(Asked { from: AskedBy::Node(node), ticket, request, since: now });
+        }
+        if let Some(head) = self.view.head() {
+            self.send(head, CoreMessage::Submit(submission));
+        }
+    }
+
     pub(crate) fn hear_node(&mut self, node: NodeId, message: NodeUp, now: Instant) {
         if !self.tail_is_active(now) {
             let message = NodeDown::Whereabouts(self.view.clone());
@@ -262,20 +304,34 @@
         let applied_edition = match &message {
             NodeUp::Renew { applied, .. } => applied.unwrap_or_default(),
             NodeUp::Applied { edition } => *edition,
+            NodeUp::Submit { .. } => Edition(0),
         };
+        if let NodeUp::Submit { ticket, submission } = message {
+            self.hear_claim(node, ticket, submission, now);
+            return;
+        }
         let listing_is_fresh = !self.wishes.has_census || self.listing_is_fresh(applied_edition, now);
         let Some(tail) = self.tail.as_mut() else { return };
         match message {
             NodeUp::Applied { edition } => {
                 tail.leases.note_applied(node, edition.min(last_edition));
             }
-            NodeUp::Renew { sent, applied, life } => {
+            NodeUp::Submit { .. } => {}
+            NodeUp::Renew { sent, applied, life, door } => {
                 let known_edition = applied.filter(|edition| *edition <= last_edition);
                 let fresh_place = PushPlace { life, pushed: known_edition };
+                let is_new = !tail.pushed.contains_key(&node);
                 let place = tail.pushed.entry(node).or_insert(fresh_place);
                 if place.life != life || place.pushed < known_edition || known_edition.is_none() {
                     *place = fresh_place;
                 }
+                if is_new {
+                    tail.told_doors.clear();
+                }
+                match door {
+                    Some(door) => tail.doors.insert(node, door),
+                    None => tail.doors.remove(&node),
+                };
                 let due = tail.due;
                 let is_level = |leases: &mut NodeLeases| {
                     known_edition.is_some_and(|edition| leases.renew(node, edition, due, now))
@@ -307,16 +363,26 @@
                 return now.since(asked.since) < Span::seconds(2);
             };
             let may_answer = match &outcome {
+                _ if matches!(asked.from, AskedBy::Node(_)) => true,
                 Settled::Taken(edition) => is_settled && *edition <= in_force,
                 _ => true,
             };
             if may_answer {
-                answered.push((asked.from, asked.ticket, Answer::Settled(outcome)));
+                answered.push((asked.from, asked.ticket, outcome));
             }
             !may_answer && now.since(asked.since) < Span::seconds(2)
         });
-        for (to, ticket, answer) in answered {
-            self.send_until(to, CoreMessage::Answer { ticket, answer }, Some(read_until));
+        for (from, ticket, outcome) in answered {
+            match from {
+                AskedBy::Keeper(to) => {
+                    let answer = Answer::Settled(outcome);
+                    self.send_until(to, CoreMessage::Answer { ticket, answer }, Some(read_until));
+                }
+                AskedBy::Node(node) => {
+                    let message = NodeDown::Settled { ticket, outcome };
+                    self.plan.push(Effect::Tell { node, message, until: Some(read_until) });
+                }
+            }
         }
         if !self.inbox.is_empty() {
             self.take_own_answers();
--- a/crates/yard/src/fleet.rs
+++ b/crates/yard/src/fleet.rs
@@ -3,6 +3,8 @@
 use crate::prelude::*;
 
 pub const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+const QUICK_LINK_US: u64 = 100;
+const SLOW_LINK_US: u64 = 900;
 const ASK_LIMIT: Span = Span::seconds(12);
 
 #[derive(Clone, Debug)]
@@ -16,6 +18,8 @@
     pub sight: String,
     pub weight: f64,
     pub log_level: String,
+    /// Routers record the day under the fleet's folder.
+    pub records: bool,
 }
 
 impl FleetPlan {
@@ -30,6 +34,7 @@
             sight: "events".into(),
             weight: 1.0,
             log_level: "info".into(),
+            records: false,
         }
     }
 
@@ -44,6 +49,7 @@
             sight: "events".into(),
             weight: 1.0,
             log_level: "info".into(),
+            records: false,
         }
     }
 }
@@ -75,6 +81,8 @@
     pub plan: FleetPlan,
     pub folder: PathBuf,
     pub platform: Process,
+    pub store: Option<Process>,
+    pub store_address: String,
     pub keepers: Vec<Keeper>,
     pub nodes: Vec<Node>,
     pub engines: Vec<Engine>,
@@ -101,6 +109,8 @@
         std::fs::create_dir_all(&folder).map_err(|fault| format!("{}: {fault}", folder.display()))?;
         let runtime = small_runtime(2).map_err(|fault| fault.to_string())?;
         let platform = Process::start("platform", "platform", &[], &folder)?;
+        let store = Process::start("store", "store", &[], &folder)?;
+        let store_address = store.address();
         let operator_key = format!("operator-{}", NodeId::random());
         std::fs::write(folder.join("operator.key"), &operator_key).map_err(|fault| fault.to_string())?;
         let tenants = (0..8).map(|number| (format!("tenant{number}"), format!("key-{number}-{}", NodeId::random())));
@@ -108,6 +118,8 @@
             plan: plan.clone(),
             folder,
             platform,
+            store: Some(store),
+            store_address,
             keepers: Vec::new(),
             nodes: Vec::new(),
             engines: Vec::new(),
@@ -210,6 +222,8 @@
             format!("--listen={}", engine.address),
             format!("--name={}", engine.name),
             format!("--weights={weights}"),
+            format!("--store={}", self.store_address),
+            format!("--link-us={}", if self.plan.office == "sms" { SLOW_LINK_US } else { QUICK_LINK_US }),
             format!("--starts={}", self.folder.join(format!("{}.starts", engine.name)).display()),
             "--log-level=warn".into(),
         ];
@@ -274,6 +288,10 @@
             format!("--zone={}", ZONES[number % 4]),
             format!("--log-level={}", self.plan.log_level),
         ];
+        let mut arguments = arguments;
+        if self.plan.records {
+            arguments.push(format!("--record={}", self.folder.join("days").display()));
+        }
         let process = Process::start("router", &format!("router{number}"), &arguments, &self.folder)?;
         self.nodes[number].router_address = process.address();
         self.nodes[number].router = Some(process);
@@ -402,11 +420,21 @@
         json!({
             "models": {"model": {"weights": 1}}, "tenants": tenants, "kinds": kinds,
             "policies": {"default": {"weight": self.plan.weight}},
-            "routing": {"sight": self.plan.sight},
+            "routing": {"sight": self.plan.sight, "fetch": self.fetch_wish()}, "store": self.store_address,
             "operators": {"founder": sha256_hex(&self.operator_key)},
         })
     }
 
+    /// What the desired state says of links: those between Namibian engines are clearly slower.
+    fn fetch_wish(&self) -> Value {
+        match self.plan.office.as_str() {
+            "sms" => json!({"same_zone_block_us": SLOW_LINK_US, "other_zone_block_us": SLOW_LINK_US,
+                            "store_block_us": SLOW_LINK_US}),
+            _ => json!({"same_zone_block_us": QUICK_LINK_US, "other_zone_block_us": QUICK_LINK_US,
+                        "store_block_us": QUICK_LINK_US}),
+        }
+    }
+
     // Waiting.
 
     pub fn fleet_page(&self) -> Result<Value, String> {
@@ -535,6 +563,7 @@
         self.nodes.clear();
         self.engines.clear();
         self.keepers.clear();
+        self.store = None;
         self.platform.kill();
         if !self.keeps_folder && !std::thread::panicking() {
             let _ = std::fs::remove_dir_all(&self.folder);
--- a/crates/yard/src/process.rs
+++ b/crates/yard/src/process.rs
@@ -91,6 +91,17 @@
         }
     }
 
+    /// From now on no file of this process may grow or be written beyond so many bytes, as on a disk
+    /// that is full.
+    #[allow(unsafe_code)]
+    pub fn limit_file_size(&self, bytes: u64) {
+        let limit = libc::rlimit { rlim_cur: bytes, rlim_max: bytes };
+        // SAFETY: the new limit is read from a live value and the old one is not asked for.
+        unsafe {
+            libc::prlimit(self.child.id() as i32, libc::RLIMIT_FSIZE, &limit, std::ptr::null_mut());
+        }
+    }
+
     pub fn freeze(&self) {
         self.signal(libc::SIGSTOP);
     }
--- a/crates/yard/tests/settings.rs
+++ b/crates/yard/tests/settings.rs
@@ -17,7 +17,19 @@
 
 #[test]
 fn every_program_has_help_version_and_refuses_nonsense() {
-    for program in ["router", "agent", "keeper", "console", "engine", "platform", "caller", "yard", "simulator"] {
+    for program in [
+        "router",
+        "agent",
+        "keeper",
+        "console",
+        "engine",
+        "platform",
+        "store",
+        "caller",
+        "replay",
+        "yard",
+        "simulator",
+    ] {
         let (code, help, _) = run(program, &["--help"], None);
         assert_eq!(code, Some(0), "{program}");
         assert!(help.contains("Exit codes"), "{program}: {help}");
