--- a/crates/placement/src/picker.rs
+++ b/crates/placement/src/picker.rs
@@ -547,4 +547,61 @@
         picker.begin_shot(&"near".into(), BlockCount(1));
         assert_eq!(picker.pick(&sight, &asked_prompt, NOW).unwrap().chosen.engine, "far".into());
     }
+
+    /// Whatever a policy says, the pick is an engine that passes, or nobody.
+    #[test]
+    fn no_policy_gets_past_closed_drained_leaving_or_foreign_engines() {
+        let judged = std::cell::Cell::new(0);
+        for seed in 0..400u64 {
+            arbtest::arbtest(|source| {
+                let weight = *source.choose(&["0", "1e-300", "1", "1000000", "0.5"])?;
+                let mut rules = Vec::new();
+                for _ in 0..source.int_in_range(0..=12)? {
+                    let band = *source.choose(&["calm", "steady", "busy"])?;
+                    let tenant = *source.choose(&["", r#""tenant":"t","#])?;
+                    let rule_weight = *source.choose(&["0", "1000000", "3"])?;
+                    rules.push(format!(r#"{{{tenant}"band":"{band}","weight":{rule_weight}}}"#));
+                }
+                let document = format!(
+                    r#"{{"models":{{"m":{{"weights":1}}}},"tenants":{{"t":{{}}}},"kinds":["k"],"trials":{{"t":"hostile"}},
+                    "policies":{{"hostile":{{"weight":{weight},"rules":[{}]}}}}}}"#,
+                    rules.join(",")
+                );
+                let sight = fleet(&["e0", "e1", "e2", "e3", "e4", "e5"], &document);
+                let mut state = (*sight.state).clone();
+                let mut passing = Vec::new();
+                for number in 0..6 {
+                    let engine = EngineName(format!("e{number}"));
+                    match source.int_in_range(0..=5)? {
+                        0 => state.standings.get_mut(&engine).unwrap().closed = true,
+                        1 => state.listing.engines.get_mut(&engine).unwrap().listed = Listed::Leaving,
+                        2 => {
+                            state.drained.insert(engine.clone());
+                        }
+                        3 => state.standings.get_mut(&engine).unwrap().confirmed = Some((WeightsEdition(7), "x".into())),
+                        _ => passing.push(engine.clone()),
+                    }
+                }
+                let sight = sight.following(state, None, NOW);
+                let mut picker = Picker::new(NodeId(1), "a".into());
+                for number in 0..6 {
+                    let busy_blocks = source.int_in_range(0..=2000)?;
+                    picker.begin_shot(&EngineName(format!("e{number}")), BlockCount(busy_blocks));
+                }
+                match picker.pick(&sight, &prompt(&"h".repeat(640)), NOW) {
+                    Some(placement) => {
+                        assert!(passing.contains(&placement.chosen.engine));
+                        assert_eq!(placement.policy, "hostile");
+                        assert!(placement.candidates.iter().all(|score| score.cost.is_finite()));
+                    }
+                    None => assert!(passing.is_empty()),
+                }
+                judged.set(judged.get() + 1);
+                Ok(())
+            })
+            .seed(seed << 32 | 200)
+            .run();
+        }
+        assert!(judged.get() >= 300, "only {} policies were judged", judged.get());
+    }
 }
--- a/crates/platform/src/main.rs
+++ b/crates/platform/src/main.rs
@@ -65,23 +65,7 @@
 
 fn main() -> std::process::ExitCode {
     run_trade(&TRADE, |settings| {
-        let _logs = start_logs(TRADE.program, settings.text("log_level")?)?;
-        let listener = bind(settings.address("listen")?).map_err(|fault| miette!("listen: {fault}"))?;
-        let address = listener.local_addr().map_err(|fault| miette!("listen: {fault}"))?;
         let listing = PlatformListing { boot: Incarnation::random().to_string(), number: 1, engines: Vec::new() };
-        let site = Arc::new(PlatformSite { listing: Mutex::new(listing) });
-        let runtime = small_runtime(1).map_err(|fault| miette!("{fault}"))?;
-        let stop = Arc::new(tokio::sync::Notify::new());
-        let stop_notice = Arc::clone(&stop);
-        on_signals(move |signal| {
-            if signal == Signal::Stop {
-                stop_notice.notify_one();
-            }
-        })?;
-        say_ready(&[("address", address.to_string())]);
-        let serving = runtime.spawn(serve(listener, site));
-        runtime.block_on(stop.notified());
-        serving.abort();
-        Ok(())
+        serve_booth(&TRADE, &settings, Arc::new(PlatformSite { listing: Mutex::new(listing) }))
     })
 }
--- a/crates/platform/src/prelude.rs
+++ b/crates/platform/src/prelude.rs
@@ -1,5 +1,6 @@
 //! The one import of this package's files.
 
+pub(crate) use booth::prelude::*;
 pub(crate) use contract::prelude::*;
 pub(crate) use serde_json::json;
 pub(crate) use std::sync::{Arc, Mutex};
--- a/crates/store/src/main.rs
+++ b/crates/store/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-in for the prompt store: keeps blocks by name for any engine, tells of them by the same
 //! numbered events, and starts empty each time.
 
+use booth::prelude::*;
 use engine::prelude::*;
 
 static TRADE: Trade = Trade {
@@ -65,23 +66,8 @@
 
 fn main() -> std::process::ExitCode {
     run_trade(&TRADE, |settings| {
-        let _logs = start_logs(TRADE.program, settings.text("log_level")?)?;
-        let listener = bind(settings.address("listen")?).map_err(|fault| miette!("listen: {fault}"))?;
-        let address = listener.local_addr().map_err(|fault| miette!("listen: {fault}"))?;
         let memory = Memory::new(Incarnation::random().to_string(), settings.whole("blocks")? as usize);
-        let site = Arc::new(StoreSite { memory: Mutex::new(memory), news: tokio::sync::watch::channel(0).0 });
-        let runtime = small_runtime(1).map_err(|fault| miette!("{fault}"))?;
-        let stop = Arc::new(tokio::sync::Notify::new());
-        let stop_notice = Arc::clone(&stop);
-        on_signals(move |signal| {
-            if signal == Signal::Stop {
-                stop_notice.notify_one();
-            }
-        })?;
-        say_ready(&[("address", address.to_string())]);
-        let serving = runtime.spawn(serve(listener, site));
-        runtime.block_on(stop.notified());
-        serving.abort();
-        Ok(())
+        let site = StoreSite { memory: Mutex::new(memory), news: tokio::sync::watch::channel(0).0 };
+        serve_booth(&TRADE, &settings, Arc::new(site))
     })
 }
--- a/crates/verdict/src/judge.rs
+++ b/crates/verdict/src/judge.rs
@@ -86,28 +86,31 @@
         .collect()
 }
 
+/// Memory that a walled tenant made or used must not be shared with anybody once the wall was
+/// acknowledged: of two starts on one salt, the later may not come after it.
 fn memory_keeps_to_walls(record: &Record) -> Vec<String> {
     let tenants: BTreeMap<&str, &str> =
         record.callers.iter().map(|caller| (caller.run.as_str(), caller.tenant.as_str())).collect();
-    let walled: BTreeSet<&str> = record
-        .world
-        .iter()
-        .filter_map(|line| match line {
-            WorldLine::Walled { tenant, .. } => Some(tenant.as_str()),
-            _ => None,
-        })
-        .collect();
-    let mut users: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    let mut last_use: BTreeMap<(&str, &str), u64> = BTreeMap::new();
     for start in record.starts() {
         if let Some(tenant) = tenants.get(run_of(&start.shot)) {
-            users.entry(start.salt.as_str()).or_default().insert(tenant);
+            let last = last_use.entry((start.salt.as_str(), tenant)).or_default();
+            *last = (*last).max(start.at);
         }
     }
-    users
-        .iter()
-        .filter(|(_, sharing)| sharing.len() > 1 && sharing.iter().any(|tenant| walled.contains(tenant)))
-        .map(|(salt, sharing)| format!("salt {salt} served {sharing:?}, of whom some are walled"))
-        .collect()
+    let mut found = Vec::new();
+    for line in &record.world {
+        let WorldLine::Walled { at: walled_at, tenant: walled_tenant } = line else { continue };
+        for ((salt, tenant), last) in &last_use {
+            let Some(own_last) = last_use.get(&(*salt, walled_tenant.as_str())) else { continue };
+            if tenant != walled_tenant && u64::max(*last, *own_last) > *walled_at {
+                found.push(format!(
+                    "salt {salt} served {tenant} and {walled_tenant}, which was walled at {walled_at}"
+                ));
+            }
+        }
+    }
+    found
 }
 
 fn withdrawn_keys_do_nothing(record: &Record) -> Vec<String> {
@@ -320,7 +323,7 @@
 
     #[test]
     fn each_judge_catches_its_violation() {
-        let changes: [(u8, Change); 15] = [
+        let changes: [(u8, Change); 16] = [
             (1, |record| record.engines.push(start(101, "e2", "r.1.2", 1))),
             (1, |record| record.engines.push(start(101, "e2", "r.2.1", 3))),
             (2, |record| record.callers[0].wrong = "foreign".into()),
@@ -333,6 +336,10 @@
                 line.salt = "w9.z".into();
             }),
             (5, |record| record.engines[1] = start(200, "e2", "r.3.1", 1)),
+            (5, |record| {
+                record.engines[0] = start(100, "e1", "r.1.1", 2);
+                record.world[2] = WorldLine::Walled { at: 150, tenant: "a".into() };
+            }),
             (6, |record| record.engines[0] = start(5_001, "e2", "r.1.1", 1)),
             (7, |record| record.engines[0] = start(3_001, "e1", "r.1.1", 1)),
             (8, |record| {
--- a/crates/yard/src/fleet.rs
+++ b/crates/yard/src/fleet.rs
@@ -74,6 +74,8 @@
     pub process: Option<Process>,
     pub name: String,
     pub address: String,
+    /// Listed as leaving for now.
+    pub away: bool,
     zone: String,
 }
 
@@ -208,6 +210,7 @@
             process: None,
             name: format!("engine{number}"),
             address: "127.0.0.1:0".into(),
+            away: false,
             zone: ZONES[number % 4].into(),
         };
         self.engines.push(engine);
--- a/crates/yard/src/lib.rs
+++ b/crates/yard/src/lib.rs
@@ -7,3 +7,4 @@
 mod fleet;
 mod process;
 mod report;
+mod trouble;
--- a/crates/yard/src/main.rs
+++ b/crates/yard/src/main.rs
@@ -21,6 +21,8 @@
         ),
         setting("weight", Kind::Whole(0, 1000), Some("1"), "the default policy's weight"),
         setting("kills", Kind::Flag, None, "kill and restart a keeper, a router, an agent and an engine meanwhile"),
+        setting("trouble", Kind::Whole(0, 1 << 53), None, "seed of a schedule of trouble for the day"),
+        setting("records", Kind::Flag, None, "routers record the day under the folder"),
         setting("serve", Kind::Flag, None, "serve until stopped instead of playing a day"),
         setting("folder", Kind::Path, None, "keep data and logs here"),
         LOG_LEVEL,
@@ -38,6 +40,7 @@
         nodes: whole("nodes")? as usize,
         engines: whole("engines")? as usize,
         sight: text("sight")?,
+        records: settings.flag("records"),
         weight: whole("weight")? as f64,
         log_level: text("log_level")?,
         ..FleetPlan::office(&text("office")?)
@@ -68,11 +71,14 @@
     let seconds = whole("seconds")?;
     let (calling, calls) = fleet.start_caller("day", seconds, whole("rate")?, whole("seed")?)?;
     let began = boot_millis();
-    let mut kills = settings.flag("kills").then(|| Kills::new(seconds));
+    let mut trouble = match settings.maybe("trouble") {
+        Some(_) => Some(Trouble::draw(whole("trouble")?, seconds, &fleet.plan)),
+        None => settings.flag("kills").then(|| Trouble::of(kills(seconds))),
+    };
     while boot_millis() < began + seconds * 1000 {
         fleet.sample();
-        if let Some(kills) = kills.as_mut() {
-            kills.tend(&mut fleet, boot_millis() - began)?;
+        if let Some(trouble) = trouble.as_mut() {
+            trouble.tend(&mut fleet, boot_millis() - began)?;
         }
         std::thread::park_timeout(Duration::from_millis(100));
     }
@@ -83,49 +89,16 @@
     if report.violations.is_empty() { Ok(()) } else { Err("a rule was broken".into()) }
 }
 
-/// A keeper, a router, an agent and an engine killed one after the other, each started again later.
-struct Kills {
-    moments: Vec<(u64, &'static str)>,
-}
-
-impl Kills {
-    fn new(seconds: u64) -> Kills {
-        let span = seconds * 1000;
-        let order = [
-            "keeper",
-            "keeper back",
-            "router",
-            "router back",
-            "agent",
-            "agent back",
-            "engine",
-            "engine back",
-            "over",
-        ];
-        let moments = order.iter().enumerate().map(|(place, what)| (span * (place as u64 + 1) / 16, *what)).collect();
-        Kills { moments }
-    }
-
-    fn tend(&mut self, fleet: &mut Fleet, elapsed: u64) -> Result<(), String> {
-        while let Some((moment, what)) = self.moments.first().copied() {
-            if elapsed < moment {
-                return Ok(());
-            }
-            self.moments.remove(0);
-            let at = boot_millis();
-            fleet.note(WorldLine::Fault { at, what: what.into() });
-            match what {
-                "keeper" => fleet.keepers[0].process = None,
-                "keeper back" => fleet.start_keeper(0, false)?,
-                "router" => fleet.nodes[0].router = None,
-                "router back" => fleet.start_router(0)?,
-                "agent" => fleet.nodes[1 % fleet.plan.nodes].agent = None,
-                "agent back" => fleet.start_agent(1 % fleet.plan.nodes)?,
-                "engine" => fleet.engines[0].process = None,
-                "engine back" => fleet.start_engine(0, 1)?,
-                _ => fleet.note(WorldLine::LastFaultOver { at }),
-            }
-        }
-        Ok(())
+/// A keeper, a router, an agent and an engine lost one after the other, each put back before the next.
+fn kills(seconds: u64) -> Vec<(u64, Deed)> {
+    let span = seconds * 1000;
+    let losses = [Deed::LoseKeeper(0), Deed::LoseRouter(0), Deed::LoseAgent(1), Deed::LoseEngine(0)];
+    let mut moments = Vec::new();
+    for (place, loss) in losses.into_iter().enumerate() {
+        let moment = span * (2 * place as u64 + 1) / 16;
+        moments.push((moment, loss));
+        moments.push((moment + span / 16, Deed::PutBack));
     }
+    moments.push((span * 9 / 16, Deed::Over));
+    moments
 }
--- a/crates/yard/src/prelude.rs
+++ b/crates/yard/src/prelude.rs
@@ -3,6 +3,7 @@
 pub use crate::fleet::*;
 pub use crate::process::*;
 pub use crate::report::*;
+pub use crate::trouble::*;
 pub(crate) use contract::prelude::EngineLine;
 pub use serde_json::{Value, json};
 pub(crate) use std::collections::BTreeMap;
--- /dev/null
+++ b/crates/yard/src/trouble.rs
@@ -0,0 +1,192 @@
+//! A seeded schedule of trouble for a whole office's day: losses, freezes, listings, configurations,
+//! keys, a trial and new weights. The same seed gives the same schedule; at its end everything is put
+//! back, and the rest of the day shows whether service returns.
+
+use crate::prelude::*;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Deed {
+    LoseKeeper(usize),
+    LoseKeepers(usize, usize),
+    LoseRouter(usize),
+    LoseAgent(usize),
+    LoseNode(usize),
+    LoseEngine(usize),
+    LoseStore,
+    FreezeKeeper(usize),
+    FreezeNode(usize),
+    FreezeEngine(usize),
+    ListAway(usize),
+    Configure(u64),
+    WithdrawKey,
+    Trial,
+    MoveWeights,
+    PutBack,
+    Over,
+}
+
+pub struct Trouble {
+    moments: Vec<(u64, Deed)>,
+    withdrawn: bool,
+    awaited_weights: Option<u64>,
+}
+
+impl Trouble {
+    pub fn of(moments: Vec<(u64, Deed)>) -> Trouble {
+        Trouble { moments, withdrawn: false, awaited_weights: None }
+    }
+
+    /// A schedule over the first part of a day; the last twenty seconds stay calm.
+    pub fn draw(seed: u64, seconds: u64, plan: &FleetPlan) -> Trouble {
+        let mut draw = Draw::new(seed);
+        let calm_at = (seconds * 1000).saturating_sub(20_000).max(3_000);
+        let mut moments =
+            vec![(2_000, Deed::Trial), (calm_at / 3, Deed::MoveWeights), (calm_at / 2, Deed::WithdrawKey)];
+        let mut moment = 1_500;
+        while moment + 2_000 < calm_at {
+            let (keeper, node, engine) = (
+                draw.below(plan.keepers as u64) as usize,
+                draw.below(plan.nodes as u64) as usize,
+                draw.below(plan.engines as u64) as usize,
+            );
+            let deed = match draw.below(13) {
+                0 => Deed::LoseKeeper(keeper),
+                1 => Deed::LoseKeepers(keeper, (keeper + 1) % plan.keepers),
+                2 => Deed::LoseRouter(node),
+                3 => Deed::LoseAgent(node),
+                4 => Deed::LoseNode(node),
+                5 => Deed::LoseEngine(engine),
+                6 => Deed::LoseStore,
+                7 => Deed::FreezeKeeper(keeper),
+                8 => Deed::FreezeNode(node),
+                9 => Deed::FreezeEngine(engine),
+                10 => Deed::ListAway(engine),
+                _ => Deed::Configure(draw.below(1000)),
+            };
+            moments.push((moment, deed));
+            moments.push((moment + draw.between(300, 3_000), Deed::PutBack));
+            moment += draw.between(1_000, 3_500);
+        }
+        moments.push((calm_at, Deed::Over));
+        moments.sort_by_key(|(moment, _)| *moment);
+        Trouble::of(moments)
+    }
+
+    /// Does what is due by now.
+    pub fn tend(&mut self, fleet: &mut Fleet, elapsed: u64) -> Result<(), String> {
+        while let Some((moment, deed)) = self.moments.first().cloned() {
+            if elapsed < moment {
+                break;
+            }
+            self.moments.remove(0);
+            fleet.note(WorldLine::Fault { at: boot_millis(), what: format!("{deed:?}") });
+            self.act(fleet, deed)?;
+        }
+        if let Some(plan) = self.awaited_weights {
+            let page = fleet.operate(Method::GET, &format!("/v1/plans/{plan}"), None, None);
+            if page.is_ok_and(|(_, page)| page["steps"][0]["done"] == true) {
+                fleet.note(WorldLine::WeightsAcked { at: boot_millis(), weights: 2 });
+                self.awaited_weights = None;
+            }
+        }
+        Ok(())
+    }
+
+    fn act(&mut self, fleet: &mut Fleet, deed: Deed) -> Result<(), String> {
+        match deed {
+            Deed::LoseKeeper(keeper) => fleet.keepers[keeper].process = None,
+            Deed::LoseKeepers(one, other) => {
+                fleet.keepers[one].process = None;
+                fleet.keepers[other].process = None;
+            }
+            Deed::LoseRouter(node) => fleet.nodes[node].router = None,
+            Deed::LoseAgent(node) => fleet.nodes[node].agent = None,
+            Deed::LoseNode(node) => {
+                fleet.nodes[node].router = None;
+                fleet.nodes[node].agent = None;
+            }
+            Deed::LoseEngine(engine) => fleet.engines[engine].process = None,
+            Deed::LoseStore => fleet.store = None,
+            Deed::FreezeKeeper(keeper) => fleet.keepers[keeper].process.iter().for_each(Process::freeze),
+            Deed::FreezeNode(node) => {
+                fleet.nodes[node].agent.iter().for_each(Process::freeze);
+                fleet.nodes[node].router.iter().for_each(Process::freeze);
+            }
+            Deed::FreezeEngine(engine) => fleet.engines[engine].process.iter().for_each(Process::freeze),
+            Deed::ListAway(engine) => {
+                fleet.engines[engine].away = true;
+                fleet.list_engine(engine, "leaving")?;
+            }
+            Deed::Configure(number) => {
+                let _ = fleet.patch_document(&json!({"routing": {"events_late_ms": 1500 + number}}));
+            }
+            Deed::WithdrawKey => {
+                let (tenant, key) = fleet.tenants[7].clone();
+                let path = format!("/v1/tenants/{tenant}/keys/main");
+                let answer = fleet.operate(Method::DELETE, &path, None, None);
+                if answer.is_ok_and(|(status, _)| status == 200) && !self.withdrawn {
+                    self.withdrawn = true;
+                    fleet.note(WorldLine::KeyWithdrawn { at: boot_millis(), key });
+                }
+            }
+            Deed::Trial => {
+                let _ = fleet.patch_document(&json!({"policies": {"trial": {"weight": 3}}}));
+                carry_intent(fleet, &json!({"intent": "trial", "policy": "trial", "tenants": ["tenant0"]}));
+            }
+            Deed::MoveWeights => {
+                let intent = json!({"intent": "move_weights", "model": "model", "weights": 2});
+                self.awaited_weights = carry_intent(fleet, &intent);
+            }
+            Deed::PutBack => put_back(fleet)?,
+            Deed::Over => {
+                put_back(fleet)?;
+                fleet.note(WorldLine::LastFaultOver { at: boot_millis() });
+            }
+        }
+        Ok(())
+    }
+}
+
+/// States an intent and confirms its plan; the plan's number if both were taken.
+fn carry_intent(fleet: &Fleet, intent: &Value) -> Option<u64> {
+    let (_, plan) = fleet.operate(Method::POST, "/v1/intents", Some(intent), None).ok()?;
+    let number = plan["plan"].as_u64()?;
+    let path = format!("/v1/plans/{number}/confirm");
+    let (status, _) = fleet.operate(Method::POST, &path, Some(&json!({})), None).ok()?;
+    (status == 200).then_some(number)
+}
+
+/// Starts what is lost, wakes what is frozen, lists what was listed away.
+fn put_back(fleet: &mut Fleet) -> Result<(), String> {
+    for number in 0..fleet.keepers.len() {
+        fleet.keepers[number].process.iter().for_each(Process::wake);
+        if fleet.keepers[number].process.is_none() {
+            fleet.start_keeper(number, false)?;
+        }
+    }
+    for number in 0..fleet.nodes.len() {
+        fleet.nodes[number].agent.iter().for_each(Process::wake);
+        fleet.nodes[number].router.iter().for_each(Process::wake);
+        if fleet.nodes[number].agent.is_none() {
+            fleet.start_agent(number)?;
+        }
+        if fleet.nodes[number].router.is_none() {
+            fleet.start_router(number)?;
+        }
+    }
+    for number in 0..fleet.engines.len() {
+        fleet.engines[number].process.iter().for_each(Process::wake);
+        if fleet.engines[number].process.is_none() {
+            fleet.start_engine(number, 1)?;
+        }
+        if fleet.engines[number].away {
+            fleet.engines[number].away = false;
+            fleet.list_engine(number, "open")?;
+        }
+    }
+    if fleet.store.is_none() {
+        let listen = vec![format!("--listen={}", fleet.store_address)];
+        fleet.store = Some(Process::start("store", "store", &listen, &fleet.folder)?);
+    }
+    Ok(())
+}
