--- a/crates/warden/src/viewing.rs
+++ b/crates/warden/src/viewing.rs
@@ -125,7 +125,10 @@
             .chain
             .iter()
             .copied()
-            .filter(|member| campaign.promised_by(*member) || self.is_alive(*member, now))
+            .filter(|member| {
+                let others_hear = !self.is_neighbour(*member) && self.is_widely_heard(*member, now);
+                campaign.promised_by(*member) || self.is_alive(*member, now) || others_hear
+            })
             .collect();
         let well_chain: Vec<NodeId> =
             living_chain.iter().copied().filter(|member| !self.is_unwell(*member, now)).collect();
@@ -180,7 +183,7 @@
             let Some(peer) = self.peers.get(&node) else { return false };
             let Some(news) = &peer.news else { return false };
             self.is_alive(node, now)
-                && news.hears.contains(&self.me.id)
+                && self.hears_and_is_heard(node, news, now)
                 && !self.is_unwell(node, now)
                 && now.since(peer.heard_since) >= self.steady_span()
                 && news.view == self.view.number
@@ -221,6 +224,35 @@
     }
 
     /// A chain member that is heard, but cannot hear most voters, or has long not done its part.
+    fn is_neighbour(&self, member: NodeId) -> bool {
+        let me = self.me.id;
+        self.view.before(me) == Some(member) || self.view.after(me) == Some(member)
+    }
+
+    /// Whether most voters hear a keeper, by their own word: then our not hearing it is a matter of one
+    /// way between us, which only neighbours in the chain need.
+    fn is_widely_heard(&self, member: NodeId, now: Instant) -> bool {
+        let hears_it = |voter: &NodeId| match *voter == self.me.id {
+            true => self.is_alive(member, now),
+            false => {
+                let news = self.peer_news(*voter).filter(|_| self.is_alive(*voter, now));
+                news.is_some_and(|news| news.hears.contains(&member))
+            }
+        };
+        self.view.voters.iter().filter(|voter| hears_it(voter)).count() >= self.view.majority()
+    }
+
+    /// A newcomer must hear every chain member and be heard by every one: any may become its neighbour.
+    fn hears_and_is_heard(&self, node: NodeId, news: &News, now: Instant) -> bool {
+        self.view.chain.iter().all(|member| {
+            let is_heard = match *member == self.me.id {
+                true => self.is_alive(node, now),
+                false => self.peer_news(*member).is_some_and(|member_news| member_news.hears.contains(&node)),
+            };
+            is_heard && news.hears.contains(member)
+        })
+    }
+
     pub(crate) fn is_unwell(&self, member: NodeId, now: Instant) -> bool {
         if member == self.me.id {
             return false;
@@ -241,7 +273,8 @@
         let rank = self.rank(now);
         let patience = RANK_DELAY.times(rank);
         let member_lost = self.view.chain.iter().any(|member| {
-            let is_silent = self.silence(*member, now) >= SUSPECT_AFTER + patience;
+            let is_silent = self.silence(*member, now) >= SUSPECT_AFTER + patience
+                && (self.is_neighbour(*member) || !self.is_widely_heard(*member, now));
             is_silent || (self.is_unwell(*member, now) && now.since(self.adopted) >= SUSPECT_AFTER + patience)
         });
         let seal_hangs = self.sealed() && now.since(self.sealed_since) >= SEALED_LIMIT + patience;
