--- a/crates/engine/src/site.rs
+++ b/crates/engine/src/site.rs
@@ -15,6 +15,8 @@
     pub hide_events: bool,
     /// Answer every request with 500.
     pub refuse: bool,
+    /// A slower link to fetch over, microseconds a block.
+    pub link_us: Option<u64>,
 }
 
 struct Weights {
@@ -175,6 +177,7 @@
         faults.wrong_shot = wished["wrong_shot"] == true;
         faults.hide_events = wished["hide_events"] == true;
         faults.refuse = wished["refuse"] == true;
+        faults.link_us = wished["link_us"].as_u64();
         answer_json(StatusCode::OK, &json!({}))
     }
 
@@ -383,7 +386,13 @@
             let Ok((_, _, body)) = ask_whole(&order.address, question, FETCH_LIMIT, 1 << 16).await else { break };
             let Ok(answer) = serde_json::from_slice::<Found>(&body) else { break };
             let found_count = (answer.found as usize).min(wanted.len());
-            tokio::time::sleep(self.link_block * found_count as u32).await;
+            let link_block = held(&self.faults).link_us.map_or(self.link_block, Duration::from_micros);
+            let transfer = link_block * found_count as u32;
+            let limit = FETCH_LIMIT.as_duration();
+            tokio::time::sleep(transfer.min(limit)).await;
+            if transfer > limit {
+                break;
+            }
             place += found_count;
             if found_count < wanted.len() {
                 break;
--- a/crates/measure/src/fleets.rs
+++ b/crates/measure/src/fleets.rs
@@ -37,30 +37,32 @@
     let fleet = Fleet::start(FleetPlan { nodes: 9, engines: 1, ..FleetPlan::small() })?;
     let mut small = Vec::new();
     let mut large = Vec::new();
-    for round in 0..40u64 {
+    let patch_small = |round: u64| -> Result<u64, String> {
         let began = boot_now();
         fleet.patch_document(&json!({"routing": {"events_late_ms": 2000 + round}}))?;
-        small.push(boot_now().since(began).as_millis());
-        if round % 4 == 0 {
-            let many: serde_like::Members = (0..1500u64)
-                .map(|number| {
-                    (format!("t{number}"), json!({"share": 1 + round, "keys": {"k": format!("{number:064x}")}}))
-                })
-                .collect();
-            let began = boot_now();
-            fleet.patch_document(&json!({"tenants": many}))?;
-            large.push(boot_now().since(began).as_millis());
-        }
+        Ok(boot_now().since(began).as_millis())
+    };
+    for round in 0..40 {
+        small.push(patch_small(round)?);
     }
+    let mut small_on_large = Vec::new();
+    for round in 0..10u64 {
+        let many: BTreeMap<String, Value> = (0..1500u64)
+            .map(|number| {
+                (format!("t{number}"), json!({"share": 1 + round, "keys": {"k": format!("{number:064x}")}}))
+            })
+            .collect();
+        let began = boot_now();
+        fleet.patch_document(&json!({"tenants": many}))?;
+        large.push(boot_now().since(began).as_millis());
+        small_on_large.push(patch_small(100 + round)?);
+    }
+    println!("small changes of a large document, ms: {}", crate::spread(&mut small_on_large));
     println!("small changes, ms (two round trips: read the edition, change): {}", crate::spread(&mut small));
     println!("changes of about 170 kB, ms: {}", crate::spread(&mut large));
     Ok(())
 }
 
-mod serde_like {
-    pub type Members = std::collections::BTreeMap<String, yard::prelude::Value>;
-}
-
 /// From a loss (or from the putting back) until every router serves and a change is acknowledged.
 pub fn measure_recovery() -> Result<(), String> {
     let mut figures: BTreeMap<&str, (Vec<u64>, Vec<u64>)> = BTreeMap::new();
--- a/crates/simulator/src/cast.rs
+++ b/crates/simulator/src/cast.rs
@@ -30,6 +30,8 @@
     pub busy_until: Instant,
     pub sync_span: Span,
     pub census_since: Option<Instant>,
+    /// When it read the platform's listing last.
+    pub census_read: Instant,
     pub conductor: Conductor,
     pub submitted: BTreeMap<EngineName, Instant>,
 }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -101,6 +101,7 @@
                 busy_until: Instant(0),
                 sync_span: Span::millis(2),
                 census_since: None,
+                census_read: Instant(0),
                 conductor: Conductor::default(),
                 submitted: BTreeMap::new(),
             })
@@ -710,7 +711,10 @@
         let reading =
             Input::ListingRead { read: Some(("p".into(), ListingNumber(self.listing_number))), asked: local_now };
         let life = keeper.life;
-        let reads_now = self.draw.chance(20);
+        let reads_now = now.since(keeper.census_read) >= Span::millis(250);
+        if reads_now {
+            keeper.census_read = now;
+        }
         let state = warden.state().clone();
         let census = warden.holds_duty(DutyKind::Census, local_now);
         let conductor_term = warden.holds_duty(DutyKind::Conductor, local_now);
--- a/crates/yard/src/fleet.rs
+++ b/crates/yard/src/fleet.rs
@@ -22,6 +22,8 @@
     pub records: bool,
     /// Keepers are reached through relays, which can be cut.
     pub relayed: bool,
+    /// The first engine prefills, the others decode.
+    pub split: bool,
 }
 
 impl FleetPlan {
@@ -38,6 +40,7 @@
             log_level: "info".into(),
             records: false,
             relayed: false,
+            split: false,
         }
     }
 
@@ -54,6 +57,7 @@
             log_level: "info".into(),
             records: false,
             relayed: false,
+            split: false,
         }
     }
 }
@@ -258,7 +262,12 @@
     pub fn list_engine(&self, number: usize, state: &str) -> Result<(), String> {
         let engine = &self.engines[number];
         let path = format!("/v1/engines/{}", engine.name);
-        let body = json!({"name": engine.name, "address": engine.address, "zone": engine.zone, "model": "model", "state": state});
+        let role = match (self.plan.split, number) {
+            (false, _) => "whole",
+            (true, 0) => "prefill",
+            (true, _) => "decode",
+        };
+        let body = json!({"name": engine.name, "address": engine.address, "zone": engine.zone, "model": "model", "role": role, "state": state});
         let question = match state {
             "gone" => Question { method: Method::DELETE, ..Question::get(&path) },
             _ => Question::with_json(Method::PUT, &path, &body),
