--- a/crates/yard/tests/data.rs
+++ b/crates/yard/tests/data.rs
@@ -237,3 +237,43 @@
     let reused_after = fleet.gauge(&fleet.router_address(0), "haremount_router_reused_blocks_total").unwrap();
     assert!(reused_after > reused_before, "history finds the engine that keeps the prefix");
 }
+
+#[test]
+fn shares_limits_and_the_retry_budget_hold() {
+    let slow = vec!["--prefill-us=0".to_owned(), "--decode-us=30000".to_owned()];
+    let fleet = Fleet::start(FleetPlan { nodes: 1, engines: 2, engine_flags: slow, ..FleetPlan::small() }).unwrap();
+    fleet.patch_document(&json!({"tenants": {"tenant4": {"share": 1}}})).unwrap();
+    let statuses: Vec<u16> = std::thread::scope(|scope| {
+        let asking: Vec<_> = (0..4)
+            .map(|number| {
+                let fleet = &fleet;
+                scope.spawn(move || fleet.complete(0, 4, &format!("at once {number}")).unwrap().0)
+            })
+            .collect();
+        asking.into_iter().map(|asked| asked.join().unwrap()).collect()
+    });
+    assert!(statuses.contains(&200) && statuses.contains(&429), "{statuses:?}");
+    assert_eq!(fleet.complete(0, 4, "one after the other").unwrap().0, 200);
+
+    let late = post(&fleet, &json!({"model": "model", "prompt": "late", "max_tokens": 100, "limit_ms": 300}));
+    assert_eq!((late.0, late.1["error"]["type"].as_str()), (504, Some("unknown")), "{}", late.1);
+
+    engine_faults(&fleet, 0, json!({"refuse": true}));
+    engine_faults(&fleet, 1, json!({"refuse": true}));
+    let count =
+        |name: &str| fleet.gauge(&fleet.router_address(0), &format!("haremount_router_{name}_total")).unwrap();
+    let (shots_before, retries_before) = (count("shots"), count("retries"));
+    for number in 0..60 {
+        let body =
+            json!({"model": "model", "prompt": format!("again {number}"), "max_tokens": 1, "repeatable": true});
+        let (status, answer) = post(&fleet, &body);
+        assert_eq!((status, answer["error"]["type"].as_str()), (502, Some("unknown")), "{answer}");
+    }
+    let retries = count("retries") - retries_before;
+    let firsts = count("shots") - shots_before - retries;
+    assert_eq!(firsts, 60);
+    assert!(
+        (1..=8).contains(&retries),
+        "{retries} second shots on 60 first ones; a tenth and two saved up are allowed"
+    );
+}
