--- a/crates/lease/src/prelude.rs
+++ b/crates/lease/src/prelude.rs
@@ -6,7 +6,7 @@
 pub(crate) use std::collections::BTreeMap;
 pub(crate) use units::prelude::*;
 
-pub const READ_LEASE: Span = Span::millis(1000);
+pub const READ_LEASE: Span = Span::millis(700);
 pub const NODE_LEASE: Span = Span::millis(2000);
 /// Added by whoever waits for another's lease to run out, against clocks of unequal rate.
 pub const LEASE_MARGIN: Span = Span::millis(100);
--- a/crates/measure/src/fleets.rs
+++ b/crates/measure/src/fleets.rs
@@ -146,6 +146,36 @@
     Ok(())
 }
 
+/// The longest stretch without a served request on any router after the tail is lost.
+pub fn measure_gap() -> Result<(), String> {
+    let mut fleet = Fleet::start(FleetPlan { nodes: 3, engines: 3, ..FleetPlan::small() })?;
+    let mut gaps = Vec::new();
+    for _ in 0..5 {
+        let page = fleet.fleet_page()?;
+        let tail_id = page["view"]["chain"][3].as_str().unwrap_or("").to_owned();
+        let tail = fleet.keepers.iter().position(|keeper| keeper.id == tail_id).ok_or("no tail is known")?;
+        fleet.keepers[tail].process = None;
+        let began = boot_now();
+        let mut last_served = [began; 3];
+        let mut longest = 0;
+        wait_until(Duration::from_secs(6), || {
+            for (router, last) in last_served.iter_mut().enumerate() {
+                if fleet.complete(router, 0, "served?").is_ok_and(|answer| answer.0 == 200) {
+                    let now = boot_now();
+                    longest = u64::max(longest, now.since(*last).as_millis());
+                    *last = now;
+                }
+            }
+            boot_now().since(began) >= Span::seconds(5)
+        });
+        gaps.push(longest);
+        fleet.start_keeper(tail, false)?;
+        fleet.wait_core(4)?;
+    }
+    println!("tail lost: longest stretch without a served request, ms: {}", crate::spread(&mut gaps));
+    Ok(())
+}
+
 /// One hot prefix asked at once through nine routers, and the same through one.
 pub fn measure_pile_up() -> Result<(), String> {
     for round in 0..3 {
--- a/crates/warden/src/mind.rs
+++ b/crates/warden/src/mind.rs
@@ -4,7 +4,7 @@
 
 pub const PULSE_SPAN: Span = Span::millis(200);
 const DATED_RECORDS: usize = 1024;
-pub const SUSPECT_AFTER: Span = Span::millis(1000);
+pub const SUSPECT_AFTER: Span = Span::millis(800);
 
 #[derive(Clone, Debug)]
 pub struct Wishes {
