--- a/crates/caller/src/day.rs
+++ b/crates/caller/src/day.rs
@@ -90,7 +90,7 @@
         let outcome = if kind.streams {
             read_stream(&mut replied, request, line).await
         } else {
-            read_answer(&mut replied, request, line).await
+            read_outcome(&mut replied, request, line).await
         };
         match outcome {
             Ok(()) => line.outcome = "whole".into(),
@@ -113,7 +113,7 @@
 }
 
 /// Checks a whole answer: of one shot of this run, every token the engine's own.
-async fn read_answer(replied: &mut Replied, request: &Request, line: &mut CallerLine) -> Result<(), CutOrWrong> {
+async fn read_outcome(replied: &mut Replied, request: &Request, line: &mut CallerLine) -> Result<(), CutOrWrong> {
     let body = read_whole(&mut replied.body, 8 << 20, Duration::from_secs(15)).await.map_err(|_| CutOrWrong::Cut)?;
     let answer: Value = serde_json::from_slice(&body).map_err(|_| CutOrWrong::Wrong("answer is no JSON".into()))?;
     line.first_ms = Some(boot_millis() - line.at);
--- a/crates/engine/src/site.rs
+++ b/crates/engine/src/site.rs
@@ -110,7 +110,7 @@
         }
     }
 
-    async fn route(self: Arc<Self>, mut asked: Asked) -> Answered {
+    async fn enter(self: Arc<Self>, mut asked: Asked) -> WebOutcome {
         let (method, segments) = asked.way();
         match (method.as_str(), segments.as_slice()) {
             ("POST", ["v1", "completions"]) => self.complete(asked).await,
@@ -122,13 +122,13 @@
             }
             ("GET", ["v1", "kept", "snapshot"]) => {
                 let snapshot = held(&self.memory).snapshot();
-                answer_json(StatusCode::OK, &json!(snapshot))
+                outcome_json(StatusCode::OK, &json!(snapshot))
             }
             ("POST", ["v1", "kept", "blocks"]) => self.tell_blocks(asked).await,
             ("POST", ["v1", "prefill"]) => self.prefill_only(asked).await,
-            ("GET", ["v1", "state"]) => answer_json(StatusCode::OK, &json!(self.state())),
+            ("GET", ["v1", "state"]) => outcome_json(StatusCode::OK, &json!(self.state())),
             ("GET", ["metrics"]) => self.metrics(),
-            ("GET", ["live"]) => answer_bytes(StatusCode::OK, "text/plain", "live\n"),
+            ("GET", ["live"]) => outcome_bytes(StatusCode::OK, "text/plain", "live\n"),
             ("POST", ["v1", "orders"]) => self.take_order(asked).await,
             ("POST", ["v1", "faults"]) => {
                 let Ok(body) = asked.read_body(1 << 16).await else {
@@ -153,7 +153,7 @@
         }
     }
 
-    fn metrics(&self) -> Answered {
+    fn metrics(&self) -> WebOutcome {
         let labels = format!("{{model_name=\"{}\"}}", self.model);
         let kept_share = held(&self.memory).kept_share();
         let text = format!(
@@ -165,10 +165,10 @@
             self.pace.blocks_in_work(),
             self.fetched.load(Ordering::SeqCst),
         );
-        answer_bytes(StatusCode::OK, "text/plain; version=0.0.4", text)
+        outcome_bytes(StatusCode::OK, "text/plain; version=0.0.4", text)
     }
 
-    fn set_faults(&self, body: &[u8]) -> Answered {
+    fn set_faults(&self, body: &[u8]) -> WebOutcome {
         let Ok(wished) = serde_json::from_slice::<Value>(body) else {
             return refuse(StatusCode::BAD_REQUEST, "bad_request", "no JSON");
         };
@@ -178,14 +178,14 @@
         faults.hide_events = wished["hide_events"] == true;
         faults.refuse = wished["refuse"] == true;
         faults.link_us = wished["link_us"].as_u64();
-        answer_json(StatusCode::OK, &json!({}))
+        outcome_json(StatusCode::OK, &json!({}))
     }
 
-    async fn events(&self, number: u64, wait_ms: u64) -> Answered {
+    async fn events(&self, number: u64, wait_ms: u64) -> WebOutcome {
         tell_events(&self.memory, &self.news, || held(&self.faults).hide_events, number, wait_ms).await
     }
 
-    async fn take_order(&self, mut asked: Asked) -> Answered {
+    async fn take_order(&self, mut asked: Asked) -> WebOutcome {
         let Ok(body) = asked.read_body(1 << 16).await else {
             return refuse(StatusCode::BAD_REQUEST, "bad_request", "body unreadable");
         };
@@ -233,10 +233,10 @@
                 held_weights.accepting = !self.stopping.load(Ordering::SeqCst);
             }
         }
-        answer_json(StatusCode::OK, &json!(self.state()))
+        outcome_json(StatusCode::OK, &json!(self.state()))
     }
 
-    async fn complete(self: Arc<Self>, mut asked: Asked) -> Answered {
+    async fn complete(self: Arc<Self>, mut asked: Asked) -> WebOutcome {
         let shot = asked.header(SHOT_HEADER).unwrap_or("").to_owned();
         let asked_weights = asked.header(WEIGHTS_HEADER).and_then(|text| text.parse::<u64>().ok());
         let Ok(body) = asked.read_body(MOST_REQUEST_BYTES * 2).await else {
@@ -265,7 +265,7 @@
         };
         let reported_shot = if faults.wrong_shot { "00000000".to_owned() } else { shot };
         if request.stream {
-            let (pieces, answered) = answer_pieces(StatusCode::OK, "text/event-stream", 16);
+            let (pieces, answered) = outcome_pieces(StatusCode::OK, "text/event-stream", 16);
             let answered = answered.with_header(SHOT_HEADER, &reported_shot);
             let this = Arc::clone(&self);
             tokio::spawn(async move {
@@ -290,7 +290,7 @@
             choices: vec![Choice { index: 0, text: whole_text, finish_reason: Some("length".into()) }],
             usage: Some(usage(&request, cached_blocks + fetched_blocks, fetched_blocks)),
         };
-        answer_json(StatusCode::OK, &json!(completion)).with_header(SHOT_HEADER, &reported_shot)
+        outcome_json(StatusCode::OK, &json!(completion)).with_header(SHOT_HEADER, &reported_shot)
     }
 
     fn log_start(&self, request: &EngineRequest, shot: &str, weights: u64, cached_blocks: u64) {
@@ -403,14 +403,14 @@
         fetched_count
     }
 
-    async fn tell_blocks(&self, mut asked: Asked) -> Answered {
+    async fn tell_blocks(&self, mut asked: Asked) -> WebOutcome {
         let Some(names) = read_names(&mut asked).await else { return bad_names() };
         let found = held(&self.memory).overlap(&names) as u64;
-        answer_json(StatusCode::OK, &json!(Found { found }))
+        outcome_json(StatusCode::OK, &json!(Found { found }))
     }
 
     /// Prefills a prompt and keeps its blocks, for another engine to fetch and decode.
-    async fn prefill_only(&self, mut asked: Asked) -> Answered {
+    async fn prefill_only(&self, mut asked: Asked) -> WebOutcome {
         let body = asked.read_body(MOST_REQUEST_BYTES * 2).await.unwrap_or_default();
         let Ok(request) = serde_json::from_slice::<PrefillRequest>(&body) else {
             return refuse(StatusCode::BAD_REQUEST, "bad_request", "no prefill request");
@@ -424,7 +424,7 @@
         let _in_work = self.pace.begin(prompt_blocks);
         self.pace.prefill(prompt_blocks - known_count as u64).await;
         self.keep(&names, known_count);
-        answer_json(StatusCode::OK, &json!(Found { found: names.len() as u64 }))
+        outcome_json(StatusCode::OK, &json!(Found { found: names.len() as u64 }))
     }
 }
 
@@ -435,7 +435,7 @@
     hides: impl Fn() -> bool,
     number: u64,
     wait_ms: u64,
-) -> Answered {
+) -> WebOutcome {
     let mut news = news.subscribe();
     let give_up = tokio::time::sleep(Duration::from_millis(wait_ms.min(5000)));
     tokio::pin!(give_up);
@@ -443,12 +443,12 @@
         news.borrow_and_update();
         let batch = held(memory).events_from(number);
         if !batch.events.is_empty() && !hides() {
-            return answer_json(StatusCode::OK, &json!(batch));
+            return outcome_json(StatusCode::OK, &json!(batch));
         }
         tokio::select! {
             _ = &mut give_up => {
                 let empty = EventBatch { boot: batch.boot, first: number, events: Vec::new() };
-                return answer_json(StatusCode::OK, &json!(empty));
+                return outcome_json(StatusCode::OK, &json!(empty));
             }
             _ = news.changed() => {}
         }
@@ -462,7 +462,7 @@
     read_hashes(&named.block_hashes)
 }
 
-pub fn bad_names() -> Answered {
+pub fn bad_names() -> WebOutcome {
     refuse(StatusCode::BAD_REQUEST, "bad_request", "no block names")
 }
 
@@ -485,7 +485,7 @@
 }
 
 impl Site for EngineSite {
-    fn answer(self: Arc<Self>, asked: Asked) -> AnswerFuture {
-        Box::pin(self.route(asked))
+    fn outcome(self: Arc<Self>, asked: Asked) -> OutcomeFuture {
+        Box::pin(self.enter(asked))
     }
 }
--- a/crates/keeper/src/census.rs
+++ b/crates/keeper/src/census.rs
@@ -11,12 +11,12 @@
 const MOST_ENGINES: usize = 1000;
 
 #[derive(Default)]
-pub struct CensusHealth {
+pub struct CensusLiveness {
     /// Boot-time milliseconds of the last good reading; zero for none yet.
     pub last_read: AtomicU64,
 }
 
-pub async fn keep_census(platform: String, shelf: Shelf, desk: DeskAsker, health: Arc<CensusHealth>) {
+pub async fn keep_census(platform: String, shelf: Shelf, desk: DeskAsker, health: Arc<CensusLiveness>) {
     let mut pulse = tokio::time::interval(POLL_EVERY);
     pulse.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     let mut known_tag = String::new();
--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -11,7 +11,7 @@
 
 pub enum DeskCommand {
     Link(LinkEvent<Inbound>),
-    Ask { question: Question, limit: Span, reply: oneshot::Sender<Answer> },
+    Ask { question: Question, limit: Span, reply: oneshot::Sender<AskOutcome> },
     Seeds(Vec<String>),
     ListingRead { read: Option<(String, ListingNumber)>, asked: Instant },
     Stop,
@@ -49,7 +49,7 @@
     pub fleet: Arc<AtomicU64>,
     links: HashMap<LinkId, LinkPlace>,
     nodes: HashMap<NodeId, LinkId>,
-    replies: HashMap<u64, oneshot::Sender<Answer>>,
+    replies: HashMap<u64, oneshot::Sender<AskOutcome>>,
     next_ticket: u64,
     last_pulse: Instant,
     remembered: Vec<String>,
@@ -208,9 +208,9 @@
                     place.link.say(&message);
                 }
             }
-            Effect::Answer { ticket, answer } => {
+            Effect::Outcome { ticket, outcome } => {
                 if let Some(reply) = self.replies.remove(&ticket) {
-                    let _ = reply.send(answer);
+                    let _ = reply.send(outcome);
                 }
             }
             Effect::Note { event, detail } => log::info!(target: "haremount", "event={event} {detail}"),
@@ -252,15 +252,15 @@
 }
 
 impl DeskAsker {
-    pub async fn ask(&self, question: Question, limit: Span) -> Answer {
+    pub async fn ask(&self, question: Question, limit: Span) -> AskOutcome {
         let (reply, answer) = oneshot::channel();
         if self.queue.try_send(DeskCommand::Ask { question, limit, reply }).is_err() {
-            return Answer::Unknown;
+            return AskOutcome::Unknown;
         }
-        answer.await.unwrap_or(Answer::Unknown)
+        answer.await.unwrap_or(AskOutcome::Unknown)
     }
 
-    pub async fn submit(&self, request: RequestId, command: Command, limit: Span) -> Answer {
+    pub async fn submit(&self, request: RequestId, command: Command, limit: Span) -> AskOutcome {
         self.ask(Question::Submit(Submission { request, command }), limit).await
     }
 }
--- a/crates/keeper/src/door.rs
+++ b/crates/keeper/src/door.rs
@@ -11,20 +11,20 @@
     pub desk: DeskAsker,
     pub shelf: Shelf,
     pub me: Member,
-    pub census: Arc<CensusHealth>,
+    pub census: Arc<CensusLiveness>,
 }
 
 impl Site for Door {
-    fn answer(self: Arc<Self>, asked: Asked) -> AnswerFuture {
-        Box::pin(self.route(asked))
+    fn outcome(self: Arc<Self>, asked: Asked) -> OutcomeFuture {
+        Box::pin(self.enter(asked))
     }
 }
 
 impl Door {
-    async fn route(self: Arc<Self>, asked: Asked) -> Answered {
+    async fn enter(self: Arc<Self>, asked: Asked) -> WebOutcome {
         let (method, segments) = asked.way();
         match (method.as_str(), segments.as_slice()) {
-            ("GET", ["live"]) => return answer_bytes(StatusCode::OK, "text/plain", "live\n"),
+            ("GET", ["live"]) => return outcome_bytes(StatusCode::OK, "text/plain", "live\n"),
             ("GET", ["ready"]) => return self.ready(),
             ("GET", ["metrics"]) => return self.metrics(),
             _ => {}
@@ -63,10 +63,10 @@
             ("POST", ["v1", "intents"]) => self.take_intent(asked).await,
             ("GET", ["v1", "plans"]) => {
                 let plans: Vec<Value> = state.plans.iter().map(|(number, plan)| show_plan(*number, plan)).collect();
-                answer_json(StatusCode::OK, &json!({"plans": plans}))
+                outcome_json(StatusCode::OK, &json!({"plans": plans}))
             }
             ("GET", ["v1", "plans", plan]) => match find_plan(&state, plan) {
-                Some((number, plan)) => answer_json(StatusCode::OK, &show_plan(number, plan)),
+                Some((number, plan)) => outcome_json(StatusCode::OK, &show_plan(number, plan)),
                 None => refuse(StatusCode::NOT_FOUND, "not_found", "no such plan"),
             },
             ("POST", ["v1", "plans", plan, "confirm"]) => match find_plan(&state, plan) {
@@ -75,7 +75,7 @@
             },
             ("POST", ["v1", "policies", "check"]) => check_policy(&state, asked).await,
             ("GET", ["v1", "policies", policy]) => match state.desired.policies.get(*policy) {
-                Some(found) => answer_json(StatusCode::OK, &show_table(&state, found)),
+                Some(found) => outcome_json(StatusCode::OK, &show_table(&state, found)),
                 None => refuse(StatusCode::NOT_FOUND, "not_found", "no such policy"),
             },
             ("GET", ["v1", "fleet"]) => self.show_fleet(&state).await,
@@ -85,12 +85,12 @@
 
     async fn read_state(&self) -> Option<Box<FleetState>> {
         match self.desk.ask(Question::State, READ_LIMIT).await {
-            Answer::State(state) => Some(state),
+            AskOutcome::State(state) => Some(state),
             _ => None,
         }
     }
 
-    async fn change_document(&self, mut asked: Asked, is_whole: bool) -> Answered {
+    async fn change_document(&self, mut asked: Asked, is_whole: bool) -> WebOutcome {
         let base = match read_if_match(&asked) {
             Ok(base) => base,
             Err(answered) => return *answered,
@@ -124,22 +124,22 @@
     }
 
     /// Takes an intent and answers with the plan of steps it became.
-    async fn take_intent(&self, mut asked: Asked) -> Answered {
+    async fn take_intent(&self, mut asked: Asked) -> WebOutcome {
         let intent = match read_document_of(&mut asked).await.and_then(|document| read_intent(&document)) {
             Ok(intent) => intent,
             Err(complaints) => return tell_complaints(&complaints),
         };
         let request = RequestId::random();
         let answer = self.desk.submit(request, Command::Intend(intent), CHANGE_LIMIT).await;
-        let Answer::Settled(Settled::Taken(number)) = answer else { return tell_outcome(request, answer) };
+        let AskOutcome::Settled(Settled::Taken(number)) = answer else { return tell_outcome(request, answer) };
         let Some(state) = self.read_state().await else { return no_core() };
         match state.plans.get(&number) {
-            Some(plan) => answer_json(StatusCode::CREATED, &show_plan(number, plan)),
+            Some(plan) => outcome_json(StatusCode::CREATED, &show_plan(number, plan)),
             None => no_core(),
         }
     }
 
-    async fn put_key(&self, mut asked: Asked, tenant: &str, key_name: &str) -> Answered {
+    async fn put_key(&self, mut asked: Asked, tenant: &str, key_name: &str) -> WebOutcome {
         let body = asked.read_body(4096).await.unwrap_or_default();
         let given: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
         let hash = match (given["key"].as_str(), given["sha256"].as_str()) {
@@ -154,7 +154,7 @@
         self.submit(&asked, Command::Merge { base: None, patch: patch.to_string() }).await
     }
 
-    async fn submit(&self, asked: &Asked, command: Command) -> Answered {
+    async fn submit(&self, asked: &Asked, command: Command) -> WebOutcome {
         let request = match asked.header("x-request-id") {
             None => RequestId::random(),
             Some(text) => match text.parse::<RequestId>() {
@@ -166,13 +166,13 @@
         tell_outcome(request, answer)
     }
 
-    fn ready(&self) -> Answered {
+    fn ready(&self) -> WebOutcome {
         let seen = look(&self.shelf);
         let tail_lives = seen.view.tail().is_some_and(|tail| seen.alive.contains(&tail));
         if seen.view.takes_writes() && tail_lives {
-            answer_bytes(StatusCode::OK, "text/plain", "ready\n")
+            outcome_bytes(StatusCode::OK, "text/plain", "ready\n")
         } else {
-            answer_bytes(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not ready\n")
+            outcome_bytes(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not ready\n")
         }
     }
 
@@ -181,7 +181,7 @@
         (last_read > 0).then(|| (boot_now().0 / 1_000_000).saturating_sub(last_read))
     }
 
-    fn metrics(&self) -> Answered {
+    fn metrics(&self) -> WebOutcome {
         let seen = look(&self.shelf);
         let text = format!(
             "haremount_keeper_view {}\nharemount_keeper_edition {}\nharemount_keeper_tail_active {}\n\
@@ -193,13 +193,13 @@
             seen.last_sync_micros,
             self.listing_age().map_or(-1, |age| age as i64),
         );
-        answer_bytes(StatusCode::OK, "text/plain; version=0.0.4", text)
+        outcome_bytes(StatusCode::OK, "text/plain; version=0.0.4", text)
     }
 
-    async fn show_fleet(&self, state: &FleetState) -> Answered {
+    async fn show_fleet(&self, state: &FleetState) -> WebOutcome {
         let seen = look(&self.shelf);
         let nodes = match self.desk.ask(Question::Nodes, READ_LIMIT).await {
-            Answer::Nodes(nodes) => nodes,
+            AskOutcome::Nodes(nodes) => nodes,
             _ => return no_core(),
         };
         let members: Vec<Value> = seen
@@ -246,7 +246,7 @@
             "listing": {"number": state.listing.number.0, "read_ms_ago": self.listing_age(),
                         "reachable": self.listing_age().is_some_and(|age| age < 1500)},
         });
-        answer_json(StatusCode::OK, &answer)
+        outcome_json(StatusCode::OK, &answer)
     }
 }
 
@@ -295,7 +295,7 @@
 }
 
 /// Reads a policy as it would stand in the document, and shows its table; nothing is changed.
-async fn check_policy(state: &FleetState, mut asked: Asked) -> Answered {
+async fn check_policy(state: &FleetState, mut asked: Asked) -> WebOutcome {
     let document = match read_document_of(&mut asked).await {
         Ok(document) => document,
         Err(complaints) => return tell_complaints(&complaints),
@@ -306,25 +306,25 @@
     merge(&mut whole, &patch);
     match read_document(&whole) {
         Ok(desired) => match desired.policies.get("checked") {
-            Some(policy) => answer_json(StatusCode::OK, &show_table(state, policy)),
+            Some(policy) => outcome_json(StatusCode::OK, &show_table(state, policy)),
             None => refuse(StatusCode::BAD_REQUEST, "bad_request", "no policy"),
         },
         Err(complaints) => tell_complaints(&complaints),
     }
 }
 
-fn no_core() -> Answered {
+fn no_core() -> WebOutcome {
     refuse(StatusCode::SERVICE_UNAVAILABLE, "no_core", "the core does not answer now; a majority may be away")
         .with_header("retry-after", "2")
 }
 
-fn show_desired(state: &FleetState) -> Answered {
+fn show_desired(state: &FleetState) -> WebOutcome {
     let text = if state.desired_text.is_empty() { "{}" } else { &state.desired_text };
-    answer_bytes(StatusCode::OK, "application/json", text.to_owned())
+    outcome_bytes(StatusCode::OK, "application/json", text.to_owned())
         .with_header("etag", &format!("\"{}\"", state.desired_edition))
 }
 
-fn read_if_match(asked: &Asked) -> Result<Edition, Box<Answered>> {
+fn read_if_match(asked: &Asked) -> Result<Edition, Box<WebOutcome>> {
     let Some(tag) = asked.header("if-match") else {
         let reason = "If-Match with the edition this change is based on is needed";
         return Err(Box::new(refuse(StatusCode::PRECONDITION_REQUIRED, "no_base", reason)));
@@ -335,28 +335,28 @@
     })
 }
 
-fn tell_complaints(complaints: &[Complaint]) -> Answered {
+fn tell_complaints(complaints: &[Complaint]) -> WebOutcome {
     let listed: Vec<Value> =
         complaints.iter().map(|complaint| json!({"path": complaint.path, "reason": complaint.reason})).collect();
     let answer = json!({"error": {"type": "refused", "message": "the change was refused", "complaints": listed}});
-    answer_json(StatusCode::UNPROCESSABLE_ENTITY, &answer)
+    outcome_json(StatusCode::UNPROCESSABLE_ENTITY, &answer)
 }
 
-fn tell_outcome(request: RequestId, answer: Answer) -> Answered {
-    let answered = match answer {
-        Answer::Settled(Settled::Taken(edition)) => {
-            answer_json(StatusCode::OK, &json!({"edition": edition.0, "request": request.to_string()}))
+fn tell_outcome(request: RequestId, outcome: AskOutcome) -> WebOutcome {
+    let answered = match outcome {
+        AskOutcome::Settled(Settled::Taken(edition)) => {
+            outcome_json(StatusCode::OK, &json!({"edition": edition.0, "request": request.to_string()}))
                 .with_header("etag", &format!("\"{edition}\""))
         }
-        Answer::Settled(Settled::Stale { now }) => {
+        AskOutcome::Settled(Settled::Stale { now }) => {
             let shown = json!({"error": {"type": "stale", "message": "the desired state has moved"}, "now": now.0});
-            answer_json(StatusCode::PRECONDITION_FAILED, &shown).with_header("etag", &format!("\"{now}\""))
+            outcome_json(StatusCode::PRECONDITION_FAILED, &shown).with_header("etag", &format!("\"{now}\""))
         }
-        Answer::Settled(Settled::Refused(complaints)) => tell_complaints(&complaints),
+        AskOutcome::Settled(Settled::Refused(complaints)) => tell_complaints(&complaints),
         _ => {
             let reason = "not known to be in force; ask again under this request id";
             let shown = json!({"error": {"type": "unknown", "message": reason}, "request": request.to_string()});
-            answer_json(StatusCode::GATEWAY_TIMEOUT, &shown)
+            outcome_json(StatusCode::GATEWAY_TIMEOUT, &shown)
         }
     };
     answered.with_header("x-request-id", &request.to_string())
--- a/crates/keeper/src/main.rs
+++ b/crates/keeper/src/main.rs
@@ -81,16 +81,16 @@
     let mut desk = Desk::new(warden, filing, Post::new(own_hello), Arc::clone(&shelf), fleet, life);
     let desk_asker = DeskAsker { queue: queue.clone() };
     let conductor_asker = desk_asker.clone();
-    let census_health = Arc::new(CensusHealth::default());
+    let census_liveness = Arc::new(CensusLiveness::default());
     let door = Arc::new(Door {
         desk: desk_asker.clone(),
         shelf: Arc::clone(&shelf),
         me: me.clone(),
-        census: Arc::clone(&census_health),
+        census: Arc::clone(&census_liveness),
     });
     let runtime = small_runtime(settings.whole("threads")? as usize).map_err(|fault| miette!("{fault}"))?;
     if let Some(platform) = settings.maybe("platform") {
-        runtime.spawn(keep_census(platform.to_owned(), Arc::clone(&shelf), desk_asker, census_health));
+        runtime.spawn(keep_census(platform.to_owned(), Arc::clone(&shelf), desk_asker, census_liveness));
     }
     runtime.spawn(conduct(Arc::clone(&shelf), conductor_asker, identity));
     runtime.spawn(serve(door_listener, door));
--- a/crates/keeper/src/prelude.rs
+++ b/crates/keeper/src/prelude.rs
@@ -25,7 +25,7 @@
 pub(crate) use units::prelude::*;
 pub(crate) use warden::prelude::*;
 pub(crate) use web::prelude::{
-    AnswerFuture, Answered, AnsweredExt, Asked, Method, Site, StatusCode, answer_bytes, answer_json, ask_whole, bind,
-    no_such_page, open_stream, refuse, serve, small_runtime,
+    Asked, Method, OutcomeFuture, Site, StatusCode, WebOutcome, WebOutcomeExt, ask_whole, bind, no_such_page,
+    open_stream, outcome_bytes, outcome_json, refuse, serve, small_runtime,
 };
 pub(crate) use wire::prelude::Inbound;
--- a/crates/ledger/src/faults.rs
+++ b/crates/ledger/src/faults.rs
@@ -9,7 +9,7 @@
 pub struct PretendedDisk {
     durable: Arc<Mutex<Vec<u8>>>,
     pub sync_millis: Arc<AtomicU64>,
-    pub sync_fails: Arc<AtomicBool>,
+    pub sync_faults: Arc<AtomicBool>,
     pub is_full: Arc<AtomicBool>,
 }
 
@@ -66,7 +66,7 @@
         if pause > 0 {
             std::thread::park_timeout(std::time::Duration::from_millis(pause));
         }
-        if self.disk.sync_fails.load(Ordering::SeqCst) {
+        if self.disk.sync_faults.load(Ordering::SeqCst) {
             return Err(std::io::Error::other("the disk does not sync"));
         }
         let written = self.written().clone();
@@ -117,7 +117,7 @@
             let disk = PretendedDisk::default();
             let mut folder = Folder::on_storage(disk.open()).unwrap();
             store(&mut folder, 1).unwrap();
-            let switch = if full { &disk.is_full } else { &disk.sync_fails };
+            let switch = if full { &disk.is_full } else { &disk.sync_faults };
             switch.store(true, Ordering::SeqCst);
             assert!(store(&mut folder, 2).is_err());
             std::mem::forget(folder);
--- a/crates/measure/src/picks.rs
+++ b/crates/measure/src/picks.rs
@@ -43,7 +43,7 @@
         model: "m".into(),
         blocks: BlockCount(names.len() as u64),
         names: BTreeMap::from([(WeightsEdition(1), names.clone())]),
-        answer_blocks: BlockCount(1),
+        outcome_blocks: BlockCount(1),
         tried: Vec::new(),
     };
     let sizes = [1_000u64, 10_000, 100_000, 1_000_000];
--- a/crates/placement/src/picker.rs
+++ b/crates/placement/src/picker.rs
@@ -18,7 +18,7 @@
     /// Its block names, under the salt of each edition in use.
     pub names: BTreeMap<WeightsEdition, Vec<BlockHash>>,
     pub blocks: BlockCount,
-    pub answer_blocks: BlockCount,
+    pub outcome_blocks: BlockCount,
     /// Engines already tried for this request.
     pub tried: Vec<EngineName>,
 }
@@ -318,7 +318,7 @@
             let prefill_blocks = BlockCount(prompt.blocks.0 - overlap.0.min(prompt.blocks.0));
             let weight = table.weight(&prompt.tenant, &prompt.kind, Band::of(decode_blocks));
             let cost = match listed.role {
-                Role::Decode => (decode_blocks.0 + prompt.blocks.0 + prompt.answer_blocks.0) as f64,
+                Role::Decode => (decode_blocks.0 + prompt.blocks.0 + prompt.outcome_blocks.0) as f64,
                 _ => cost(weight, prefill_blocks, decode_blocks),
             };
             scores.push(Score {
@@ -399,7 +399,7 @@
             model: "m".into(),
             blocks: BlockCount(names.len() as u64),
             names: BTreeMap::from([(WeightsEdition(1), names)]),
-            answer_blocks: BlockCount(1),
+            outcome_blocks: BlockCount(1),
             tried: Vec::new(),
         }
     }
--- a/crates/platform/src/main.rs
+++ b/crates/platform/src/main.rs
@@ -20,16 +20,16 @@
         self.listing.lock().expect("no holder of this lock panics")
     }
 
-    async fn route(self: Arc<Self>, mut asked: Asked) -> Answered {
+    async fn enter(self: Arc<Self>, mut asked: Asked) -> WebOutcome {
         let (method, segments) = asked.way();
         match (method.as_str(), segments.as_slice()) {
             ("GET", ["v1", "engines"]) => {
                 let listing = self.listing().clone();
                 let tag = format!("\"{}-{}\"", listing.boot, listing.number);
                 if asked.header("if-none-match") == Some(tag.as_str()) {
-                    return answer_bytes(StatusCode::NOT_MODIFIED, "application/json", "").with_header("etag", &tag);
+                    return outcome_bytes(StatusCode::NOT_MODIFIED, "application/json", "").with_header("etag", &tag);
                 }
-                answer_json(StatusCode::OK, &json!(listing)).with_header("etag", &tag)
+                outcome_json(StatusCode::OK, &json!(listing)).with_header("etag", &tag)
             }
             ("PUT", ["v1", "engines", name]) => {
                 let name = (*name).to_owned();
@@ -44,13 +44,13 @@
                 listing.engines.retain(|known| known.name != name);
                 listing.engines.push(engine);
                 listing.number += 1;
-                answer_json(StatusCode::OK, &json!({"number": listing.number}))
+                outcome_json(StatusCode::OK, &json!({"number": listing.number}))
             }
             ("DELETE", ["v1", "engines", name]) => {
                 let mut listing = self.listing();
                 listing.engines.retain(|known| known.name != *name);
                 listing.number += 1;
-                answer_json(StatusCode::OK, &json!({"number": listing.number}))
+                outcome_json(StatusCode::OK, &json!({"number": listing.number}))
             }
             _ => no_such_page(),
         }
@@ -58,8 +58,8 @@
 }
 
 impl Site for PlatformSite {
-    fn answer(self: Arc<Self>, asked: Asked) -> AnswerFuture {
-        Box::pin(self.route(asked))
+    fn outcome(self: Arc<Self>, asked: Asked) -> OutcomeFuture {
+        Box::pin(self.enter(asked))
     }
 }
 
--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -53,7 +53,7 @@
 impl Run {
     /// Claims the request's key, if it has one, and carries it; a run that surely did not run gives the
     /// claim back.
-    pub async fn carry_claimed(self) -> Answered {
+    pub async fn carry_claimed(self) -> WebOutcome {
         let Some(claim) = self.plan.claim else { return self.carry().await };
         let (router, run) = (self.router, self.plan.run_number);
         let core_line = Arc::clone(&self.core_line);
@@ -64,7 +64,7 @@
                 let reason = "this key is claimed by an earlier request; it is not run again";
                 let told = json!({"error": {"type": "claimed", "message": reason}, "run": holder});
                 Counts::add(&self.stand.counts.refused, 1);
-                return answer_json(StatusCode::CONFLICT, &told).with_header(OUTCOME_HEADER, "claimed");
+                return outcome_json(StatusCode::CONFLICT, &told).with_header(OUTCOME_HEADER, "claimed");
             }
             _ => {
                 core_line.submit(Command::Release { claim, router, run }).await;
@@ -79,7 +79,7 @@
         answered
     }
 
-    pub async fn carry(mut self) -> Answered {
+    pub async fn carry(mut self) -> WebOutcome {
         let mut tried: Vec<EngineName> = Vec::new();
         let mut may_have_run = false;
         let mut last_reason = String::from("no engine is free to take it");
@@ -142,7 +142,7 @@
     }
 
     /// Bars that no other engine would lift.
-    fn barred(&self, fault: &ShotFault) -> Option<Answered> {
+    fn barred(&self, fault: &ShotFault) -> Option<WebOutcome> {
         let refusal = match fault.bar? {
             StartBar::EngineMoved => return None,
             StartBar::NoLease => {
@@ -151,11 +151,11 @@
             StartBar::KeyWithdrawn => Refusal::new(StatusCode::UNAUTHORIZED, "unknown_key", "the key was withdrawn"),
         };
         Counts::add(&self.stand.counts.not_run, 1);
-        Some(refusal.into_answer())
+        Some(refusal.into_outcome())
     }
 
     /// The final answer, given at once, with when to come back.
-    fn give_up(&self, may_have_run: bool, limit_passed: bool, reason: &str) -> Answered {
+    fn give_up(&self, may_have_run: bool, limit_passed: bool, reason: &str) -> WebOutcome {
         let (counter, outcome) = if may_have_run {
             (&self.stand.counts.unknown, "unknown")
         } else {
@@ -356,14 +356,14 @@
         }
     }
 
-    fn answer(self, begun: Begun, place: ShotPlace, shot: String) -> Answered {
+    fn answer(self, begun: Begun, place: ShotPlace, shot: String) -> WebOutcome {
         let run = self.plan.run.clone();
         match begun {
             Begun::Whole(completion) => {
                 Counts::add(&self.stand.counts.whole, 1);
                 self.record("whole", Some(boot_now().since(self.plan.began).as_millis()));
                 event!(info, "request_ended", run = run, tenant = self.plan.tenant, outcome = "whole");
-                answer_json(StatusCode::OK, &shape_whole(*completion, &run, self.plan.form))
+                outcome_json(StatusCode::OK, &shape_whole(*completion, &run, self.plan.form))
                     .with_header(RUN_HEADER, &run)
                     .with_header(OUTCOME_HEADER, "whole")
             }
@@ -375,7 +375,7 @@
                 let (sink, answered) = match held_run {
                     Some(held_run) => (Sink::Book(Arc::clone(&held_run)), held_run.stream_from(0)),
                     None => {
-                        let (pieces, answered) = answer_pieces(StatusCode::OK, "text/event-stream", PIECE_PLACES);
+                        let (pieces, answered) = outcome_pieces(StatusCode::OK, "text/event-stream", PIECE_PLACES);
                         (Sink::Caller(pieces), answered.with_header("cache-control", "no-store"))
                     }
                 };
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -22,13 +22,13 @@
 }
 
 impl Site for Entry {
-    fn answer(self: Arc<Self>, asked: Asked) -> AnswerFuture {
-        Box::pin(self.route(asked))
+    fn outcome(self: Arc<Self>, asked: Asked) -> OutcomeFuture {
+        Box::pin(self.enter(asked))
     }
 }
 
 impl Entry {
-    async fn route(self: Arc<Self>, asked: Asked) -> Answered {
+    async fn enter(self: Arc<Self>, asked: Asked) -> WebOutcome {
         let (method, segments) = asked.way();
         match (method.as_str(), segments.as_slice()) {
             ("POST", ["v1", "completions"]) => self.take(asked, Form::Completion).await,
@@ -37,7 +37,7 @@
                 let (run, last_event) = ((*run).to_owned(), asked.header("last-event-id").map(str::to_owned));
                 self.resume(&asked, &run, last_event.as_deref()).await
             }
-            ("GET", ["live"]) => answer_bytes(StatusCode::OK, "text/plain", "live\n"),
+            ("GET", ["live"]) => outcome_bytes(StatusCode::OK, "text/plain", "live\n"),
             ("GET", ["ready"]) => self.ready(),
             ("GET", ["metrics"]) => self.metrics(),
             _ => no_such_page(),
@@ -45,7 +45,7 @@
     }
 
     /// Goes on with a run where the caller left off; never begins one.
-    async fn resume(&self, asked: &Asked, run: &str, last_event: Option<&str>) -> Answered {
+    async fn resume(&self, asked: &Asked, run: &str, last_event: Option<&str>) -> WebOutcome {
         let bad = |reason: &str| refuse(StatusCode::BAD_REQUEST, "bad_request", reason);
         let gone = || refuse(StatusCode::GONE, "gone", "this run is not held any more; it is not begun anew");
         let Some(named) = EventName::read(run).filter(|named| named.piece.is_none()) else {
@@ -80,7 +80,7 @@
         held_run.stream_from(first).with_header(RUN_HEADER, run)
     }
 
-    async fn take(&self, mut asked: Asked, form: Form) -> Answered {
+    async fn take(&self, mut asked: Asked, form: Form) -> WebOutcome {
         if let Some(last_event) = asked.header("last-event-id").map(str::to_owned) {
             let run = last_event.rsplit_once('.').map_or("", |(run, _)| run).to_owned();
             return self.resume(&asked, &run, Some(&last_event)).await;
@@ -106,7 +106,7 @@
             Err(refusal) => {
                 Counts::add(&self.stand.counts.refused, 1);
                 event!(info, "request_refused", status = refusal.status.as_u16(), reason = refusal.reason);
-                refusal.into_answer()
+                refusal.into_outcome()
             }
         }
     }
@@ -147,16 +147,16 @@
         Ok((plan, seat))
     }
 
-    fn ready(&self) -> Answered {
+    fn ready(&self) -> WebOutcome {
         let is_ready = self.stand.holds_lease(boot_now()) && !self.stand.draining.load(Ordering::SeqCst);
         if is_ready {
-            answer_bytes(StatusCode::OK, "text/plain", "ready\n")
+            outcome_bytes(StatusCode::OK, "text/plain", "ready\n")
         } else {
-            answer_bytes(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not ready\n")
+            outcome_bytes(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not ready\n")
         }
     }
 
-    fn metrics(&self) -> Answered {
+    fn metrics(&self) -> WebOutcome {
         let counts = &self.stand.counts;
         let now = boot_now();
         let sight = self.stand.sight();
@@ -183,12 +183,12 @@
         text.push_str(&format!("haremount_router_edition {}\n", sight.state.edition));
         text.push_str(&format!("haremount_router_lease_left_ms {}\n", self.stand.lease_left(now).as_millis()));
         text.push_str(&self.stand.policy_metrics());
-        answer_bytes(StatusCode::OK, "text/plain; version=0.0.4", text)
+        outcome_bytes(StatusCode::OK, "text/plain; version=0.0.4", text)
     }
 }
 
 /// Asks the router that holds the run, and passes its stream on byte by byte.
-async fn carry_resume(door: &str, asked: &Asked, run: &str, last_event: Option<&str>) -> Result<Answered, String> {
+async fn carry_resume(door: &str, asked: &Asked, run: &str, last_event: Option<&str>) -> Result<WebOutcome, String> {
     let mut question = Question::get(&format!("/v1/runs/{run}"))
         .header("authorization", asked.header("authorization").unwrap_or(""))
         .header("x-haremount-carried", "true");
@@ -200,9 +200,9 @@
     if replied.status != StatusCode::OK {
         let status = replied.status;
         let body = read_whole(&mut replied.body, 1 << 16, Duration::from_secs(2)).await.unwrap_or_default();
-        return Ok(answer_bytes(status, "application/json", body));
+        return Ok(outcome_bytes(status, "application/json", body));
     }
-    let (pieces, answered) = answer_pieces(StatusCode::OK, "text/event-stream", 32);
+    let (pieces, answered) = outcome_pieces(StatusCode::OK, "text/event-stream", 32);
     tokio::spawn(async move {
         loop {
             let piece = tokio::select! {
--- a/crates/router/src/plan.rs
+++ b/crates/router/src/plan.rs
@@ -52,7 +52,7 @@
     }
 
     /// Nothing of the request has run or will run.
-    pub fn into_answer(self) -> Answered {
+    pub fn into_outcome(self) -> WebOutcome {
         let answered = refuse(self.status, self.kind, &self.reason).with_header(OUTCOME_HEADER, "not_run");
         match self.retry_after {
             Some(seconds) => answered.with_header("retry-after", &seconds.to_string()),
@@ -150,7 +150,7 @@
             model: self.model.clone(),
             names,
             blocks: blocks_of(self.prompt_text.len()),
-            answer_blocks: BlockCount(self.max_tokens.div_ceil(BLOCK_TOKENS as u64)),
+            outcome_blocks: BlockCount(self.max_tokens.div_ceil(BLOCK_TOKENS as u64)),
             tried: tried.to_vec(),
         }
     }
--- a/crates/router/src/prelude.rs
+++ b/crates/router/src/prelude.rs
@@ -27,8 +27,8 @@
 pub(crate) use trade::prelude::*;
 pub(crate) use units::prelude::*;
 pub(crate) use web::prelude::{
-    AnswerFuture, Answered, AnsweredExt, Asked, BodyFault, Bytes, Method, OpenStream, PieceSender, Question, Replied,
-    SendFault, Site, StatusCode, answer_bytes, answer_json, answer_pieces, ask_whole, bind, no_such_page,
-    open_stream, read_whole, refuse, serve, small_runtime,
+    Asked, BodyFault, Bytes, Method, OpenStream, OutcomeFuture, PieceSender, Question, Replied, SendFault, Site,
+    StatusCode, WebOutcome, WebOutcomeExt, ask_whole, bind, no_such_page, open_stream, outcome_bytes, outcome_json,
+    outcome_pieces, read_whole, refuse, serve, small_runtime,
 };
 pub(crate) use wire::prelude::{RouterDown, RouterUp};
--- a/crates/router/src/table.rs
+++ b/crates/router/src/table.rs
@@ -113,7 +113,7 @@
     }
 
     pub async fn pick(&self, prompt: Prompt, is_retry: bool) -> Option<(Picked, Option<ShotPlace>)> {
-        let blocks = BlockCount(prompt.blocks.0 + prompt.answer_blocks.0);
+        let blocks = BlockCount(prompt.blocks.0 + prompt.outcome_blocks.0);
         let picked = self.ask(|reply| TableCommand::Pick { prompt: Box::new(prompt), is_retry, reply }).await?;
         let place = match &picked {
             Picked::Placed(placement) => {
@@ -163,7 +163,7 @@
             TableCommand::Pick { prompt, is_retry, reply } => {
                 let picked = self.pick(&prompt, is_retry, now);
                 if let Err(Picked::Placed(placement)) = reply.send(picked) {
-                    let blocks = BlockCount(prompt.blocks.0 + prompt.answer_blocks.0);
+                    let blocks = BlockCount(prompt.blocks.0 + prompt.outcome_blocks.0);
                     self.picker.end_shot(&placement.chosen.engine, blocks);
                 }
             }
@@ -196,7 +196,7 @@
             self.budget.earn(sight.state.desired.routing.retry_percent);
         }
         Counts::add(&self.stand.counts.shots, 1);
-        let blocks = BlockCount(prompt.blocks.0 + prompt.answer_blocks.0);
+        let blocks = BlockCount(prompt.blocks.0 + prompt.outcome_blocks.0);
         self.picker.begin_shot(&placement.chosen.engine, blocks);
         Picked::Placed(Box::new(placement))
     }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -408,7 +408,7 @@
                         self.tell(number, node, message);
                     }
                 }
-                Effect::Answer { ticket, answer } => self.take_answer(ticket, answer),
+                Effect::Outcome { ticket, outcome } => self.take_outcome(ticket, outcome),
                 Effect::Note { event, detail } => self.note(format!("k{number} {event} {detail}")),
             }
         }
@@ -837,12 +837,12 @@
         self.later(Span::millis(1), Happening::KeeperInput { keeper, life: Some(life), input });
     }
 
-    fn take_answer(&mut self, ticket: u64, answer: Answer) {
+    fn take_outcome(&mut self, ticket: u64, outcome: AskOutcome) {
         let Some(asked) = self.asked.remove(&ticket) else { return };
         if let Some(Meaning::Stands { keeper, engine }) = &asked.means {
             self.keepers[*keeper].submitted.remove(engine);
         }
-        let Answer::Settled(Settled::Taken(edition)) = answer else { return };
+        let AskOutcome::Settled(Settled::Taken(edition)) = outcome else { return };
         let at = self.millis();
         self.acked.insert(asked.request, edition);
         self.see_committed(edition, asked.request, "an answer");
--- a/crates/store/src/main.rs
+++ b/crates/store/src/main.rs
@@ -20,8 +20,8 @@
 }
 
 impl Site for StoreSite {
-    fn answer(self: Arc<Self>, asked: Asked) -> AnswerFuture {
-        Box::pin(self.route(asked))
+    fn outcome(self: Arc<Self>, asked: Asked) -> OutcomeFuture {
+        Box::pin(self.enter(asked))
     }
 }
 
@@ -30,7 +30,7 @@
         self.memory.lock().expect("no holder of this lock panics")
     }
 
-    async fn route(self: Arc<Self>, mut asked: Asked) -> Answered {
+    async fn enter(self: Arc<Self>, mut asked: Asked) -> WebOutcome {
         let (method, segments) = asked.way();
         match (method.as_str(), segments.as_slice()) {
             ("GET", ["v1", "kept", "events"]) => {
@@ -41,23 +41,23 @@
             }
             ("GET", ["v1", "kept", "snapshot"]) => {
                 let snapshot = self.memory().snapshot();
-                answer_json(StatusCode::OK, &json!(snapshot))
+                outcome_json(StatusCode::OK, &json!(snapshot))
             }
-            ("GET", ["live"]) => answer_bytes(StatusCode::OK, "text/plain", "live\n"),
+            ("GET", ["live"]) => outcome_bytes(StatusCode::OK, "text/plain", "live\n"),
             ("GET", ["metrics"]) => {
                 let text = format!("haremount_store_kept_share {:.4}\n", self.memory().kept_share());
-                answer_bytes(StatusCode::OK, "text/plain; version=0.0.4", text)
+                outcome_bytes(StatusCode::OK, "text/plain; version=0.0.4", text)
             }
             ("POST", ["v1", "blocks"]) => {
                 let Some(names) = read_names(&mut asked).await else { return bad_names() };
                 self.memory().keep(&names);
                 self.news.send_modify(|count| *count += 1);
-                answer_json(StatusCode::OK, &json!(Found { found: names.len() as u64 }))
+                outcome_json(StatusCode::OK, &json!(Found { found: names.len() as u64 }))
             }
             ("POST", ["v1", "kept", "blocks"]) => {
                 let Some(names) = read_names(&mut asked).await else { return bad_names() };
                 let found = self.memory().overlap(&names) as u64;
-                answer_json(StatusCode::OK, &json!(Found { found }))
+                outcome_json(StatusCode::OK, &json!(Found { found }))
             }
             _ => no_such_page(),
         }
--- a/crates/verdict/src/judge.rs
+++ b/crates/verdict/src/judge.rs
@@ -4,7 +4,7 @@
 
 pub const KEY_LIMIT_MS: u64 = 5_000;
 pub const LISTING_LIMIT_MS: u64 = 3_000;
-pub const CONFIGURATION_LIMIT_MS: u64 = 2_000;
+pub const DESIRED_STATE_LIMIT_MS: u64 = 2_000;
 pub const WEIGHTS_LIMIT_MS: u64 = 20_000;
 pub const HOLDER_GAP_MS: u64 = 3_000;
 pub const RETRY_SHARE: f64 = 0.15;
@@ -31,7 +31,7 @@
         (5, memory_keeps_to_walls),
         (6, withdrawn_keys_do_nothing),
         (7, engines_listed_away_get_nothing),
-        (8, configurations_hold),
+        (8, desired_states_hold),
         (9, old_weights_end),
         (10, one_holder_orders),
         (11, retries_are_few),
@@ -155,7 +155,7 @@
     found
 }
 
-fn configurations_hold(record: &Record) -> Vec<String> {
+fn desired_states_hold(record: &Record) -> Vec<String> {
     let mut found = Vec::new();
     let mut shown: BTreeMap<&str, u64> = BTreeMap::new();
     for line in &record.world {
@@ -167,7 +167,7 @@
         *highest = (*highest).max(*edition);
         for acked in &record.world {
             let WorldLine::Acked { at: acked_at, edition: acked_edition } = acked else { continue };
-            if *leased && *at > acked_at + CONFIGURATION_LIMIT_MS && edition < acked_edition {
+            if *leased && *at > acked_at + DESIRED_STATE_LIMIT_MS && edition < acked_edition {
                 found.push(format!(
                     "router {router} served edition {edition} {} ms after {acked_edition}",
                     at - acked_at
--- a/crates/warden/src/asks.rs
+++ b/crates/warden/src/asks.rs
@@ -43,16 +43,16 @@
             }
         }
         for ticket in run_out {
-            self.hear_answer(ticket, Answer::Unknown);
+            self.hear_outcome(ticket, AskOutcome::Unknown);
         }
         for (ticket, waiting) in asked_again {
             self.send_ask(ticket, &waiting);
         }
     }
 
-    pub(crate) fn hear_answer(&mut self, ticket: u64, answer: Answer) {
+    pub(crate) fn hear_outcome(&mut self, ticket: u64, outcome: AskOutcome) {
         if self.waiting.remove(&ticket).is_some() {
-            self.plan.push(Effect::Answer { ticket, answer });
+            self.plan.push(Effect::Outcome { ticket, outcome });
         }
     }
 
@@ -62,7 +62,7 @@
             return;
         }
         let read_until = self.read_until();
-        let answer = match question {
+        let outcome = match question {
             Question::Submit(_) => return,
             Question::Settled(request) => {
                 let Some(tail) = self.tail.as_mut() else { return };
@@ -74,7 +74,7 @@
                 }
                 return;
             }
-            Question::State => Answer::State(Box::new(self.log.state().clone())),
+            Question::State => AskOutcome::State(Box::new(self.log.state().clone())),
             Question::Nodes => {
                 let Some(tail) = &self.tail else { return };
                 let reports = tail
@@ -86,9 +86,9 @@
                         lease_left: entry.until.since(now),
                     })
                     .collect();
-                Answer::Nodes(reports)
+                AskOutcome::Nodes(reports)
             }
         };
-        self.send_until(from, CoreMessage::Answer { ticket, answer }, Some(read_until));
+        self.send_until(from, CoreMessage::Outcome { ticket, outcome }, Some(read_until));
     }
 }
--- a/crates/warden/src/messages.rs
+++ b/crates/warden/src/messages.rs
@@ -46,9 +46,9 @@
         ticket: u64,
         question: Question,
     },
-    Answer {
+    Outcome {
         ticket: u64,
-        answer: Answer,
+        outcome: AskOutcome,
     },
 }
 
@@ -63,7 +63,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Answer {
+pub enum AskOutcome {
     Settled(Settled),
     State(Box<FleetState>),
     Nodes(Vec<NodeReport>),
@@ -177,7 +177,7 @@
     Send { to: NodeId, address: String, message: CoreMessage, until: Option<Instant> },
     Knock { address: String, message: CoreMessage },
     Tell { node: NodeId, message: NodeDown, until: Option<Instant> },
-    Answer { ticket: u64, answer: Answer },
+    Outcome { ticket: u64, outcome: AskOutcome },
     Note { event: &'static str, detail: String },
 }
 
--- a/crates/warden/src/mind.rs
+++ b/crates/warden/src/mind.rs
@@ -222,7 +222,7 @@
             CoreMessage::DutyGiven { sent, duties } => self.hear_duty_given(from, sent, duties, now),
             CoreMessage::Submit(submission) => self.hear_submit(submission),
             CoreMessage::Ask { ticket, question } => self.hear_ask(from, ticket, question, now),
-            CoreMessage::Answer { ticket, answer } => self.hear_answer(ticket, answer),
+            CoreMessage::Outcome { ticket, outcome } => self.hear_outcome(ticket, outcome),
         }
     }
 
--- a/crates/warden/src/tailing.rs
+++ b/crates/warden/src/tailing.rs
@@ -50,7 +50,7 @@
     asked: Instant,
     newest: Option<(String, ListingNumber)>,
     /// When the latest reading that failed began.
-    failed: Instant,
+    faulted: Instant,
     /// The listings in the state, latest first: the edition each came in, and when the latest reading
     /// began that agreed with it. Two are kept, for nodes that have yet to apply the latest.
     agreed: VecDeque<(Edition, Instant)>,
@@ -200,7 +200,7 @@
 
     pub(crate) fn note_listing(&mut self, read: Option<(String, ListingNumber)>, asked: Instant) {
         match read {
-            None => self.census.failed = self.census.failed.max(asked),
+            None => self.census.faulted = self.census.faulted.max(asked),
             Some((boot, number)) if asked >= self.census.asked => {
                 self.census.asked = asked;
                 self.census.newest = Some((boot, number));
@@ -231,7 +231,7 @@
     fn listing_is_fresh(&self, applied: Edition, now: Instant) -> bool {
         let own_agreed = self.census.agreed.iter().find(|(edition, _)| applied >= *edition);
         let has_latest = self.census.agreed.front().is_some_and(|(edition, _)| applied >= *edition);
-        let platform_away = self.census.failed >= self.census.asked && now.since(self.census.failed) < FAILED_AGE;
+        let platform_away = self.census.faulted >= self.census.asked && now.since(self.census.faulted) < FAILED_AGE;
         own_agreed.is_some_and(|(_, agreed)| now.since(*agreed) < LISTING_AGE) || (has_latest && platform_away)
     }
 
@@ -378,8 +378,8 @@
         for (from, ticket, outcome) in answered {
             match from {
                 AskedBy::Keeper(to) => {
-                    let answer = Answer::Settled(outcome);
-                    self.send_until(to, CoreMessage::Answer { ticket, answer }, Some(read_until));
+                    let outcome = AskOutcome::Settled(outcome);
+                    self.send_until(to, CoreMessage::Outcome { ticket, outcome }, Some(read_until));
                 }
                 AskedBy::Node(node) => {
                     let message = NodeDown::Settled { ticket, outcome };
@@ -388,14 +388,14 @@
             }
         }
         if !self.inbox.is_empty() {
-            self.take_own_answers();
+            self.take_own_outcomes();
         }
     }
 
-    fn take_own_answers(&mut self) {
+    fn take_own_outcomes(&mut self) {
         while let Some(message) = self.inbox.pop_front() {
             match message {
-                CoreMessage::Answer { ticket, answer } => self.hear_answer(ticket, answer),
+                CoreMessage::Outcome { ticket, outcome } => self.hear_outcome(ticket, outcome),
                 CoreMessage::Submit(submission) => self.hear_submit(submission),
                 _ => {}
             }
@@ -519,6 +519,6 @@
             let command = Command::Appoint { kind, from_term, holder };
             self.send(head, CoreMessage::Submit(Submission { request, command }));
         }
-        self.take_own_answers();
+        self.take_own_outcomes();
     }
 }
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -89,7 +89,7 @@
 }
 
 /// An answer whose body is sent piece by piece.
-pub fn answer_pieces(status: StatusCode, content_type: &'static str, places: usize) -> (PieceSender, Answered) {
+pub fn outcome_pieces(status: StatusCode, content_type: &'static str, places: usize) -> (PieceSender, WebOutcome) {
     let (sender, receiver) = mpsc::channel(places);
     let mut answered = Response::new(UnsyncBoxBody::new(PieceBody { pieces: receiver, held_abort: None }));
     *answered.status_mut() = status;
--- a/crates/web/src/serve.rs
+++ b/crates/web/src/serve.rs
@@ -13,12 +13,12 @@
     pub body: std::sync::Mutex<GothamBody>,
 }
 
-pub type Answered = Response<GothamBody>;
-pub type AnswerFuture = Pin<Box<dyn Future<Output = Answered> + Send>>;
+pub type WebOutcome = Response<GothamBody>;
+pub type OutcomeFuture = Pin<Box<dyn Future<Output = WebOutcome> + Send>>;
 
 /// What a program serves.
 pub trait Site: Send + Sync + 'static {
-    fn answer(self: Arc<Self>, asked: Asked) -> AnswerFuture;
+    fn outcome(self: Arc<Self>, asked: Asked) -> OutcomeFuture;
 }
 
 /// Taking a request out of gotham's state.
@@ -66,11 +66,11 @@
 }
 
 /// Answers and their headers.
-pub trait AnsweredExt {
+pub trait WebOutcomeExt {
     fn with_header(self, name: &'static str, value: &str) -> Self;
 }
 
-impl AnsweredExt for Answered {
+impl WebOutcomeExt for WebOutcome {
     fn with_header(mut self, name: &'static str, value: &str) -> Self {
         if let Ok(header_value) = HeaderValue::from_str(value) {
             self.headers_mut().insert(HeaderName::from_static(name), header_value);
@@ -79,23 +79,23 @@
     }
 }
 
-pub fn answer_bytes(status: StatusCode, content_type: &'static str, bytes: impl Into<Bytes>) -> Answered {
+pub fn outcome_bytes(status: StatusCode, content_type: &'static str, bytes: impl Into<Bytes>) -> WebOutcome {
     let body = Full::new(bytes.into()).map_err(|never| match never {});
     let mut answered = Response::new(UnsyncBoxBody::new(body));
     *answered.status_mut() = status;
     answered.with_header("content-type", content_type)
 }
 
-pub fn answer_json(status: StatusCode, value: &Value) -> Answered {
-    answer_bytes(status, "application/json", value.to_string())
+pub fn outcome_json(status: StatusCode, value: &Value) -> WebOutcome {
+    outcome_bytes(status, "application/json", value.to_string())
 }
 
 /// A refusal: what is wrong, as JSON.
-pub fn refuse(status: StatusCode, kind: &str, reason: &str) -> Answered {
-    answer_json(status, &json!({"error": {"type": kind, "message": reason}}))
+pub fn refuse(status: StatusCode, kind: &str, reason: &str) -> WebOutcome {
+    outcome_json(status, &json!({"error": {"type": kind, "message": reason}}))
 }
 
-pub fn no_such_page() -> Answered {
+pub fn no_such_page() -> WebOutcome {
     refuse(StatusCode::NOT_FOUND, "not_found", "no such page")
 }
 
@@ -138,7 +138,7 @@
     fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
         let asked = state.take_asked();
         Box::pin(async move {
-            let answered = Arc::clone(&self.0).answer(asked).await;
+            let answered = Arc::clone(&self.0).outcome(asked).await;
             Ok((state, answered))
         })
     }
--- a/crates/yard/src/trouble.rs
+++ b/crates/yard/src/trouble.rs
@@ -17,7 +17,7 @@
     FreezeNode(usize),
     FreezeEngine(usize),
     ListAway(usize),
-    Configure(u64),
+    ChangeDesiredState(u64),
     WithdrawKey,
     Trial,
     MoveWeights,
@@ -61,7 +61,7 @@
                 8 => Deed::FreezeNode(node),
                 9 => Deed::FreezeEngine(engine),
                 10 => Deed::ListAway(engine),
-                _ => Deed::Configure(draw.below(1000)),
+                _ => Deed::ChangeDesiredState(draw.below(1000)),
             };
             moments.push((moment, deed));
             moments.push((moment + draw.between(300, 3_000), Deed::PutBack));
@@ -117,7 +117,7 @@
                 fleet.engines[engine].away = true;
                 fleet.list_engine(engine, "leaving")?;
             }
-            Deed::Configure(number) => {
+            Deed::ChangeDesiredState(number) => {
                 let _ = fleet.patch_document(&json!({"routing": {"events_late_ms": 1500 + number}}));
             }
             Deed::WithdrawKey => {
