--- a/crates/placement/src/picker.rs
+++ b/crates/placement/src/picker.rs
@@ -53,6 +53,8 @@
     pub fetches: Vec<FetchRun>,
     /// In a split pool: the engine that prefills before the chosen one decodes.
     pub prefill: Option<PrefillPlace>,
+    /// The block name by which ties were spread.
+    pub tie_name: BlockHash,
 }
 
 /// Where a prompt is prefilled in a split pool.
@@ -271,6 +273,7 @@
             policy,
             fetches: Vec::new(),
             prefill: None,
+            tie_name: tie_name(prompt),
         };
         if chosen.role != Role::Decode {
             placement.fetches = self.plan_fetch(sight, names, &chosen);
@@ -343,7 +346,7 @@
     /// Equal costs go to our own zone if the engine decodes, and else by a hash of prefix, router and
     /// engine, so that routers do not all choose alike.
     fn cheapest<'a>(&self, scores: &'a [Score], prompt: &Prompt) -> Option<&'a Score> {
-        let prefix = prompt.names.values().next().and_then(|names| names.first()).map_or(0, |name| name.0);
+        let prefix = tie_name(prompt);
         let spread = |score: &Score| spread_of(prefix, self.router, &score.engine);
         scores.iter().min_by(|left, right| {
             left.cost
@@ -354,9 +357,14 @@
     }
 }
 
+/// The prompt's first name under the lowest edition in use, by which ties are spread.
+fn tie_name(prompt: &Prompt) -> BlockHash {
+    prompt.names.values().next().and_then(|names| names.first()).copied().unwrap_or(BlockHash(0))
+}
+
 /// The order among equal costs.
-pub fn spread_of(prefix: u64, router: NodeId, engine: &EngineName) -> BlockHash {
-    BlockHash::over(&[&prefix.to_le_bytes(), &router.0.to_le_bytes(), engine.as_str().as_bytes()])
+pub fn spread_of(prefix: BlockHash, router: NodeId, engine: &EngineName) -> BlockHash {
+    BlockHash::over(&[&prefix.0.to_le_bytes(), &router.0.to_le_bytes(), engine.as_str().as_bytes()])
 }
 
 #[cfg(test)]
--- a/crates/recording/src/lines.rs
+++ b/crates/recording/src/lines.rs
@@ -39,6 +39,8 @@
     pub chosen: String,
     pub default_engine: String,
     pub weights: u64,
+    /// The block name by which ties were spread.
+    pub tie_name: String,
     pub candidates: Vec<RecordedScore>,
 }
 
--- a/crates/replay/src/offline.rs
+++ b/crates/replay/src/offline.rs
@@ -96,8 +96,8 @@
     pick: &'a RecordedPick,
     table: Option<&Table>,
 ) -> Option<&'a RecordedScore> {
-    let first_name: BlockHash = run.block_hashes.first().and_then(|name| name.parse().ok()).unwrap_or(BlockHash(0));
-    let spread = |score: &RecordedScore| spread_of(first_name.0, router, &EngineName(score.engine.clone()));
+    let tie_name: BlockHash = pick.tie_name.parse().unwrap_or(BlockHash(0));
+    let spread = |score: &RecordedScore| spread_of(tie_name, router, &EngineName(score.engine.clone()));
     pick.candidates.iter().min_by(|left, right| {
         new_cost(run, left, table)
             .total_cmp(&new_cost(run, right, table))
@@ -108,12 +108,10 @@
 
 fn explain(run: &RecordedRun, recorded: &RecordedScore, replayed: &RecordedScore, table: Option<&Table>) -> String {
     let (old_cost, other_cost) = (new_cost(run, recorded, table), new_cost(run, replayed, table));
-    let why = if old_cost == other_cost {
-        "equal costs; the tie went by the names of more than one weights edition then"
-    } else if table.is_some() {
-        "the other policy's weights"
-    } else {
-        "NOT explained: the recorded engine was not the cheapest"
+    let why = match table {
+        Some(_) if old_cost > other_cost => "the other policy's weights",
+        Some(_) => "equal costs under the other policy; the tie went by its hash",
+        None => "NOT explained: the recorded engine was not the cheapest",
     };
     format!(
         "run {} kind {}: {} (cost {old_cost:.1}) became {} (cost {other_cost:.1}): {why}",
@@ -142,6 +140,7 @@
             chosen: "idle".into(),
             default_engine: "idle".into(),
             weights: 1,
+            tie_name: "00000000000000aa".into(),
             candidates: vec![score("idle", 100, 40), score("busy", 10, 300)],
         };
         let run = RecordedRun {
--- a/crates/router/src/recorder.rs
+++ b/crates/router/src/recorder.rs
@@ -64,6 +64,7 @@
             chosen: placement.chosen.engine.0.clone(),
             default_engine: placement.default_engine.0.clone(),
             weights: placement.chosen.weights.0,
+            tie_name: placement.tie_name.to_string(),
             candidates,
         }
     }
