--- a/crates/measure/src/fleets.rs
+++ b/crates/measure/src/fleets.rs
@@ -81,6 +81,10 @@
             "router lost and back",
             "agent lost and back",
             "two keepers lost and back",
+            "keeper frozen 3 s",
+            "node frozen 3 s",
+            "engine frozen 3 s",
+            "store lost",
         ] {
             let lost = match what {
                 "head lost" => Some(place(&fleet, 0)),
@@ -90,6 +94,12 @@
             };
             match (lost, what) {
                 (Some(keeper), _) => fleet.keepers[keeper].process = None,
+                (None, "store lost") => fleet.store = None,
+                (None, "keeper frozen 3 s") => freeze_for(&[fleet.keepers[1].process.as_ref()]),
+                (None, "node frozen 3 s") => {
+                    freeze_for(&[fleet.nodes[0].agent.as_ref(), fleet.nodes[0].router.as_ref()]);
+                }
+                (None, "engine frozen 3 s") => freeze_for(&[fleet.engines[1].process.as_ref()]),
                 (None, "engine lost") => fleet.engines[0].process = None,
                 (None, "router lost and back") => {
                     fleet.nodes[0].router = None;
@@ -146,6 +156,13 @@
     Ok(())
 }
 
+/// Freezes processes for three seconds; what follows is measured from their waking.
+fn freeze_for(processes: &[Option<&Process>]) {
+    processes.iter().flatten().for_each(|process| process.freeze());
+    wait_until(Duration::from_secs(3), || false);
+    processes.iter().flatten().for_each(|process| process.wake());
+}
+
 /// The longest stretch without a served request on any router after the tail is lost.
 pub fn measure_gap() -> Result<(), String> {
     let mut fleet = Fleet::start(FleetPlan { nodes: 3, engines: 3, ..FleetPlan::small() })?;
--- a/crates/yard/tests/core.rs
+++ b/crates/yard/tests/core.rs
@@ -135,3 +135,28 @@
     let log = run("port-in-use", &in_use);
     assert!(log.contains("listen: ") && log.contains("in use"), "{log}");
 }
+
+#[test]
+fn a_folder_restored_from_a_backup_catches_up() {
+    let mut fleet = core_only();
+    let restored = chain_place(&fleet, 1);
+    let id = fleet.keepers[restored].id.clone();
+    let process = fleet.keepers[restored].process.as_mut().unwrap();
+    process.ask_to_stop();
+    assert_eq!(process.wait_end(Duration::from_secs(10)), Some(0));
+    fleet.keepers[restored].process = None;
+    let backup = fleet.folder.join("backup");
+    std::fs::create_dir_all(&backup).unwrap();
+    let ledger = fleet.keepers[restored].data.join("ledger.redb");
+    std::fs::copy(&ledger, backup.join("ledger.redb")).unwrap();
+    let edition = wait_change(&fleet, "made while it was away");
+    std::fs::remove_file(&ledger).unwrap();
+    std::fs::copy(backup.join("ledger.redb"), &ledger).unwrap();
+    fleet.start_keeper(restored, false).unwrap();
+    assert_eq!(fleet.keepers[restored].id, id, "a restored folder is the machine it was");
+    fleet.wait_core(4).unwrap();
+    assert!(fleet.desired_edition().unwrap() >= edition);
+    let door = fleet.keepers[restored].door.clone();
+    let own_word = fleet.operate_at(&door, Method::GET, "/v1/desired-state", None, None).unwrap();
+    assert_eq!(own_word.1["kinds"], json!(["made while it was away"]));
+}
--- a/crates/yard/tests/data.rs
+++ b/crates/yard/tests/data.rs
@@ -277,3 +277,17 @@
         "{retries} second shots on 60 first ones; a tenth and two saved up are allowed"
     );
 }
+
+#[test]
+fn a_slow_caller_is_let_go_with_a_word() {
+    let fleet = Fleet::start(FleetPlan { nodes: 1, engines: 1, ..FleetPlan::small() }).unwrap();
+    let sent = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\nauthorization: Bearer {}\r\n\
+         content-length: 1000\r\n\r\n{{\"model\"",
+        fleet.tenants[0].1
+    );
+    let answer = raw(&fleet.router_address(0), sent.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 408"), "a body that does not come is not waited for: {answer}");
+    assert!(answer.contains("x-haremount-outcome: not_run"), "{answer}");
+    assert_eq!(fleet.complete(0, 0, "the next one").unwrap().0, 200);
+}
