--- a/crates/yard/src/fleet.rs
+++ b/crates/yard/src/fleet.rs
@@ -46,19 +46,8 @@
 
     /// A whole office: nine edge machines, four core machines, twenty engines.
     pub fn office(name: &str) -> FleetPlan {
-        FleetPlan {
-            office: name.into(),
-            keepers: 4,
-            nodes: 9,
-            engines: 20,
-            engine_flags: Vec::new(),
-            sight: "events".into(),
-            weight: 1.0,
-            log_level: "info".into(),
-            records: false,
-            relayed: false,
-            split: false,
-        }
+        let (office, engine_flags) = (name.into(), Vec::new());
+        FleetPlan { office, nodes: 9, engines: 20, engine_flags, ..FleetPlan::small() }
     }
 }
 
