--- a/crates/yard/src/main.rs
+++ b/crates/yard/src/main.rs
@@ -41,6 +41,7 @@
         engines: whole("engines")? as usize,
         sight: text("sight")?,
         records: settings.flag("records"),
+        relayed: settings.maybe("trouble").is_some(),
         weight: whole("weight")? as f64,
         log_level: text("log_level")?,
         ..FleetPlan::office(&text("office")?)
--- a/crates/yard/src/trouble.rs
+++ b/crates/yard/src/trouble.rs
@@ -17,6 +17,17 @@
     FreezeNode(usize),
     FreezeEngine(usize),
     ListAway(usize),
+    /// The keeper's disk is full from now on.
+    FillDisk(usize),
+    /// The keeper's disk is gone; an empty machine takes its place.
+    LoseDisk(usize),
+    /// Nothing gets through to the keeper, and nothing is closed.
+    StallKeeper(usize),
+    CutKeeper(usize),
+    /// No stream to any keeper holds.
+    CutCore,
+    HideEvents(usize),
+    SlowLinks(usize),
     ChangeDesiredState(u64),
     WithdrawKey,
     Trial,
@@ -29,19 +40,24 @@
     moments: Vec<(u64, Deed)>,
     withdrawn: bool,
     awaited_weights: Option<u64>,
+    filled: Vec<usize>,
 }
 
 impl Trouble {
     pub fn of(moments: Vec<(u64, Deed)>) -> Trouble {
-        Trouble { moments, withdrawn: false, awaited_weights: None }
+        Trouble { moments, withdrawn: false, awaited_weights: None, filled: Vec::new() }
     }
 
     /// A schedule over the first part of a day; the last twenty seconds stay calm.
     pub fn draw(seed: u64, seconds: u64, plan: &FleetPlan) -> Trouble {
         let mut draw = Draw::new(seed);
         let calm_at = (seconds * 1000).saturating_sub(20_000).max(3_000);
-        let mut moments =
-            vec![(2_000, Deed::Trial), (calm_at / 3, Deed::MoveWeights), (calm_at / 2, Deed::WithdrawKey)];
+        let mut moments = vec![
+            (2_000, Deed::Trial),
+            (calm_at / 3, Deed::MoveWeights),
+            (calm_at / 2, Deed::WithdrawKey),
+            (calm_at * 2 / 3, Deed::LoseDisk(seed as usize % plan.keepers)),
+        ];
         let mut moment = 1_500;
         while moment + 2_000 < calm_at {
             let (keeper, node, engine) = (
@@ -49,7 +65,7 @@
                 draw.below(plan.nodes as u64) as usize,
                 draw.below(plan.engines as u64) as usize,
             );
-            let deed = match draw.below(13) {
+            let deed = match draw.below(20) {
                 0 => Deed::LoseKeeper(keeper),
                 1 => Deed::LoseKeepers(keeper, (keeper + 1) % plan.keepers),
                 2 => Deed::LoseRouter(node),
@@ -61,6 +77,12 @@
                 8 => Deed::FreezeNode(node),
                 9 => Deed::FreezeEngine(engine),
                 10 => Deed::ListAway(engine),
+                11 => Deed::FillDisk(keeper),
+                12 => Deed::StallKeeper(keeper),
+                13 => Deed::CutKeeper(keeper),
+                14 => Deed::CutCore,
+                15 => Deed::HideEvents(engine),
+                16 => Deed::SlowLinks(engine),
                 _ => Deed::ChangeDesiredState(draw.below(1000)),
             };
             moments.push((moment, deed));
@@ -92,6 +114,13 @@
         Ok(())
     }
 
+    fn put_back(&mut self, fleet: &mut Fleet) -> Result<(), String> {
+        for keeper in self.filled.drain(..) {
+            fleet.keepers[keeper].process = None;
+        }
+        put_back(fleet)
+    }
+
     fn act(&mut self, fleet: &mut Fleet, deed: Deed) -> Result<(), String> {
         match deed {
             Deed::LoseKeeper(keeper) => fleet.keepers[keeper].process = None,
@@ -117,6 +146,20 @@
                 fleet.engines[engine].away = true;
                 fleet.list_engine(engine, "leaving")?;
             }
+            Deed::FillDisk(keeper) => {
+                self.filled.push(keeper);
+                fleet.keepers[keeper].process.iter().for_each(|process| process.limit_file_size(4096));
+            }
+            Deed::LoseDisk(keeper) => {
+                fleet.keepers[keeper].process = None;
+                let _ = std::fs::remove_dir_all(&fleet.keepers[keeper].data);
+                fleet.start_keeper(keeper, false)?;
+            }
+            Deed::StallKeeper(keeper) => set_passage(fleet, keeper, Passage::Stalled),
+            Deed::CutKeeper(keeper) => set_passage(fleet, keeper, Passage::Cut),
+            Deed::CutCore => (0..fleet.keepers.len()).for_each(|keeper| set_passage(fleet, keeper, Passage::Cut)),
+            Deed::HideEvents(engine) => set_engine_faults(fleet, engine, &json!({"hide_events": true})),
+            Deed::SlowLinks(engine) => set_engine_faults(fleet, engine, &json!({"link_us": 50_000})),
             Deed::ChangeDesiredState(number) => {
                 let _ = fleet.patch_document(&json!({"routing": {"events_late_ms": 1500 + number}}));
             }
@@ -137,9 +180,9 @@
                 let intent = json!({"intent": "move_weights", "model": "model", "weights": 2});
                 self.awaited_weights = carry_intent(fleet, &intent);
             }
-            Deed::PutBack => put_back(fleet)?,
+            Deed::PutBack => self.put_back(fleet)?,
             Deed::Over => {
-                put_back(fleet)?;
+                self.put_back(fleet)?;
                 fleet.note(WorldLine::LastFaultOver { at: boot_millis() });
             }
         }
@@ -147,6 +190,16 @@
     }
 }
 
+fn set_passage(fleet: &Fleet, keeper: usize, passage: Passage) {
+    if let Some(relay) = &fleet.keepers[keeper].relay {
+        relay.set(passage);
+    }
+}
+
+fn set_engine_faults(fleet: &Fleet, engine: usize, faults: &Value) {
+    let _ = fleet.ask(&fleet.engines[engine].address, Method::POST, "/v1/faults", Some(faults));
+}
+
 /// States an intent and confirms its plan; the plan's number if both were taken.
 fn carry_intent(fleet: &Fleet, intent: &Value) -> Option<u64> {
     let (_, plan) = fleet.operate(Method::POST, "/v1/intents", Some(intent), None).ok()?;
@@ -160,6 +213,10 @@
 fn put_back(fleet: &mut Fleet) -> Result<(), String> {
     for number in 0..fleet.keepers.len() {
         fleet.keepers[number].process.iter().for_each(Process::wake);
+        set_passage(fleet, number, Passage::Open);
+        if fleet.keepers[number].process.as_mut().is_some_and(|process| !process.is_running()) {
+            fleet.keepers[number].process = None;
+        }
         if fleet.keepers[number].process.is_none() {
             fleet.start_keeper(number, false)?;
         }
@@ -179,6 +236,7 @@
         if fleet.engines[number].process.is_none() {
             fleet.start_engine(number, 1)?;
         }
+        set_engine_faults(fleet, number, &json!({}));
         if fleet.engines[number].away {
             fleet.engines[number].away = false;
             fleet.list_engine(number, "open")?;
