--- a/crates/measure/src/fleets.rs
+++ b/crates/measure/src/fleets.rs
@@ -156,6 +156,84 @@
     Ok(())
 }
 
+/// Until every router serves again, and a change is acknowledged, from now; milliseconds.
+fn time_recovery(fleet: &Fleet) -> Result<(u64, u64), String> {
+    let began = boot_now();
+    let passed = || boot_now().since(began).as_millis();
+    let mut served = None;
+    let mut acked = None;
+    wait_until(Duration::from_secs(60), || {
+        let routers = fleet.nodes.len();
+        if served.is_none()
+            && (0..routers).all(|router| fleet.complete(router, 0, "back?").is_ok_and(|answer| answer.0 == 200))
+        {
+            served = Some(passed());
+        }
+        let change = json!({"routing": {"events_late_ms": 2000 + boot_millis() % 1000}});
+        if served.is_some() && fleet.patch_document(&change).is_ok() {
+            acked = Some(passed());
+        }
+        acked.is_some()
+    });
+    served.zip(acked).ok_or("it never came back".into())
+}
+
+/// Cuts by relays, and faults of disks.
+pub fn measure_cuts() -> Result<(), String> {
+    let mut figures: BTreeMap<&str, (Vec<u64>, Vec<u64>)> = BTreeMap::new();
+    for _ in 0..3 {
+        let mut fleet = Fleet::start(FleetPlan { nodes: 3, engines: 3, relayed: true, ..FleetPlan::small() })?;
+        let set = |fleet: &Fleet, keeper: usize, passage: Passage| {
+            fleet.keepers[keeper].relay.iter().for_each(|relay| relay.set(passage));
+        };
+        for what in [
+            "tail hears nothing",
+            "core cut off 3 s and back",
+            "core stalled 3 s and back",
+            "a disk full",
+            "a disk lost",
+        ] {
+            let page = fleet.fleet_page()?;
+            let tail_id = page["view"]["chain"][3].as_str().unwrap_or("").to_owned();
+            let tail = fleet.keepers.iter().position(|keeper| keeper.id == tail_id).ok_or("no tail is known")?;
+            let all = 0..fleet.keepers.len();
+            let mid_cut = if what.contains("stalled") { Passage::Stalled } else { Passage::Cut };
+            match what {
+                "tail hears nothing" => set(&fleet, tail, Passage::Stalled),
+                "a disk full" => fleet.keepers[tail].process.iter().for_each(|process| process.limit_file_size(4096)),
+                "a disk lost" => {
+                    fleet.keepers[tail].process = None;
+                    std::fs::remove_dir_all(&fleet.keepers[tail].data).map_err(|fault| fault.to_string())?;
+                    fleet.start_keeper(tail, false)?;
+                }
+                _ => {
+                    all.clone().for_each(|keeper| set(&fleet, keeper, mid_cut));
+                    wait_until(Duration::from_secs(3), || false);
+                    all.clone().for_each(|keeper| set(&fleet, keeper, Passage::Open));
+                }
+            }
+            let (served, acked) = time_recovery(&fleet).map_err(|reason| format!("{what}: {reason}"))?;
+            let entry = figures.entry(what).or_default();
+            entry.0.push(served);
+            entry.1.push(acked);
+            all.for_each(|keeper| set(&fleet, keeper, Passage::Open));
+            if what == "a disk full" {
+                fleet.keepers[tail].process = None;
+                fleet.start_keeper(tail, false)?;
+            }
+            fleet.wait_core(4)?;
+        }
+    }
+    for (what, (mut served, mut acked)) in figures {
+        println!(
+            "{what}: all routers serve, ms {}; a change acknowledged, ms {}",
+            crate::spread(&mut served),
+            crate::spread(&mut acked)
+        );
+    }
+    Ok(())
+}
+
 /// Freezes processes for three seconds; what follows is measured from their waking.
 fn freeze_for(processes: &[Option<&Process>]) {
     processes.iter().flatten().for_each(|process| process.freeze());
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -11,7 +11,7 @@
     about: "Measures a fleet on this machine: picks, overhead, acks, recovery, pile-up or memory.",
     settings: &[setting(
         "what",
-        Kind::Choice(&["picks", "overhead", "acks", "recovery", "gap", "pile-up", "memory"]),
+        Kind::Choice(&["picks", "overhead", "acks", "recovery", "gap", "cuts", "pile-up", "memory"]),
         None,
         "what to measure",
     )],
@@ -28,6 +28,7 @@
             "acks" => measure_acks(),
             "recovery" => measure_recovery(),
             "gap" => measure_gap(),
+            "cuts" => measure_cuts(),
             "pile-up" => measure_pile_up(),
             _ => measure_memory(),
         };
--- a/crates/measure/src/prelude.rs
+++ b/crates/measure/src/prelude.rs
@@ -9,5 +9,5 @@
 pub(crate) use trade::prelude::*;
 pub(crate) use units::prelude::*;
 pub(crate) use yard::prelude::{
-    DayReport, Duration, Fleet, FleetPlan, Method, Process, Value, boot_millis, json, wait_until,
+    DayReport, Duration, Fleet, FleetPlan, Method, Passage, Process, Value, boot_millis, json, wait_until,
 };
