--- a/crates/caller/src/day.rs
+++ b/crates/caller/src/day.rs
@@ -125,6 +125,7 @@
         return Err(CutOrWrong::Wrong("answer is not the engine's own".into()));
     }
     line.pieces = 1;
+    (line.shot, line.last_at) = (shot, boot_millis());
     line.cached_blocks = answer["usage"]["cached_tokens"].as_u64().unwrap_or(0) / 16;
     Ok(())
 }
@@ -189,5 +190,9 @@
         line.cached_blocks = cached_tokens / 16;
     }
     line.pieces += 1;
+    line.last_at = boot_millis();
+    if line.shot.is_empty() {
+        line.shot = shot.clone();
+    }
     Ok(())
 }
--- /dev/null
+++ b/crates/carriage/src/gate.rs
@@ -0,0 +1,75 @@
+//! The gate: what must hold in the very call that writes a shot's first byte, and what must go on to
+//! hold while the shot is worked on.
+
+use crate::prelude::*;
+
+/// How long running work outlives its router's lease. A change is acknowledged at the earliest when
+/// that lease has run out, so a key withdrawn meanwhile works for so long after the acknowledgement.
+pub const LEASE_GRACE: Span = Span::seconds(4);
+
+/// Why a shot may not start now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartBar {
+    NoLease,
+    KeyWithdrawn,
+    EngineMoved,
+    WallMoved,
+    LimitPassed,
+}
+
+/// Why work that is under way must end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkBar {
+    NoLease,
+    KeyWithdrawn,
+}
+
+/// What a shot was chosen on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ground {
+    pub key_hash: String,
+    pub tenant: TenantName,
+    pub model: ModelName,
+    pub engine: EngineName,
+    pub weights: WeightsEdition,
+    pub salt: Salt,
+    pub limit: Instant,
+}
+
+/// The last look before the first byte of a shot.
+pub fn may_start(sight: &FleetSight, lease_until: Instant, ground: &Ground, now: Instant) -> Result<(), StartBar> {
+    if now >= lease_until {
+        return Err(StartBar::NoLease);
+    }
+    if now >= ground.limit {
+        return Err(StartBar::LimitPassed);
+    }
+    if sight.tenants_by_key.get(&ground.key_hash) != Some(&ground.tenant) {
+        return Err(StartBar::KeyWithdrawn);
+    }
+    if sight.usable_weights(&ground.engine, now) != Some(ground.weights) {
+        return Err(StartBar::EngineMoved);
+    }
+    let wall = sight.state.wall_of(&ground.tenant);
+    if Salt::of(&ground.model, ground.weights, wall.id, wall.edition) != ground.salt {
+        return Err(StartBar::WallMoved);
+    }
+    Ok(())
+}
+
+/// Whether work for a key may go on. A router long without a lease cannot know of withdrawn keys.
+pub fn may_go_on(
+    sight: &FleetSight,
+    lease_until: Instant,
+    key_hash: &str,
+    tenant: &TenantName,
+    now: Instant,
+) -> Result<(), WorkBar> {
+    if sight.tenants_by_key.get(key_hash) != Some(tenant) {
+        return Err(WorkBar::KeyWithdrawn);
+    }
+    if now >= lease_until + LEASE_GRACE {
+        return Err(WorkBar::NoLease);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/carriage/src/prelude.rs
@@ -0,0 +1,8 @@
+//! The one import of this package's files.
+
+pub use crate::gate::*;
+pub use crate::held::*;
+pub use crate::mind::*;
+pub(crate) use blocks::prelude::Salt;
+pub(crate) use placement::prelude::FleetSight;
+pub(crate) use units::prelude::*;
--- a/crates/contract/src/engines.rs
+++ b/crates/contract/src/engines.rs
@@ -4,6 +4,8 @@
 
 pub const SHOT_HEADER: &str = "x-haremount-shot";
 pub const WEIGHTS_HEADER: &str = "x-haremount-weights";
+/// How long the shot may be worked on, in milliseconds; the engine ends it then, whoever asks.
+pub const LIMIT_HEADER: &str = "x-haremount-limit-ms";
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineRequest {
@@ -156,7 +158,22 @@
 #[serde(tag = "line", rename_all = "snake_case")]
 pub enum EngineLine {
     Start(StartLine),
-    Order { at: u64, engine: String, holder: String, term: u64, taken: bool, order: String },
+    /// The work on a shot is over: whole, or ended before that.
+    End {
+        at: u64,
+        engine: String,
+        shot: String,
+        pieces: u64,
+        whole: bool,
+    },
+    Order {
+        at: u64,
+        engine: String,
+        holder: String,
+        term: u64,
+        taken: bool,
+        order: String,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/engine/src/site.rs
+++ b/crates/engine/src/site.rs
@@ -2,6 +2,8 @@
 
 use crate::prelude::*;
 
+/// Nothing is worked on for longer, whatever a shot says.
+const LONGEST_WORK_MS: u64 = 60_000;
 const FETCH_LIMIT: Span = Span::millis(800);
 
 /// Faults that a test or yard may ask for.
@@ -238,6 +240,8 @@
 
     async fn complete(self: Arc<Self>, mut asked: Asked) -> WebOutcome {
         let shot = asked.header(SHOT_HEADER).unwrap_or("").to_owned();
+        let limit_ms = asked.header(LIMIT_HEADER).and_then(|text| text.parse::<u64>().ok());
+        let limit = Duration::from_millis(limit_ms.unwrap_or(LONGEST_WORK_MS).min(LONGEST_WORK_MS));
         let asked_weights = asked.header(WEIGHTS_HEADER).and_then(|text| text.parse::<u64>().ok());
         let Ok(body) = asked.read_body(MOST_REQUEST_BYTES * 2).await else {
             return refuse(StatusCode::BAD_REQUEST, "bad_request", "body unreadable");
@@ -263,23 +267,32 @@
             self.log_start(&request, &shot, weights.edition, cached_blocks);
             cached_blocks
         };
+        let own_shot = shot.clone();
         let reported_shot = if faults.wrong_shot { "00000000".to_owned() } else { shot };
         if request.stream {
             let (pieces, answered) = outcome_pieces(StatusCode::OK, "text/event-stream", 16);
             let answered = answered.with_header(SHOT_HEADER, &reported_shot);
             let this = Arc::clone(&self);
             tokio::spawn(async move {
-                let running = Running(&this.running);
+                let running = Running::new(&this, own_shot);
+                let work = Work { request: &request, names: &names, shot: &reported_shot, faults: &faults };
                 tokio::select! {
-                    _ = this.run(&request, &names, cached_blocks, &reported_shot, &faults, Some(&pieces)) => {}
+                    _ = this.run(work, cached_blocks, &running, Some(&pieces)) => {}
                     () = pieces.gone() => {}
+                    () = tokio::time::sleep(limit) => {}
+                }
+                if running.whole.load(Ordering::SeqCst) {
+                    pieces.finish();
                 }
-                drop(running);
             });
             return answered;
         }
-        let running = Running(&self.running);
-        let fetched_blocks = self.run(&request, &names, cached_blocks, &reported_shot, &faults, None).await;
+        let running = Running::new(&self, own_shot);
+        let work = Work { request: &request, names: &names, shot: &reported_shot, faults: &faults };
+        let working = tokio::time::timeout(limit, self.run(work, cached_blocks, &running, None));
+        let Ok(fetched_blocks) = working.await else {
+            return refuse(StatusCode::GATEWAY_TIMEOUT, "limit_passed", "the shot's limit passed");
+        };
         let whole_text: String =
             (0..request.max_tokens).map(|place| stand_in_piece(&request.prompt, &reported_shot, place)).collect();
         drop(running);
@@ -313,13 +326,12 @@
 
     async fn run(
         &self,
-        request: &EngineRequest,
-        names: &[BlockHash],
+        work: Work<'_>,
         cached_blocks: u64,
-        shot: &str,
-        faults: &Faults,
+        running: &Running<'_>,
         pieces: Option<&PieceSender>,
     ) -> u64 {
+        let Work { request, names, shot, faults } = work;
         let prompt_blocks = blocks_of(request.prompt.len()).0;
         let _in_work = self.pace.begin(prompt_blocks);
         let fetched_blocks = self.fetch(&request.fetch, names, cached_blocks as usize).await;
@@ -333,7 +345,6 @@
             self.pace.decode_token().await;
             let Some(pieces) = pieces else { continue };
             if faults.cut_after == Some(place) {
-                pieces.abort("told to cut").await;
                 return fetched_blocks;
             }
             let is_last = place + 1 == request.max_tokens;
@@ -351,7 +362,9 @@
             if !pieces.send(Bytes::from(format!("data: {}\n\n", json!(completion)))).await {
                 return fetched_blocks;
             }
+            running.pieces.fetch_add(1, Ordering::SeqCst);
         }
+        running.whole.store(true, Ordering::SeqCst);
         if let Some(pieces) = pieces {
             pieces.send(Bytes::from(format!("data: {STREAM_END}\n\n"))).await;
         }
@@ -466,12 +479,39 @@
     refuse(StatusCode::BAD_REQUEST, "bad_request", "no block names")
 }
 
-/// Counts a run down when it ends, however it ends.
-struct Running<'a>(&'a AtomicU64);
+/// What is worked on.
+#[derive(Clone, Copy)]
+struct Work<'a> {
+    request: &'a EngineRequest,
+    names: &'a [BlockHash],
+    shot: &'a str,
+    faults: &'a Faults,
+}
+
+/// Counts a run down and logs its end when dropped, however it ends.
+struct Running<'a> {
+    site: &'a EngineSite,
+    shot: String,
+    pieces: AtomicU64,
+    whole: AtomicBool,
+}
+
+impl<'a> Running<'a> {
+    fn new(site: &'a EngineSite, shot: String) -> Running<'a> {
+        Running { site, shot, pieces: AtomicU64::new(0), whole: AtomicBool::new(false) }
+    }
+}
 
 impl Drop for Running<'_> {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
+        self.site.running.fetch_sub(1, Ordering::SeqCst);
+        self.site.log_line(&EngineLine::End {
+            at: boot_now().0 / 1_000_000,
+            engine: self.site.name.clone(),
+            shot: self.shot.clone(),
+            pieces: self.pieces.load(Ordering::SeqCst),
+            whole: self.whole.load(Ordering::SeqCst),
+        });
     }
 }
 
--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -1,40 +1,14 @@
-//! Carrying a plan out, shot by shot. Before the first piece has gone to the caller a fault may be
-//! followed by another shot: always if the engine surely did not start, else only if the request may
-//! be repeated, and in both cases within the retry budget. After the first piece there is no second
-//! shot; a stream that cannot go on ends with an error event and an aborted stream.
+//! Carrying a plan out: the carriage says what is to be done, this does it and tells the carriage what
+//! came of it. Until the first piece the run lives in its caller's own call, so that a caller who leaves
+//! ends it; a stream under way has a task of its own. All the while the key, the lease and the limit
+//! are watched, and the carriage is told when one of them ends the work.
 
 use crate::prelude::*;
 
-const MOST_SHOTS: usize = 3;
 const CONNECT_LIMIT: Span = Span::millis(700);
 const MOST_WHOLE_BYTES: usize = 8 << 20;
 const PIECE_PLACES: usize = 32;
 
-/// Whether an engine may have worked on a shot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Ran {
-    No,
-    Perhaps,
-}
-
-struct ShotFault {
-    ran: Ran,
-    reason: String,
-    bar: Option<StartBar>,
-    limit_passed: bool,
-}
-
-impl ShotFault {
-    fn new(ran: Ran, reason: impl Into<String>) -> ShotFault {
-        ShotFault { ran, reason: reason.into(), bar: None, limit_passed: false }
-    }
-}
-
-enum Begun {
-    Streaming { replied: Box<Replied>, reader: EventReader, first: Box<Completion> },
-    Whole(Box<Completion>),
-}
-
 /// The request as it is carried: the plan and what must be given back at its end.
 pub struct Run {
     pub plan: Plan,
@@ -50,136 +24,66 @@
     pub draft: Option<RecordedPick>,
 }
 
-impl Run {
-    /// Claims the request's key, if it has one, and carries it; a run that surely did not run gives the
-    /// claim back.
-    pub async fn carry_claimed(self) -> WebOutcome {
-        let Some(claim) = self.plan.claim else { return self.carry().await };
-        let (router, run) = (self.router, self.plan.run_number);
-        let core_line = Arc::clone(&self.core_line);
-        match core_line.submit(Command::Claim { claim, router, run }).await {
-            Some(Settled::Taken(_)) => {}
-            Some(Settled::Refused(complaints)) => {
-                let holder = complaints.first().map(|complaint| complaint.path.clone()).unwrap_or_default();
-                let reason = "this key is claimed by an earlier request; it is not run again";
-                let told = json!({"error": {"type": "claimed", "message": reason}, "run": holder});
-                Counts::add(&self.stand.counts.refused, 1);
-                return outcome_json(StatusCode::CONFLICT, &told).with_header(OUTCOME_HEADER, "claimed");
-            }
-            _ => {
-                core_line.submit(Command::Release { claim, router, run }).await;
-                return self.give_up(false, false, "the claim could not be settled");
-            }
-        }
-        let answered = self.carry().await;
-        let outcome = answered.headers().get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
-        if outcome == Some("not_run") {
-            tokio::spawn(async move { core_line.submit(Command::Release { claim, router, run }).await });
-        }
-        answered
-    }
+type Input = CarriageInput<Box<Completion>>;
+type Effect = CarriageEffect<Box<Completion>>;
 
-    pub async fn carry(mut self) -> WebOutcome {
-        let mut tried: Vec<EngineName> = Vec::new();
-        let mut may_have_run = false;
-        let mut last_reason = String::from("no engine is free to take it");
-        let mut is_retry = false;
-        for shot_number in 1..=MOST_SHOTS {
-            let now = boot_now();
-            if now >= self.plan.limit {
-                return self.give_up(may_have_run, true, "the limit passed");
-            }
-            let sight = self.stand.sight();
-            let prompt = self.plan.prompt(&sight, &tried, now);
-            let names = prompt.names.clone();
-            let Some((picked, place)) = self.table.pick(prompt, is_retry).await else {
-                return self.give_up(may_have_run, false, "the router is overloaded");
-            };
-            let (placement, place) = match (picked, place) {
-                (Picked::Placed(placement), Some(place)) => (placement, place),
-                (Picked::NoBudget, _) => return self.give_up(may_have_run, false, &last_reason),
-                _ => return self.give_up(may_have_run, false, &last_reason),
-            };
-            let shot = format!("{}.{shot_number}", self.plan.run);
-            self.log_pick(&placement, &shot);
-            self.draft = self.recorder.is_on().then(|| RecordedPick::of(&placement));
-            let kept_names = names.get(&placement.chosen.weights).cloned().unwrap_or_default();
-            match self.begin(&placement, &sight, &shot).await {
-                Ok(begun) => {
-                    let engine = placement.chosen.engine.clone();
-                    self.table.tell(TableCommand::Kept { engine, names: kept_names });
-                    self.count_blocks(&placement);
-                    return self.answer(begun, place, shot);
-                }
-                Err(fault) => {
-                    self.stand.note_policy(&placement.policy, |figures| figures.faults += 1);
-                    event!(
-                        warn,
-                        "shot_fault",
-                        run = self.plan.run,
-                        shot = shot_number,
-                        engine = placement.chosen.engine,
-                        reason = fault.reason,
-                        ran = format!("{:?}", fault.ran).to_lowercase()
-                    );
-                    if let Some(answered) = self.barred(&fault) {
-                        return answered;
-                    }
-                    is_retry = fault.bar.is_none();
-                    if fault.bar.is_none() {
-                        self.table.tell(TableCommand::Fault { engine: placement.chosen.engine.clone() });
-                        tried.push(placement.chosen.engine.clone());
-                    }
-                    may_have_run |= fault.ran == Ran::Perhaps;
-                    if fault.limit_passed || (fault.ran == Ran::Perhaps && !self.plan.repeatable) {
-                        return self.give_up(may_have_run, fault.limit_passed, &fault.reason);
-                    }
-                    last_reason = fault.reason;
-                }
-            }
-        }
-        self.give_up(may_have_run, false, &last_reason)
-    }
+/// What the carriage waits for.
+#[derive(Clone, Debug)]
+enum Awaited {
+    Nothing,
+    Claim,
+    Pick { tried: Vec<EngineName>, is_retry: bool },
+    Stream,
+    Head,
+    Pieces,
+}
 
-    /// Bars that no other engine would lift.
-    fn barred(&self, fault: &ShotFault) -> Option<WebOutcome> {
-        let refusal = match fault.bar? {
-            StartBar::EngineMoved => return None,
-            StartBar::NoLease => {
-                Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no_lease", "this router holds no lease").retry_after(1)
-            }
-            StartBar::KeyWithdrawn => Refusal::new(StatusCode::UNAUTHORIZED, "unknown_key", "the key was withdrawn"),
-        };
-        Counts::add(&self.stand.counts.not_run, 1);
-        Some(refusal.into_outcome())
-    }
+/// A shot under way, dropped as a whole when it ends.
+struct Shot {
+    placement: Box<Placement>,
+    sight: Arc<FleetSight>,
+    place: ShotPlace,
+    stream: Option<OpenStream>,
+    replied: Option<Replied>,
+    reader: EventReader,
+}
 
-    /// The final answer, given at once, with when to come back.
-    fn give_up(&self, may_have_run: bool, limit_passed: bool, reason: &str) -> WebOutcome {
-        let (counter, outcome) = if may_have_run {
-            (&self.stand.counts.unknown, "unknown")
-        } else {
-            (&self.stand.counts.not_run, "not_run")
+/// A run and its carriage.
+struct Driver {
+    run: Run,
+    carriage: Carriage<Box<Completion>>,
+    awaited: Awaited,
+    shot: Option<Shot>,
+    engine: EngineName,
+    sink: Option<Arc<Sink>>,
+    /// Events that the caller has still to take.
+    outbox: VecDeque<Bytes>,
+    piece_count: u64,
+    first_ms: Option<u64>,
+}
+
+impl Run {
+    pub async fn carry(self) -> WebOutcome {
+        let plan = &self.plan;
+        let terms = Terms {
+            run: plan.run.clone(),
+            repeatable: plan.repeatable,
+            streams: plan.streams,
+            claims: plan.claim.is_some(),
+            resumes: plan.resumes,
         };
-        Counts::add(counter, 1);
-        self.record(outcome, None);
-        let status = match (may_have_run, limit_passed) {
-            (_, true) => StatusCode::GATEWAY_TIMEOUT,
-            (true, false) => StatusCode::BAD_GATEWAY,
-            (false, false) => StatusCode::SERVICE_UNAVAILABLE,
+        let driver = Driver {
+            run: self,
+            carriage: Carriage::new(terms),
+            awaited: Awaited::Nothing,
+            shot: None,
+            engine: EngineName::from(""),
+            sink: None,
+            outbox: VecDeque::new(),
+            piece_count: 0,
+            first_ms: None,
         };
-        event!(
-            info,
-            "request_ended",
-            run = self.plan.run,
-            tenant = self.plan.tenant,
-            outcome = outcome,
-            reason = reason
-        );
-        refuse(status, outcome, reason)
-            .with_header(OUTCOME_HEADER, outcome)
-            .with_header(RUN_HEADER, &self.plan.run)
-            .with_header("retry-after", "1")
+        driver.drive().await
     }
 
     fn record(&self, outcome: &str, first_ms: Option<u64>) {
@@ -239,6 +143,7 @@
         );
     }
 
+    /// The first piece came: what the pick was worth.
     fn count_blocks(&self, placement: &Placement) {
         let prompt_blocks = blocks_of(self.plan.prompt_text.len()).0;
         Counts::add(&self.stand.counts.prompt_blocks, prompt_blocks);
@@ -257,135 +162,425 @@
         Counts::add(&self.stand.counts.fetch_blocks, fetched_blocks);
     }
 
-    /// One shot, up to its first piece or its whole answer.
-    async fn begin(&self, placement: &Placement, sight: &FleetSight, shot: &str) -> Result<Begun, ShotFault> {
-        let stream = open_stream(&placement.address, CONNECT_LIMIT)
-            .await
-            .map_err(|reason| ShotFault::new(Ran::No, format!("connect: {reason}")))?;
-        let weights = placement.chosen.weights;
+    /// In a split pool, asks for the prefill first. If it fails, the decoding engine prefills itself.
+    async fn prefill(&self, prefill_place: &PrefillPlace, cache_salt: &str) {
+        let (prompt, cache_salt) = ((*self.plan.prompt_text).clone(), cache_salt.to_owned());
+        let request = json!(PrefillRequest { prompt, cache_salt });
+        let question = Question::with_json(Method::POST, "/v1/prefill", &request);
+        let half_left = Span(self.plan.limit.since(boot_now()).0 / 2);
+        if let Err(reason) = ask_whole(&prefill_place.address, question, half_left, 1 << 16).await {
+            event!(warn, "prefill_fault", run = self.plan.run, engine = prefill_place.engine, reason = reason);
+        }
+    }
+}
+
+impl Driver {
+    /// Carries on until there is an answer; a stream then goes on by itself.
+    async fn drive(mut self) -> WebOutcome {
+        let mut plan = self.carriage.step(Input::Begin);
+        loop {
+            if let Some(answered) = self.carry_out(plan) {
+                if !self.carriage.is_done() {
+                    tokio::spawn(self.go_on());
+                }
+                return answered;
+            }
+            let input = self.watched_input().await;
+            plan = self.carriage.step(input);
+        }
+    }
+
+    async fn go_on(mut self) {
+        while !self.carriage.is_done() {
+            let input = self.watched_input().await;
+            let is_left = matches!(input, Input::CallerGone);
+            let plan = self.carriage.step(input);
+            self.carry_out(plan);
+            if is_left && self.carriage.is_done() {
+                self.note_cancelled();
+            }
+        }
+    }
+
+    fn note_cancelled(&self) {
+        Counts::add(&self.run.stand.counts.cancelled, 1);
+        self.log_end("cancelled", "");
+    }
+
+    /// The next input, unless limit, key, lease or caller end the work before it.
+    async fn watched_input(&mut self) -> Input {
+        let limit_left = self.run.plan.limit.since(boot_now()).as_duration();
+        let stand = Arc::clone(&self.run.stand);
+        let (key_hash, tenant) = (self.run.plan.key_hash.clone(), self.run.plan.tenant.clone());
+        let sink = self.sink.clone();
+        let caller_gone = async {
+            match &sink {
+                Some(sink) => sink.gone().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            bar = stand.work_barred(&key_hash, &tenant) => Input::WorkBarred(bar),
+            () = tokio::time::sleep(limit_left) => Input::LimitPassed,
+            () = caller_gone => Input::CallerGone,
+            input = self.next_input() => input,
+        }
+    }
+
+    async fn next_input(&mut self) -> Input {
+        while let Some(event) = self.outbox.front().cloned() {
+            let Some(sink) = self.sink.clone() else { break };
+            if !sink.send(event).await {
+                return if sink.is_book() { Input::BookFull } else { Input::CallerGone };
+            }
+            self.outbox.pop_front();
+        }
+        match self.awaited.clone() {
+            Awaited::Nothing => std::future::pending().await,
+            Awaited::Claim => self.claim().await,
+            Awaited::Pick { tried, is_retry } => self.pick(&tried, is_retry).await,
+            Awaited::Stream => self.open().await,
+            Awaited::Head => self.ask_engine().await,
+            Awaited::Pieces => self.read().await,
+        }
+    }
+
+    /// Does what the carriage wishes; an answer for the caller, if there is one now.
+    fn carry_out(&mut self, plan: Vec<Effect>) -> Option<WebOutcome> {
+        let mut answered = None;
+        for effect in plan {
+            match effect {
+                Effect::Claim => self.awaited = Awaited::Claim,
+                Effect::ReleaseClaim => self.release_claim(),
+                Effect::Pick { tried, is_retry } => self.awaited = Awaited::Pick { tried, is_retry },
+                Effect::Connect { shot } => {
+                    if let Some(under_way) = &self.shot {
+                        self.run.log_pick(&under_way.placement, &shot);
+                        self.run.draft = self.run.recorder.is_on().then(|| RecordedPick::of(&under_way.placement));
+                    }
+                    self.awaited = Awaited::Stream;
+                }
+                Effect::Write => self.awaited = Awaited::Head,
+                Effect::Began => answered = self.begin_answer(),
+                Effect::SendPiece(completion) => self.send_piece(*completion),
+                Effect::AnswerWhole(completion) => answered = Some(self.answer_whole(*completion)),
+                Effect::EndWhole => self.end_stream(None),
+                Effect::EndCut(reason) => self.end_stream(Some(reason)),
+                Effect::GiveUp(given_up) => answered = Some(self.give_up(given_up)),
+                Effect::EndShot => self.shot = None,
+                Effect::ShotFault { reason, ran, rests } => self.note_fault(&reason, ran, rests),
+            }
+        }
+        answered
+    }
+
+    // What is waited for.
+
+    async fn claim(&mut self) -> Input {
+        let (router, run) = (self.run.router, self.run.plan.run_number);
+        let Some(claim) = self.run.plan.claim else { return Input::ClaimSettled(Claimed::Unknown) };
+        let settled = self.run.core_line.submit(Command::Claim { claim, router, run }).await;
+        Input::ClaimSettled(match settled {
+            Some(Settled::Taken(_)) => Claimed::Taken,
+            Some(Settled::Refused(complaints)) => {
+                Claimed::Held(complaints.first().map(|complaint| complaint.path.clone()).unwrap_or_default())
+            }
+            _ => Claimed::Unknown,
+        })
+    }
+
+    fn release_claim(&self) {
+        let (router, run) = (self.run.router, self.run.plan.run_number);
+        let Some(claim) = self.run.plan.claim else { return };
+        let core_line = Arc::clone(&self.run.core_line);
+        tokio::spawn(async move { core_line.submit(Command::Release { claim, router, run }).await });
+    }
+
+    async fn pick(&mut self, tried: &[EngineName], is_retry: bool) -> Input {
+        let sight = self.run.stand.sight();
+        let prompt = self.run.plan.prompt(&sight, tried, boot_now());
+        let outcome = match self.run.table.pick(prompt, is_retry).await {
+            None => PickOutcome::Overloaded,
+            Some((Picked::Placed(placement), Some(place))) => {
+                let engine = placement.chosen.engine.clone();
+                self.engine = engine.clone();
+                let (stream, replied, reader) = (None, None, EventReader::default());
+                self.shot = Some(Shot { placement, sight, place, stream, replied, reader });
+                PickOutcome::Placed(engine)
+            }
+            Some((Picked::NoBudget, _)) => PickOutcome::NoBudget,
+            Some(_) => PickOutcome::NoEngine,
+        };
+        Input::Picked(outcome)
+    }
+
+    async fn open(&mut self) -> Input {
+        let Some(shot) = self.shot.as_mut() else { return Input::Broken("no shot is under way".into()) };
+        match open_stream(&shot.placement.address, CONNECT_LIMIT).await {
+            Ok(stream) => {
+                shot.stream = Some(stream);
+                Input::Connected
+            }
+            Err(reason) => Input::ConnectFault(reason),
+        }
+    }
+
+    async fn ask_engine(&mut self) -> Input {
+        let shot_name = self.carriage.shot();
+        let Some(shot) = self.shot.as_mut() else { return Input::Broken("no shot is under way".into()) };
+        let Some(stream) = shot.stream.take() else { return Input::Broken("no stream is open".into()) };
+        let plan = &self.run.plan;
+        let chosen = &shot.placement.chosen;
+        let salt = plan.salt(&shot.sight, chosen.weights);
         let engine_request = EngineRequest {
-            model: self.plan.model.0.clone(),
-            prompt: (*self.plan.prompt_text).clone(),
-            max_tokens: self.plan.max_tokens,
-            stream: self.plan.streams,
-            cache_salt: self.plan.salt(sight, weights).0,
-            fetch: fetch_orders(&placement.fetches),
+            model: plan.model.0.clone(),
+            prompt: (*plan.prompt_text).clone(),
+            max_tokens: plan.max_tokens,
+            stream: plan.streams,
+            cache_salt: salt.0.clone(),
+            fetch: fetch_orders(&shot.placement.fetches),
         };
-        if let Some(prefill_place) = &placement.prefill {
-            self.prefill(prefill_place, &engine_request.cache_salt).await;
+        if let Some(prefill_place) = &shot.placement.prefill {
+            self.run.prefill(prefill_place, &salt.0).await;
         }
+        let ground = Ground {
+            key_hash: plan.key_hash.clone(),
+            tenant: plan.tenant.clone(),
+            model: plan.model.clone(),
+            engine: chosen.engine.clone(),
+            weights: chosen.weights,
+            salt,
+            limit: plan.limit,
+        };
+        let limit_ms = plan.limit.since(boot_now()).as_millis().max(1);
         let question = Question::with_json(Method::POST, "/v1/completions", &json!(engine_request))
-            .header(SHOT_HEADER, shot)
-            .header(WEIGHTS_HEADER, weights.to_string());
+            .header(SHOT_HEADER, shot_name)
+            .header(WEIGHTS_HEADER, ground.weights.to_string())
+            .header(LIMIT_HEADER, limit_ms.to_string());
         let bar = Arc::new(Mutex::new(None));
         let gate = {
-            let (stand, bar, plan) = (Arc::clone(&self.stand), Arc::clone(&bar), self.plan.clone());
-            let (chosen, salt) = (placement.chosen.clone(), engine_request.cache_salt);
+            let (stand, bar) = (Arc::clone(&self.run.stand), Arc::clone(&bar));
             Box::new(move || {
-                let same_wall = plan.salt(&stand.sight(), chosen.weights).0 == salt;
-                let may_start = match same_wall {
-                    true => stand.may_start(&plan.key_hash, &plan.tenant, &chosen),
-                    false => Err(StartBar::EngineMoved),
-                };
-                may_start.map_err(|found| {
+                stand.may_start(&ground).map_err(|found| {
                     *bar.lock().expect("no holder of this lock panics") = Some(found);
                     format!("{found:?}")
                 })
             })
         };
-        let limit_left = self.plan.limit.since(boot_now()).as_duration();
-        let exchange = async {
-            let replied = stream.send_gated(question, gate).await.map_err(|fault: SendFault| {
-                let ran = if fault.byte_left { Ran::Perhaps } else { Ran::No };
-                let found_bar = *bar.lock().expect("no holder of this lock panics");
-                ShotFault { bar: found_bar, ..ShotFault::new(ran, fault.reason) }
-            })?;
-            self.read_beginning(replied, shot).await
-        };
-        match tokio::time::timeout(limit_left, exchange).await {
-            Ok(outcome) => outcome,
-            Err(_) => Err(ShotFault { limit_passed: true, ..ShotFault::new(Ran::Perhaps, "the limit passed") }),
+        match stream.send_gated(question, gate).await {
+            Ok(replied) => self.read_head(replied).await,
+            Err(SendFault { reason, byte_left }) => match *bar.lock().expect("no holder of this lock panics") {
+                Some(found) => Input::Barred(found),
+                None => Input::SendFault { byte_left, reason },
+            },
         }
     }
 
-    /// In a split pool, asks for the prefill first. If it fails, the decoding engine prefills itself.
-    async fn prefill(&self, prefill_place: &PrefillPlace, cache_salt: &str) {
-        let (prompt, cache_salt) = ((*self.plan.prompt_text).clone(), cache_salt.to_owned());
-        let request = json!(PrefillRequest { prompt, cache_salt });
-        let question = Question::with_json(Method::POST, "/v1/prefill", &request);
-        let half_left = Span(self.plan.limit.since(boot_now()).0 / 2);
-        if let Err(reason) = ask_whole(&prefill_place.address, question, half_left, 1 << 16).await {
-            event!(warn, "prefill_fault", run = self.plan.run, engine = prefill_place.engine, reason = reason);
-        }
-    }
-
-    async fn read_beginning(&self, mut replied: Replied, shot: &str) -> Result<Begun, ShotFault> {
-        let perhaps = |reason: String| ShotFault::new(Ran::Perhaps, reason);
+    async fn read_head(&mut self, mut replied: Replied) -> Input {
         let status = replied.status;
         if status != StatusCode::OK {
             let body = read_whole(&mut replied.body, 1 << 16, Duration::from_secs(1)).await.unwrap_or_default();
             let told: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
             let told_kind = told["error"]["type"].as_str().unwrap_or("").to_owned();
             let did_not_start = matches!(told_kind.as_str(), "not_accepting" | "other_weights");
-            let ran = if did_not_start { Ran::No } else { Ran::Perhaps };
-            return Err(ShotFault::new(ran, format!("engine answered {} {told_kind}", status.as_u16())));
+            let head = if did_not_start { Head::NotStarted } else { Head::Refused };
+            return Input::Head {
+                head,
+                shot: None,
+                told: format!("engine answered {} {told_kind}", status.as_u16()),
+            };
         }
-        if replied.header(SHOT_HEADER) != Some(shot) {
-            return Err(perhaps("the answer is of another shot".into()));
+        let shot_name = replied.header(SHOT_HEADER).map(str::to_owned);
+        if let Some(shot) = self.shot.as_mut() {
+            shot.replied = Some(replied);
         }
-        if !self.plan.streams {
+        self.awaited = Awaited::Pieces;
+        Input::Head { head: Head::Good, shot: shot_name, told: String::new() }
+    }
+
+    async fn read(&mut self) -> Input {
+        let streams = self.run.plan.streams;
+        let is_marked = self.carriage.is_marked();
+        let Some(shot) = self.shot.as_mut() else { return Input::Broken("no shot is under way".into()) };
+        let Some(replied) = shot.replied.as_mut() else { return Input::Broken("no stream is open".into()) };
+        if !streams {
             let body = read_whole(&mut replied.body, MOST_WHOLE_BYTES, Duration::from_secs(10)).await;
-            let body = body.map_err(|fault| perhaps(format!("answer: {fault:?}")))?;
-            let text = std::str::from_utf8(&body).map_err(|_| perhaps("answer: not UTF-8".into()))?;
-            let completion = check_piece(text, shot).map_err(perhaps)?;
-            let is_finished = completion.choices.iter().all(|choice| choice.finish_reason.is_some());
-            if completion.choices.is_empty() || !is_finished {
-                return Err(perhaps("the answer is not whole".into()));
-            }
-            return Ok(Begun::Whole(Box::new(completion)));
+            return match body {
+                Ok(body) => read_piece(&String::from_utf8_lossy(&body)),
+                Err(fault) => Input::Broken(format!("answer: {fault:?}")),
+            };
         }
-        let mut reader = EventReader::default();
         loop {
-            if let Some(data) = reader.next_data() {
-                let first = check_piece(&data, shot).map_err(perhaps)?;
-                return Ok(Begun::Streaming { replied: Box::new(replied), reader, first: Box::new(first) });
+            match shot.reader.next_data() {
+                Some(data) if data == STREAM_END => return Input::EndMark,
+                Some(data) => return read_piece(&data),
+                None if is_marked && !shot.reader.is_empty() => {
+                    return Input::Broken("something came after the end mark".into());
+                }
+                None => {}
+            }
+            match replied.next_piece().await {
+                Ok(Some(bytes)) => {
+                    if let Err(reason) = shot.reader.feed(&bytes) {
+                        return Input::Broken(reason);
+                    }
+                }
+                Ok(None) => return Input::Closed,
+                Err(reason) => return Input::Broken(reason),
             }
-            let bytes = replied.next_piece().await.map_err(perhaps)?;
-            let bytes = bytes.ok_or_else(|| perhaps("the stream ended before its first piece".into()))?;
-            reader.feed(&bytes).map_err(perhaps)?;
         }
     }
 
-    fn answer(self, begun: Begun, place: ShotPlace, shot: String) -> WebOutcome {
-        let run = self.plan.run.clone();
-        match begun {
-            Begun::Whole(completion) => {
-                Counts::add(&self.stand.counts.whole, 1);
-                self.record("whole", Some(boot_now().since(self.plan.began).as_millis()));
-                event!(info, "request_ended", run = run, tenant = self.plan.tenant, outcome = "whole");
-                outcome_json(StatusCode::OK, &shape_whole(*completion, &run, self.plan.form))
-                    .with_header(RUN_HEADER, &run)
-                    .with_header(OUTCOME_HEADER, "whole")
+    // What goes to the caller.
+
+    /// The first piece came: the engine has the blocks now, and a stream to the caller opens.
+    fn begin_answer(&mut self) -> Option<WebOutcome> {
+        self.first_ms = Some(boot_now().since(self.run.plan.began).as_millis());
+        if let Some(shot) = &self.shot {
+            let chosen = &shot.placement.chosen;
+            let salt = self.run.plan.salt(&shot.sight, chosen.weights);
+            let names = cut(&salt, self.run.plan.prompt_text.as_bytes());
+            self.run.table.tell(TableCommand::Kept { engine: chosen.engine.clone(), names });
+            self.run.count_blocks(&shot.placement);
+        }
+        if !self.run.plan.streams {
+            return None;
+        }
+        let plan = &self.run.plan;
+        let held_run = if plan.resumes { self.run.book.open(plan.run_number, &plan.tenant) } else { None };
+        let (sink, answered) = match held_run {
+            Some(held_run) => (Sink::Book(Arc::clone(&held_run)), held_run.stream_from(0)),
+            None => {
+                let (pieces, answered) = outcome_pieces(StatusCode::OK, "text/event-stream", PIECE_PLACES);
+                (Sink::Caller(pieces), answered.with_header("cache-control", "no-store"))
             }
-            Begun::Streaming { replied, reader, first } => {
-                let held_run = match self.plan.resumes {
-                    true => self.book.open(self.plan.run_number, &self.plan.tenant),
-                    false => None,
-                };
-                let (sink, answered) = match held_run {
-                    Some(held_run) => (Sink::Book(Arc::clone(&held_run)), held_run.stream_from(0)),
-                    None => {
-                        let (pieces, answered) = outcome_pieces(StatusCode::OK, "text/event-stream", PIECE_PLACES);
-                        (Sink::Caller(pieces), answered.with_header("cache-control", "no-store"))
-                    }
-                };
-                let first_ms = boot_now().since(self.plan.began).as_millis();
-                let relay = Relay { run: self, place, shot, sink: Arc::new(sink), piece_count: 0, first_ms };
-                tokio::spawn(relay.work(*replied, reader, *first));
-                answered.with_header(RUN_HEADER, &run)
+        };
+        self.sink = Some(Arc::new(sink));
+        Some(answered.with_header(RUN_HEADER, &plan.run))
+    }
+
+    fn send_piece(&mut self, completion: Completion) {
+        let plan = &self.run.plan;
+        let shaped = shape_piece(completion, &plan.run, plan.form);
+        let event_text = format!("id: {}.{}\ndata: {shaped}\n\n", plan.run, self.piece_count);
+        self.piece_count += 1;
+        self.outbox.push_back(Bytes::from(event_text));
+    }
+
+    fn answer_whole(&mut self, completion: Completion) -> WebOutcome {
+        let plan = &self.run.plan;
+        Counts::add(&self.run.stand.counts.whole, 1);
+        self.run.record("whole", self.first_ms);
+        event!(info, "request_ended", run = plan.run, tenant = plan.tenant, outcome = "whole");
+        outcome_json(StatusCode::OK, &shape_whole(completion, &plan.run, plan.form))
+            .with_header(RUN_HEADER, &plan.run)
+            .with_header(OUTCOME_HEADER, "whole")
+    }
+
+    /// Ends the stream; whole only once every piece and the end mark have been taken.
+    fn end_stream(&mut self, cut: Option<Reason>) {
+        let Some(sink) = self.sink.clone() else { return };
+        let counts = &self.run.stand.counts;
+        let (counter, outcome) = if cut.is_some() { (&counts.cut, "cut") } else { (&counts.whole, "whole") };
+        Counts::add(counter, 1);
+        let end_event = format!("id: {}.{}\ndata: {STREAM_END}\n\n", self.run.plan.run, self.piece_count);
+        self.log_end(outcome, cut.as_ref().map_or("", |reason| &reason.told));
+        match cut {
+            Some(reason) => sink.cut(reason),
+            None => {
+                let mut rest = std::mem::take(&mut self.outbox);
+                rest.push_back(Bytes::from(end_event));
+                let limit_left = self.run.plan.limit.since(boot_now()).as_duration().max(Duration::from_millis(500));
+                tokio::spawn(async move { sink.finish(rest, limit_left).await });
             }
         }
     }
+
+    fn log_end(&self, outcome: &str, reason: &str) {
+        self.run.record(outcome, self.first_ms);
+        event!(
+            info,
+            "request_ended",
+            run = self.run.plan.run,
+            tenant = self.run.plan.tenant,
+            outcome = outcome,
+            pieces = self.piece_count,
+            engine = self.engine,
+            reason = reason
+        );
+    }
+
+    /// The final answer, given at once, with when to come back.
+    fn give_up(&self, given_up: GivenUp) -> WebOutcome {
+        let counts = &self.run.stand.counts;
+        let plan = &self.run.plan;
+        let GivenUp { kind, ran, reason } = given_up;
+        if kind == GivenUpKind::Claimed {
+            Counts::add(&counts.refused, 1);
+            let message = "this key is claimed by an earlier request; it is not run again";
+            let told = json!({"error": {"type": "claimed", "message": message}, "run": reason});
+            return outcome_json(StatusCode::CONFLICT, &told).with_header(OUTCOME_HEADER, "claimed");
+        }
+        let may_have_run = ran == Ran::Perhaps;
+        let (counter, outcome) =
+            if may_have_run { (&counts.unknown, "unknown") } else { (&counts.not_run, "not_run") };
+        Counts::add(counter, 1);
+        self.log_end(outcome, &reason);
+        let (status, error_type, told) = match (kind, may_have_run) {
+            (GivenUpKind::LimitPassed, _) => (StatusCode::GATEWAY_TIMEOUT, outcome, "the limit passed"),
+            (GivenUpKind::NoLease, _) => (StatusCode::SERVICE_UNAVAILABLE, "no_lease", "this router holds no lease"),
+            (GivenUpKind::KeyWithdrawn, _) => (StatusCode::UNAUTHORIZED, "unknown_key", "the key was withdrawn"),
+            (_, true) => (StatusCode::BAD_GATEWAY, outcome, reason.as_str()),
+            (_, false) => (StatusCode::SERVICE_UNAVAILABLE, outcome, reason.as_str()),
+        };
+        refuse(status, error_type, told)
+            .with_header(OUTCOME_HEADER, outcome)
+            .with_header(RUN_HEADER, &plan.run)
+            .with_header("retry-after", "1")
+    }
+
+    fn note_fault(&self, reason: &str, ran: Ran, rests: bool) {
+        let Some(shot) = &self.shot else { return };
+        self.run.stand.note_policy(&shot.placement.policy, |figures| figures.faults += 1);
+        event!(
+            warn,
+            "shot_fault",
+            shot = self.carriage.shot(),
+            engine = shot.place.engine,
+            reason = reason,
+            ran = format!("{ran:?}").to_lowercase()
+        );
+        if rests {
+            self.run.table.tell(TableCommand::Fault { engine: shot.place.engine.clone() });
+        }
+    }
+}
+
+impl Drop for Driver {
+    /// A run dropped before its end was left by its caller.
+    fn drop(&mut self) {
+        if self.carriage.is_done() {
+            return;
+        }
+        for effect in self.carriage.step(Input::CallerGone) {
+            if effect == Effect::ReleaseClaim {
+                self.release_claim();
+            }
+        }
+        self.note_cancelled();
+    }
+}
+
+fn read_piece(data: &str) -> Input {
+    match serde_json::from_str::<Completion>(data) {
+        Ok(completion) => {
+            let finished = !completion.choices.is_empty()
+                && completion.choices.iter().all(|choice| choice.finish_reason.is_some());
+            Input::Piece { shot: completion.id.clone(), finished, piece: Box::new(completion) }
+        }
+        Err(fault) => Input::Broken(format!("unreadable piece: {fault}")),
+    }
 }
 
 fn fetch_orders(fetches: &[FetchRun]) -> Vec<FetchOrder> {
@@ -402,6 +597,10 @@
 }
 
 impl Sink {
+    fn is_book(&self) -> bool {
+        matches!(self, Sink::Book(_))
+    }
+
     async fn send(&self, event: Bytes) -> bool {
         match self {
             Sink::Caller(pieces) => pieces.send(event).await,
@@ -417,113 +616,31 @@
         }
     }
 
-    async fn end(&self, cut: Option<&str>) {
-        match (self, cut) {
-            (Sink::Caller(pieces), Some(reason)) => end_cut(pieces, reason).await,
-            (Sink::Caller(_), None) => {}
-            (Sink::Book(held_run), Some(reason)) => held_run.end(HeldEnd::Cut(reason.to_owned())),
-            (Sink::Book(held_run), None) => held_run.end(HeldEnd::Whole),
+    fn cut(&self, reason: Reason) {
+        match self {
+            Sink::Caller(pieces) => pieces.cut(cut_words(&reason)),
+            Sink::Book(held_run) => held_run.end(HeldEnd::Cut(reason)),
         }
     }
-}
-
-/// A stream under way.
-struct Relay {
-    run: Run,
-    place: ShotPlace,
-    shot: String,
-    sink: Arc<Sink>,
-    piece_count: u64,
-    first_ms: u64,
-}
-
-/// How a stream ended.
-enum StreamEnd {
-    Whole,
-    CallerGone,
-    Cut(String),
-}
-
-impl Relay {
-    async fn work(mut self, replied: Replied, reader: EventReader, first: Completion) {
-        let limit_left = self.run.plan.limit.since(boot_now()).as_duration();
-        let sink = Arc::clone(&self.sink);
-        let end = tokio::select! {
-            end = self.relay(replied, reader, first) => end,
-            () = sink.gone() => StreamEnd::CallerGone,
-            () = tokio::time::sleep(limit_left) => StreamEnd::Cut("the limit passed".into()),
-        };
-        let counts = &self.run.stand.counts;
-        let (counter, outcome, reason) = match end {
-            StreamEnd::Whole => (&counts.whole, "whole", None),
-            StreamEnd::CallerGone => (&counts.cancelled, "cancelled", None),
-            StreamEnd::Cut(reason) => (&counts.cut, "cut", Some(reason)),
-        };
-        Counts::add(counter, 1);
-        sink.end(reason.as_deref()).await;
-        self.run.record(outcome, Some(self.first_ms));
-        let reason = reason.unwrap_or_default();
-        let plan = &self.run.plan;
-        event!(
-            info,
-            "request_ended",
-            run = plan.run,
-            tenant = plan.tenant,
-            outcome = outcome,
-            pieces = self.piece_count,
-            engine = self.place.engine,
-            reason = reason
-        );
-    }
 
-    async fn relay(&mut self, mut replied: Replied, mut reader: EventReader, first: Completion) -> StreamEnd {
-        if !self.send_piece(first).await {
-            return StreamEnd::CallerGone;
-        }
-        loop {
-            while let Some(data) = reader.next_data() {
-                if data == STREAM_END {
-                    return self.finish(replied, reader).await;
-                }
-                let piece = match check_piece(&data, &self.shot) {
-                    Ok(piece) => piece,
-                    Err(reason) => return StreamEnd::Cut(reason),
-                };
-                if !self.send_piece(piece).await {
-                    return StreamEnd::CallerGone;
+    /// Sends the rest and ends cleanly; what cannot be sent in time is an aborted stream.
+    async fn finish(&self, rest: VecDeque<Bytes>, limit_left: Duration) {
+        let sending = async {
+            for event in rest {
+                if !self.send(event).await {
+                    return false;
                 }
             }
-            match replied.next_piece().await {
-                Ok(Some(bytes)) => {
-                    if let Err(reason) = reader.feed(&bytes) {
-                        return StreamEnd::Cut(reason);
-                    }
-                }
-                Ok(None) => return StreamEnd::Cut("the engine's stream ended without its end mark".into()),
-                Err(reason) => return StreamEnd::Cut(reason),
+            true
+        };
+        let all_sent = tokio::time::timeout(limit_left, sending).await.unwrap_or(false);
+        match self {
+            Sink::Caller(pieces) if all_sent => pieces.finish(),
+            Sink::Caller(_) => {}
+            Sink::Book(held_run) if all_sent => held_run.end(HeldEnd::Whole),
+            Sink::Book(_) => {
+                self.cut(Reason { kind: "cut", told: "the run is too large to be held".into() });
             }
         }
     }
-
-    /// After the end mark nothing more may come, and the engine's stream must end cleanly.
-    async fn finish(&mut self, mut replied: Replied, mut reader: EventReader) -> StreamEnd {
-        if reader.next_data().is_some() || !reader.is_empty() {
-            return StreamEnd::Cut("something came after the end mark".into());
-        }
-        match replied.next_piece().await {
-            Ok(None) => {}
-            Ok(Some(_)) => return StreamEnd::Cut("something came after the end mark".into()),
-            Err(reason) => return StreamEnd::Cut(reason),
-        }
-        let end_event = format!("id: {}.{}\ndata: {STREAM_END}\n\n", self.run.plan.run, self.piece_count);
-        if self.sink.send(Bytes::from(end_event)).await { StreamEnd::Whole } else { StreamEnd::CallerGone }
-    }
-
-    async fn send_piece(&mut self, completion: Completion) -> bool {
-        let plan = &self.run.plan;
-        let shaped = shape_piece(completion, &plan.run, plan.form);
-        let event_text = format!("id: {}.{}\ndata: {shaped}\n\n", plan.run, self.piece_count);
-        self.piece_count += 1;
-        self.sink.send(Bytes::from(event_text)).await
-    }
 }
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -58,6 +58,10 @@
             }
             Some(_) => return bad("Last-Event-ID is no event of this run"),
         };
+        if !self.stand.holds_lease(boot_now()) {
+            let reason = "this router holds no lease";
+            return Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no_lease", reason).retry_after(1).into_outcome();
+        }
         let sight = self.stand.sight();
         let key_hash = asked.bearer().map(sha256_hex).unwrap_or_default();
         let Some(tenant) = sight.tenants_by_key.get(&key_hash) else {
@@ -73,10 +77,9 @@
         let Some(held_run) = self.book.find(named.run).filter(|held_run| held_run.tenant == *tenant) else {
             return gone();
         };
-        let first = last_piece.map_or(0, |piece| piece + 1) as usize;
-        if first > held_run.event_count() {
+        let Some(first) = resume_place(last_piece, held_run.event_count()) else {
             return bad("Last-Event-ID names a piece that was never sent");
-        }
+        };
         held_run.stream_from(first).with_header(RUN_HEADER, run)
     }
 
@@ -101,7 +104,7 @@
                     recorder: self.recorder.clone(),
                     draft: None,
                 };
-                run.carry_claimed().await
+                run.carry().await
             }
             Err(refusal) => {
                 Counts::add(&self.stand.counts.refused, 1);
@@ -215,8 +218,8 @@
                         return;
                     }
                 }
-                Ok(None) => return,
-                Err(reason) => return pieces.abort(&reason).await,
+                Ok(None) => return pieces.finish(),
+                Err(_) => return,
             }
         }
     });
--- a/crates/router/src/pieces.rs
+++ b/crates/router/src/pieces.rs
@@ -1,5 +1,5 @@
-//! Reading an engine's answer: events of a stream one by one, each checked to be of this shot, and
-//! whole answers checked before a byte of them goes on.
+//! Reading an engine's answer: the events of a stream one by one, and the shape in which pieces and
+//! whole answers go on to the caller. Whether they may is the carriage's to say.
 
 use crate::prelude::*;
 
@@ -39,15 +39,6 @@
     }
 }
 
-/// A piece of this shot, or why it is not one.
-pub fn check_piece(data: &str, shot: &str) -> Result<Completion, String> {
-    let completion: Completion = serde_json::from_str(data).map_err(|fault| format!("unreadable piece: {fault}"))?;
-    if completion.id != shot {
-        return Err("a piece of another shot".into());
-    }
-    Ok(completion)
-}
-
 /// The piece as the caller gets it, in the form it asked.
 pub fn shape_piece(completion: Completion, run: &str, form: Form) -> Value {
     let choices: Vec<Value> = completion
@@ -104,12 +95,4 @@
         assert!(!reader.is_empty());
         assert!(reader.feed(&vec![b'x'; MOST_EVENT_BYTES]).is_err());
     }
-
-    #[test]
-    fn a_piece_of_another_shot_is_refused() {
-        let piece = r#"{"id":"s1","object":"text_completion","model":"m","choices":[]}"#;
-        assert!(check_piece(piece, "s1").is_ok());
-        assert_eq!(check_piece(piece, "s2").unwrap_err(), "a piece of another shot");
-        assert!(check_piece("{}", "s1").is_err());
-    }
 }
--- a/crates/router/src/stand.rs
+++ b/crates/router/src/stand.rs
@@ -3,8 +3,12 @@
 
 use crate::prelude::*;
 
+/// How often running work looks whether the lease is long gone; changes are heard of at once.
+const WORK_LOOK: Duration = Duration::from_millis(200);
+
 #[derive(Default)]
 pub struct Stand {
+    news: tokio::sync::watch::Sender<u64>,
     sight: RwLock<Arc<FleetSight>>,
     lease_until: AtomicU64,
     pub draining: AtomicBool,
@@ -58,6 +62,7 @@
 
     pub fn publish(&self, sight: FleetSight) {
         *self.sight.write().expect("no holder of this lock panics") = Arc::new(sight);
+        self.news.send_modify(|count| *count += 1);
     }
 
     pub fn note_policy(&self, policy: &str, note: impl FnOnce(&mut PolicyFigures)) {
@@ -110,27 +115,28 @@
         self.lease_left(now) > Span(0)
     }
 
+    fn lease_until(&self) -> Instant {
+        Instant(self.lease_until.load(Ordering::SeqCst))
+    }
+
     /// The last look before the first byte of a shot.
-    pub fn may_start(&self, key_hash: &str, tenant: &TenantName, chosen: &Score) -> Result<(), StartBar> {
-        let now = boot_now();
-        if !self.holds_lease(now) {
-            return Err(StartBar::NoLease);
-        }
-        let sight = self.sight();
-        if sight.tenants_by_key.get(key_hash) != Some(tenant) {
-            return Err(StartBar::KeyWithdrawn);
-        }
-        if sight.usable_weights(&chosen.engine, now) != Some(chosen.weights) {
-            return Err(StartBar::EngineMoved);
-        }
-        Ok(())
+    pub fn may_start(&self, ground: &Ground) -> Result<(), StartBar> {
+        may_start(&self.sight(), self.lease_until(), ground, boot_now())
     }
-}
 
-/// Why a shot may not start now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StartBar {
-    NoLease,
-    KeyWithdrawn,
-    EngineMoved,
+    /// Resolves when work for this key must end here.
+    pub async fn work_barred(&self, key_hash: &str, tenant: &TenantName) -> WorkBar {
+        let mut news = self.news.subscribe();
+        loop {
+            news.borrow_and_update();
+            let now = boot_now();
+            if let Err(bar) = may_go_on(&self.sight(), self.lease_until(), key_hash, tenant, now) {
+                return bar;
+            }
+            tokio::select! {
+                _ = news.changed() => {}
+                () = tokio::time::sleep(WORK_LOOK) => {}
+            }
+        }
+    }
 }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -673,7 +673,14 @@
             let Some(router) = node.router.as_ref().filter(|_| node.frozen_until <= self.now) else { continue };
             let leased = node.clock.read(self.now) < router.lease_until;
             let edition = router.sight.state.edition.0;
-            self.record.world.push(WorldLine::Sample { at, router: router.id.to_string(), edition, leased });
+            self.record.world.push(WorldLine::Sample {
+                at,
+                router: router.id.to_string(),
+                edition,
+                leased,
+                shots: 0,
+                retries: 0,
+            });
         }
         let active_tails: Vec<usize> = (0..self.keepers.len())
             .filter(|number| {
--- a/crates/verdict/src/judge.rs
+++ b/crates/verdict/src/judge.rs
@@ -9,6 +9,8 @@
 pub const HOLDER_GAP_MS: u64 = 3_000;
 pub const RETRY_SHARE: f64 = 0.15;
 pub const RETRY_FLOAT: u64 = 30;
+pub const RETRY_FLOAT_OF_ROUTER: u64 = 3;
+pub const RETRY_WINDOW_MS: u64 = 5_000;
 pub const RECOVERY_LIMIT_MS: u64 = 12_000;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -74,9 +76,32 @@
     wrong_answers(record, true)
 }
 
+/// What a caller got is held against its own check of every piece, and against what the engine says it
+/// did: a whole answer needs a shot that was begun, worked to its end, and as long as what came.
 fn wrong_answers(record: &Record, streams: bool) -> Vec<String> {
-    let wrong_callers = record.callers.iter().filter(|caller| caller.streams == streams && !caller.wrong.is_empty());
-    wrong_callers.map(|caller| format!("run {}: {}", caller.run, caller.wrong)).collect()
+    let ends = record.ends();
+    let begun: BTreeSet<&str> = record.starts().map(|start| start.shot.as_str()).collect();
+    let mut found = Vec::new();
+    for caller in record.callers.iter().filter(|caller| caller.streams == streams) {
+        if !caller.wrong.is_empty() {
+            found.push(format!("run {}: {}", caller.run, caller.wrong));
+            continue;
+        }
+        if caller.shot.is_empty() {
+            continue;
+        }
+        if !begun.contains(caller.shot.as_str()) {
+            found.push(format!("run {}: no engine began shot {}", caller.run, caller.shot));
+        }
+        let Some(end) = ends.get(caller.shot.as_str()) else { continue };
+        if caller.outcome == "whole" && !end.whole {
+            found.push(format!("run {}: whole for its caller, not for its engine", caller.run));
+        }
+        if streams && caller.pieces > end.pieces + 1 {
+            found.push(format!("run {}: {} pieces came of {}", caller.run, caller.pieces, end.pieces));
+        }
+    }
+    found
 }
 
 fn memory_is_of_its_weights(record: &Record) -> Vec<String> {
@@ -113,16 +138,30 @@
     found
 }
 
+/// Work is judged, not starts alone: no shot may begin, go on at its engine, or bring its caller a
+/// piece, later than the limit after the acknowledgement.
 fn withdrawn_keys_do_nothing(record: &Record) -> Vec<String> {
     let starts = starts_by_run(record);
+    let ends = record.ends();
     let mut found = Vec::new();
     for line in &record.world {
         let WorldLine::KeyWithdrawn { at, key: withdrawn_key } = line else { continue };
+        let limit = at + KEY_LIMIT_MS;
         for caller in record.callers.iter().filter(|caller| caller.key == *withdrawn_key && !caller.run.is_empty()) {
+            if caller.last_at > limit {
+                found.push(format!(
+                    "run {} brought a piece {} ms after its key's end",
+                    caller.run,
+                    caller.last_at - at
+                ));
+            }
             for start in starts.get(caller.run.as_str()).into_iter().flatten() {
-                if start.at > at + KEY_LIMIT_MS {
+                if start.at > limit {
                     found.push(format!("run {} began {} ms after its key's end", caller.run, start.at - at));
                 }
+                if let Some(end) = ends.get(start.shot.as_str()).filter(|end| end.at > limit && start.at <= limit) {
+                    found.push(format!("run {} was worked on {} ms after its key's end", caller.run, end.at - at));
+                }
             }
         }
     }
@@ -159,7 +198,7 @@
     let mut found = Vec::new();
     let mut shown: BTreeMap<&str, u64> = BTreeMap::new();
     for line in &record.world {
-        let WorldLine::Sample { at, router, edition, leased } = line else { continue };
+        let WorldLine::Sample { at, router, edition, leased, .. } = line else { continue };
         let highest = shown.entry(router).or_insert(0);
         if *edition < *highest {
             found.push(format!("router {router} fell back from edition {highest} to {edition}"));
@@ -197,32 +236,64 @@
 }
 
 fn one_holder_orders(record: &Record) -> Vec<String> {
-    let mut orders: BTreeMap<&str, Vec<(u64, &str)>> = BTreeMap::new();
+    let mut orders: BTreeMap<&str, Vec<(u64, u64, &str)>> = BTreeMap::new();
     for line in &record.engines {
-        if let EngineLine::Order { at, engine, holder, .. } = line {
-            orders.entry(engine).or_default().push((*at, holder));
+        if let EngineLine::Order { at, engine, holder, term, taken: true, .. } = line {
+            orders.entry(engine).or_default().push((*at, *term, holder));
         }
     }
     let mut found = Vec::new();
     for (engine, mut engine_orders) in orders {
-        engine_orders.sort();
+        engine_orders.sort_by_key(|order| order.0);
         for pair in engine_orders.windows(2) {
             let (earlier, later) = (pair[0], pair[1]);
-            if earlier.1 != later.1 && later.0 - earlier.0 < HOLDER_GAP_MS {
+            if earlier.2 != later.2 && later.0 - earlier.0 < HOLDER_GAP_MS {
                 found.push(format!("engine {engine}: two holders within {} ms", later.0 - earlier.0));
             }
+            if later.1 < earlier.1 {
+                found.push(format!("engine {engine}: took term {} after {}", later.1, earlier.1));
+            }
         }
     }
     found
 }
 
 fn retries_are_few(record: &Record) -> Vec<String> {
+    let mut found = Vec::new();
     let first_shots = record.shots.saturating_sub(record.retries);
     let allowed = (first_shots as f64 * RETRY_SHARE) as u64 + RETRY_FLOAT;
-    if record.retries <= allowed {
-        return Vec::new();
+    if record.retries > allowed {
+        found.push(format!("{} second shots on {first_shots} first ones", record.retries));
+    }
+    for (window, (shots, retries, router_count)) in retry_windows(record) {
+        let first_shots = shots.saturating_sub(retries);
+        let allowed = (first_shots as f64 * RETRY_SHARE) as u64 + RETRY_FLOAT_OF_ROUTER * router_count;
+        if retries > allowed {
+            let from = window * RETRY_WINDOW_MS;
+            found.push(format!("{retries} second shots on {first_shots} first ones in the window from {from}"));
+        }
+    }
+    found
+}
+
+/// Shots, second shots and routers seen in each stretch of time, from the routers' own counts.
+fn retry_windows(record: &Record) -> BTreeMap<u64, (u64, u64, u64)> {
+    let mut last_counts: BTreeMap<(&str, u64), (u64, u64)> = BTreeMap::new();
+    for line in &record.world {
+        let WorldLine::Sample { at, router, shots, retries, .. } = line else { continue };
+        last_counts.insert((router, at / RETRY_WINDOW_MS), (*shots, *retries));
+    }
+    let mut windows: BTreeMap<u64, (u64, u64, u64)> = BTreeMap::new();
+    let mut earlier: Option<(&str, (u64, u64))> = None;
+    for ((router, window), (shots, retries)) in last_counts {
+        let before = earlier.filter(|(name, _)| *name == router).map_or((0, 0), |(_, counts)| counts);
+        let sums = windows.entry(window).or_default();
+        sums.0 += shots.saturating_sub(before.0);
+        sums.1 += retries.saturating_sub(before.1);
+        sums.2 += 1;
+        earlier = Some((router, (shots, retries)));
     }
-    vec![format!("{} second shots on {first_shots} first ones", record.retries)]
+    windows
 }
 
 fn service_returns(record: &Record) -> Vec<String> {
@@ -243,18 +314,34 @@
         .iter()
         .filter(|caller| caller.at > over_at + RECOVERY_LIMIT_MS && caller.at < ends_at)
         .collect();
-    let turned_away = late_callers
-        .iter()
-        .filter(|caller| matches!(caller.outcome.as_str(), "not_run" | "unknown" | "cut" | "no_answer"))
-        .filter(|caller| !(400..500).contains(&caller.status))
-        .count();
     if late_callers.is_empty() {
         return vec!["nobody called after the last fault; recovery was not seen".into()];
     }
+    let mut found = Vec::new();
+    let turned_away = late_callers.iter().filter(|caller| is_turned_away(caller)).count();
     if turned_away * 100 > late_callers.len() {
-        return vec![format!("{turned_away} of {} late requests were not served", late_callers.len())];
+        found.push(format!("{turned_away} of {} late requests were not served", late_callers.len()));
+    }
+    // Each router and each kind of request, not the fleet as a whole alone.
+    let mut groups: BTreeMap<(&str, &str), (usize, usize)> = BTreeMap::new();
+    for caller in &late_callers {
+        for naming in [("router", caller.router.as_str()), ("kind", caller.kind.as_str())] {
+            let group = groups.entry(naming).or_default();
+            group.0 += 1;
+            group.1 += usize::from(is_turned_away(caller));
+        }
+    }
+    for ((what, name), (asked, turned_away)) in groups {
+        if asked >= 3 && turned_away * 2 > asked {
+            found.push(format!("{what} {name} served {} of {asked} late requests", asked - turned_away));
+        }
     }
-    Vec::new()
+    found
+}
+
+fn is_turned_away(caller: &CallerLine) -> bool {
+    let unserved = matches!(caller.outcome.as_str(), "not_run" | "unknown" | "cut" | "no_answer");
+    unserved && !(400..500).contains(&caller.status)
 }
 
 #[cfg(test)]
@@ -275,7 +362,15 @@
 
     fn order(at: u64, holder: &str) -> EngineLine {
         let (engine, holder) = ("e1".into(), holder.into());
-        EngineLine::Order { at, engine, holder, term: 1, taken: true, order: String::new() }
+        EngineLine::Order { at, engine, holder, term: at, taken: true, order: String::new() }
+    }
+
+    fn end(at: u64, shot: &str, whole: bool) -> EngineLine {
+        EngineLine::End { at, engine: "e1".into(), shot: shot.into(), pieces: 3, whole }
+    }
+
+    fn sample(at: u64, router: &str, edition: u64, leased: bool) -> WorldLine {
+        WorldLine::Sample { at, router: router.into(), edition, leased, shots: 0, retries: 0 }
     }
 
     fn caller(run: &str, outcome: &str) -> CallerLine {
@@ -287,6 +382,7 @@
         let mut callers = vec![caller("r.1", "whole"), caller("r.2", "not_run"), caller("r.3", "whole")];
         callers[0].tenant = "a".into();
         callers[0].key = "ka".into();
+        (callers[0].shot, callers[0].pieces) = ("r.1.1".into(), 3);
         callers[2].tenant = "b".into();
         let mut late_caller = caller("r.4", "whole");
         late_caller.at = 50_000;
@@ -299,6 +395,7 @@
             engines: vec![
                 start(100, "e1", "r.1.1", 1),
                 start(200, "e2", "r.3.1", 2),
+                end(150, "r.1.1", true),
                 order(10, "h1"),
                 order(4_000, "h2"),
             ],
@@ -308,7 +405,7 @@
                 WorldLine::Walled { at: 0, tenant: "a".into() },
                 WorldLine::WeightsAcked { at: 0, weights: 2 },
                 WorldLine::Acked { at: 0, edition: 4 },
-                WorldLine::Sample { at: 3_000, router: "r".into(), edition: 4, leased: true },
+                sample(3_000, "r", 4, true),
                 WorldLine::LastFaultOver { at: 30_000 },
                 WorldLine::RunEnds { at: 60_000 },
             ],
@@ -327,10 +424,16 @@
 
     #[test]
     fn each_judge_catches_its_violation() {
-        let changes: [(u8, Change); 16] = [
+        let changes: [(u8, Change); 24] = [
             (1, |record| record.engines.push(start(101, "e2", "r.1.2", 1))),
             (1, |record| record.engines.push(start(101, "e2", "r.2.1", 3))),
             (2, |record| record.callers[0].wrong = "foreign".into()),
+            (2, |record| record.callers[0].shot = "r.9.1".into()),
+            (2, |record| record.engines[2] = end(150, "r.1.1", false)),
+            (3, |record| {
+                record.callers[0].streams = true;
+                record.callers[0].pieces = 5;
+            }),
             (3, |record| {
                 record.callers[0].streams = true;
                 record.callers[0].wrong = "piece lost".into();
@@ -346,16 +449,32 @@
             }),
             (6, |record| record.engines[0] = start(5_001, "e2", "r.1.1", 1)),
             (7, |record| record.engines[0] = start(3_001, "e1", "r.1.1", 1)),
-            (8, |record| {
-                record.world.push(WorldLine::Sample { at: 9_000, router: "q".into(), edition: 3, leased: true });
-            }),
-            (8, |record| {
-                record.world.push(WorldLine::Sample { at: 9_000, router: "r".into(), edition: 3, leased: false });
-            }),
+            (6, |record| record.engines[2] = end(5_001, "r.1.1", true)),
+            (6, |record| record.callers[0].last_at = 5_001),
+            (8, |record| record.world.push(sample(9_000, "q", 3, true))),
+            (8, |record| record.world.push(sample(9_000, "r", 3, false))),
             (9, |record| record.engines.push(start(20_001, "e2", "q.1.1", 1))),
             (10, |record| record.engines.push(order(4_500, "h1"))),
+            (10, |record| {
+                let (engine, holder) = ("e1".into(), "h2".into());
+                let order =
+                    EngineLine::Order { at: 9_000, engine, holder, term: 9, taken: true, order: String::new() };
+                record.engines.push(order);
+            }),
             (11, |record| record.retries = 300),
+            (11, |record| {
+                let router = "z".into();
+                let sampled =
+                    WorldLine::Sample { at: 9_000, router, edition: 4, leased: true, shots: 40, retries: 9 };
+                record.world.push(sampled);
+            }),
             (12, |record| record.callers[3].outcome = "not_run".into()),
+            (12, |record| {
+                let good = CallerLine { router: "r1".into(), ..record.callers[3].clone() };
+                let bad = CallerLine { router: "r2".into(), outcome: "no_answer".into(), ..good.clone() };
+                record.callers.extend(std::iter::repeat_n(good, 400));
+                record.callers.extend(std::iter::repeat_n(bad, 3));
+            }),
             (12, |record| {
                 record.callers.truncate(3);
             }),
--- a/crates/verdict/src/lines.rs
+++ b/crates/verdict/src/lines.rs
@@ -19,6 +19,10 @@
     /// whole, not_run, unknown, cut, refused, no_answer, cancelled.
     pub outcome: String,
     pub first_ms: Option<u64>,
+    /// The shot whose pieces came; empty if none did.
+    pub shot: String,
+    /// When the last piece came; 0 if none did.
+    pub last_at: u64,
     pub pieces: u64,
     pub prompt_blocks: u64,
     pub cached_blocks: u64,
@@ -60,6 +64,9 @@
         router: String,
         edition: u64,
         leased: bool,
+        /// Shots and second shots of this router so far.
+        shots: u64,
+        retries: u64,
     },
     Fault {
         at: u64,
@@ -87,9 +94,27 @@
     pub fn starts(&self) -> impl Iterator<Item = &StartLine> {
         self.engines.iter().filter_map(|line| match line {
             EngineLine::Start(start) => Some(start),
-            EngineLine::Order { .. } => None,
+            EngineLine::End { .. } | EngineLine::Order { .. } => None,
         })
     }
+
+    /// How the work on each shot ended, as its engine told: when, after how many pieces, whether whole.
+    pub fn ends(&self) -> BTreeMap<&str, ShotEnd> {
+        let ends = self.engines.iter().filter_map(|line| match line {
+            EngineLine::End { at, shot, pieces, whole, .. } => {
+                Some((shot.as_str(), ShotEnd { at: *at, pieces: *pieces, whole: *whole }))
+            }
+            EngineLine::Start(_) | EngineLine::Order { .. } => None,
+        });
+        ends.collect()
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShotEnd {
+    pub at: u64,
+    pub pieces: u64,
+    pub whole: bool,
 }
 
 /// The run a shot belongs to: the shot's name without its last part.
--- a/crates/verdict/src/prelude.rs
+++ b/crates/verdict/src/prelude.rs
@@ -4,4 +4,4 @@
 pub use crate::lines::*;
 pub(crate) use contract::prelude::{EngineLine, StartLine};
 pub(crate) use serde::{Deserialize, Serialize};
-pub(crate) use std::collections::BTreeMap;
+pub(crate) use std::collections::{BTreeMap, BTreeSet};
--- a/crates/yard/tests/later.rs
+++ b/crates/yard/tests/later.rs
@@ -178,7 +178,7 @@
     let mut statuses = [left, right];
     statuses.sort();
     assert_eq!(statuses, [200, 409]);
-    let starts = fleet.engine_lines().len();
+    let starts = fleet.record(&[]).starts().count();
     assert_eq!(starts, 3, "one start for each claim");
 }
 
