--- a/crates/carriage/src/gate.rs
+++ b/crates/carriage/src/gate.rs
@@ -36,15 +36,20 @@
     pub limit: Instant,
 }
 
+/// Whether a router may take anything on now: it knows what is in force only while it holds a lease.
+pub fn is_leased(lease_until: Instant, now: Instant) -> bool {
+    now < lease_until
+}
+
 /// The last look before the first byte of a shot.
 pub fn may_start(sight: &FleetSight, lease_until: Instant, ground: &Ground, now: Instant) -> Result<(), StartBar> {
-    if now >= lease_until {
+    if !is_leased(lease_until, now) {
         return Err(StartBar::NoLease);
     }
     if now >= ground.limit {
         return Err(StartBar::LimitPassed);
     }
-    if sight.tenants_by_key.get(&ground.key_hash) != Some(&ground.tenant) {
+    if may_go_on(sight, lease_until, &ground.key_hash, &ground.tenant, now).is_err() {
         return Err(StartBar::KeyWithdrawn);
     }
     if sight.usable_weights(&ground.engine, now) != Some(ground.weights) {
--- a/crates/keeper/src/filing.rs
+++ b/crates/keeper/src/filing.rs
@@ -12,7 +12,16 @@
 impl Filing {
     /// Opens a data folder; also tells its identity.
     pub fn open(data_folder: &Path) -> Result<(Filing, NodeId), DiskFault> {
-        let mut folder = Folder::open(data_folder)?;
+        Filing::of(Folder::open(data_folder)?)
+    }
+
+    /// Opens a data folder on a disk that misbehaves as a control file says.
+    #[cfg(feature = "faults")]
+    pub fn open_frail(data_folder: &Path, control: &Path) -> Result<(Filing, NodeId), DiskFault> {
+        Filing::of(Folder::open_frail(data_folder, control)?)
+    }
+
+    fn of(mut folder: Folder) -> Result<(Filing, NodeId), DiskFault> {
         let identity = folder.identity()?;
         Ok((Filing { folder, snapshot_edition: Edition(0) }, identity))
     }
--- a/crates/keeper/src/main.rs
+++ b/crates/keeper/src/main.rs
@@ -25,6 +25,8 @@
         setting("operator_key_file", Kind::Path, None, "with found: a file holding the first operator's key"),
         setting("core_size", Kind::Whole(1, 7), Some("4"), "how many keepers the core grows to"),
         setting("platform", Kind::Address, None, "the platform's listing of engines"),
+        #[cfg(feature = "faults")]
+        setting("disk_faults", Kind::Path, None, "for tests: a file that says how the disk misbehaves"),
         setting("threads", Kind::Whole(1, 64), Some("2"), "threads for HTTP"),
         LOG_LEVEL,
     ],
@@ -43,7 +45,7 @@
     let door_listener = bind(settings.address("door")?)
         .map_err(|fault| miette!("door: {}: {fault}", settings.text("door").unwrap_or("")))?;
     let told = |fault: DiskFault| miette!("data: {data_folder}: {fault}");
-    let (mut filing, identity) = Filing::open(Path::new(&data_folder)).map_err(told)?;
+    let (mut filing, identity) = open_filing(&settings, Path::new(&data_folder)).map_err(told)?;
     let local = |listening: std::io::Result<std::net::SocketAddr>| {
         listening.map(|address| address.to_string()).map_err(|fault| miette!("{fault}"))
     };
@@ -115,6 +117,19 @@
     outcome.map_err(|fault| miette!("data: {data_folder}: {fault}"))
 }
 
+#[cfg(not(feature = "faults"))]
+fn open_filing(_: &Settings, data_folder: &Path) -> Result<(Filing, NodeId), DiskFault> {
+    Filing::open(data_folder)
+}
+
+#[cfg(feature = "faults")]
+fn open_filing(settings: &Settings, data_folder: &Path) -> Result<(Filing, NodeId), DiskFault> {
+    match settings.maybe("disk_faults") {
+        Some(control) => Filing::open_frail(data_folder, Path::new(control)),
+        None => Filing::open(data_folder),
+    }
+}
+
 /// The address a member is known by; one that is bound to all interfaces cannot be known by that.
 fn advertised(settings: &Settings, key: &str, bound: String) -> Result<String, Report> {
     if let Some(address) = settings.maybe(key) {
--- a/crates/ledger/src/folder.rs
+++ b/crates/ledger/src/folder.rs
@@ -72,6 +72,14 @@
         Folder::of(Database::builder().create_with_backend(storage).or_disk("open ledger")?)
     }
 
+    /// A ledger on a disk that misbehaves as a control file says.
+    #[cfg(feature = "faults")]
+    pub fn open_frail(data_folder: &Path, control: &Path) -> Result<Folder, DiskFault> {
+        std::fs::create_dir_all(data_folder).or_disk("make data folder")?;
+        let storage = FrailStorage::open(&data_folder.join("ledger.redb"), control).or_disk("open ledger")?;
+        Folder::of(Database::builder().create_with_backend(storage).or_disk("open ledger")?)
+    }
+
     fn of(database: Database) -> Result<Folder, DiskFault> {
         let mut folder = Folder { database };
         match folder.plain::<u64>("format")? {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -6,3 +6,5 @@
 #[cfg(feature = "faults")]
 mod faults;
 mod folder;
+#[cfg(feature = "faults")]
+mod frail;
--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -385,18 +385,13 @@
             let told_kind = told["error"]["type"].as_str().unwrap_or("").to_owned();
             let did_not_start = matches!(told_kind.as_str(), "not_accepting" | "other_weights");
             let head = if did_not_start { Head::NotStarted } else { Head::Refused };
-            return Input::Head {
-                head,
-                shot: None,
-                told: format!("engine answered {} {told_kind}", status.as_u16()),
-            };
+            return Input::Head { head, told: format!("engine answered {} {told_kind}", status.as_u16()) };
         }
-        let shot_name = replied.header(SHOT_HEADER).map(str::to_owned);
         if let Some(shot) = self.shot.as_mut() {
             shot.replied = Some(replied);
         }
         self.awaited = Awaited::Pieces;
-        Input::Head { head: Head::Good, shot: shot_name, told: String::new() }
+        Input::Head { head: Head::Good, told: String::new() }
     }
 
     async fn read(&mut self) -> Input {
--- a/crates/router/src/stand.rs
+++ b/crates/router/src/stand.rs
@@ -112,7 +112,7 @@
     }
 
     pub fn holds_lease(&self, now: Instant) -> bool {
-        self.lease_left(now) > Span(0)
+        is_leased(self.lease_until(), now)
     }
 
     fn lease_until(&self) -> Instant {
--- a/crates/simulator/src/keepers.rs
+++ b/crates/simulator/src/keepers.rs
@@ -100,11 +100,27 @@
                     }
                 }
                 Effect::Outcome { ticket, outcome } => self.take_outcome(ticket, outcome),
-                Effect::Note { event, detail } => self.note(format!("k{number} {event} {detail}")),
+                Effect::Note { event, detail } => {
+                    if event == "campaign" && std::mem::take(&mut self.campaign_fails) {
+                        self.fail_campaign();
+                    }
+                    self.note(format!("k{number} {event} {detail}"));
+                }
             }
         }
     }
 
+    /// Keepers are lost at some moment of the vote, and start again soon.
+    fn fail_campaign(&mut self) {
+        for _ in 0..2 {
+            let keeper = self.draw.below(KEEPERS as u64) as usize;
+            let span = Span::micros(self.draw.between(100, 25_000));
+            self.later(span, Happening::Loses { keeper });
+        }
+        let span = Span::millis(self.draw.between(30, 900));
+        self.later(span, Happening::Revives);
+    }
+
     pub fn post(&mut self, from: usize, address: &str, message: CoreMessage) {
         let Some(to) = self.keepers.iter().position(|keeper| keeper.address == address) else { return };
         if self.net.is_cut(from, to) {
--- a/crates/simulator/src/trouble.rs
+++ b/crates/simulator/src/trouble.rs
@@ -9,6 +9,13 @@
         let at = self.millis();
         self.record.world.push(WorldLine::Fault { at, what });
         self.fault_kinds.push(fault.kind());
+        // Most faults are undone after a while, so that later ones meet a fleet at work.
+        let span = Span::millis(self.draw.between(500, 6_000));
+        match self.draw.below(10) {
+            0..=3 => self.later(span, Happening::Revives),
+            4..=6 => self.later(span, Happening::Heals),
+            _ => {}
+        }
         let all_keepers: Vec<usize> = (0..KEEPERS).collect();
         let all_nodes: Vec<usize> = (0..NODES).map(|node| NODE_BASE + node).collect();
         let now = self.now;
@@ -86,10 +93,38 @@
             Fault::HideEvents { engine, span } => self.engines[engine].hides_until = now + span,
             Fault::KeepOnLoad(engine) => self.engines[engine].keeps_on_load = true,
             Fault::LoseStore => self.store.restart(),
+            Fault::CutPair { keeper, other, both_ways } => self.net.cut_between(&[keeper], &[other], both_ways),
+            Fault::KillInCampaign => self.campaign_fails = true,
+            Fault::IsolateHolder => self.isolate_holder(),
+            Fault::WithdrawBehind(node) => self.withdraw_behind(node),
             Fault::ListAway => (0..6).for_each(|_| self.change_listing()),
         }
     }
 
+    fn isolate_holder(&mut self) {
+        let states = self.keepers.iter().filter_map(|keeper| keeper.warden.as_ref()).map(Warden::state);
+        let newest = states.max_by_key(|state| state.edition);
+        let Some(duty) = newest.and_then(|state| state.duties.get(&DutyKind::Conductor).copied()) else { return };
+        let Some(holder) = self.keepers.iter().position(|keeper| keeper.id == duty.holder) else { return };
+        let others: Vec<usize> = (0..KEEPERS).filter(|keeper| *keeper != holder).collect();
+        let nodes: Vec<usize> = (0..NODES).map(|node| NODE_BASE + node).collect();
+        self.net.cut_between(&[holder], &others, true);
+        self.net.cut_between(&[holder], &nodes, true);
+        self.name_weights(others[0]);
+    }
+
+    fn withdraw_behind(&mut self, node: usize) {
+        let keepers: Vec<usize> = (0..KEEPERS).collect();
+        self.net.cut_between(&keepers, &[NODE_BASE + node], true);
+        let Some(router) = &self.nodes[node].router else { return };
+        let runs = router.runs.values().filter(|run| !run.carriage.is_done() && run.request.tokens > 20);
+        let streamed: Vec<&str> = runs.map(|run| run.request.key_hash.as_str()).collect();
+        let found = self.live_keys.iter().position(|(key, _, _)| streamed.contains(&key.as_str()));
+        if let Some(place) = found {
+            self.withdraw(keepers[node % KEEPERS], place);
+        }
+    }
+
     fn misbehave(&mut self, number: usize, manner: Manner, span: Span) {
         let engine = &mut self.engines[number];
         (engine.manner, engine.manner_until) = (manner, self.now + span);
@@ -124,6 +159,7 @@
             self.start_keeper(number);
         }
         self.power_fails = false;
+        self.campaign_fails = false;
         for number in 0..ENGINES {
             self.start_engine(number);
             let engine = &mut self.engines[number];
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -39,7 +39,9 @@
     ComesBack { node: usize, caller: usize },
     Resumes { node: usize, caller: usize, carried: bool },
     AsksAgain { node: usize, request: SimRequest },
+    Loses { keeper: usize },
     Revives,
+    Heals,
     Operator,
     Platform,
     Fault(Fault),
@@ -79,6 +81,8 @@
     pub raced: BTreeMap<u64, u32>,
     /// The next acknowledgement is followed by a loss of power in the whole core.
     pub power_fails: bool,
+    /// The next campaign for a view loses keepers in its midst.
+    pub campaign_fails: bool,
     pub callers: Vec<SimCaller>,
     /// Claims that routers wait for: node, router, run.
     pub tickets: BTreeMap<u64, (usize, NodeId, u64)>,
@@ -202,6 +206,7 @@
             wanted_weights: 1,
             raced: BTreeMap::new(),
             power_fails: false,
+            campaign_fails: false,
             callers: Vec::new(),
             tickets: BTreeMap::new(),
             store: SimMemory::default(),
@@ -353,7 +358,9 @@
             Happening::ComesBack { node, caller } => self.hear_comes_back(node, caller),
             Happening::Resumes { node, caller, carried } => self.resume(node, caller, carried),
             Happening::AsksAgain { node, request } => self.ask_again(node, request),
+            Happening::Loses { keeper } => self.kill_keeper(keeper),
             Happening::Revives => self.revive(),
+            Happening::Heals => self.net.heal(),
             Happening::Operator => self.operate(),
             Happening::Platform => self.change_listing(),
             Happening::StopKeeper { keeper, life } => {
--- a/crates/yard/src/fleet.rs
+++ b/crates/yard/src/fleet.rs
@@ -24,6 +24,8 @@
     pub relayed: bool,
     /// The first engine prefills, the others decode.
     pub split: bool,
+    /// Keepers are those built with pretended disks, which `trouble_disk` makes misbehave.
+    pub frail: bool,
 }
 
 impl FleetPlan {
@@ -41,6 +43,7 @@
             records: false,
             relayed: false,
             split: false,
+            frail: false,
         }
     }
 
@@ -200,7 +203,11 @@
         } else {
             arguments.push(format!("--seeds={seeds}"));
         }
-        let process = Process::start("keeper", &format!("keeper{number}"), &arguments, &self.folder)?;
+        let program = if self.plan.frail { FRAIL_KEEPER } else { "keeper" };
+        if self.plan.frail {
+            arguments.push(format!("--disk-faults={}", self.disk_control(number).display()));
+        }
+        let process = Process::start(program, &format!("keeper{number}"), &arguments, &self.folder)?;
         let keeper = &mut self.keepers[number];
         keeper.address = process.address();
         keeper.bound = process.ready.get("bound").cloned().unwrap_or_default();
@@ -213,6 +220,15 @@
         Ok(())
     }
 
+    fn disk_control(&self, number: usize) -> PathBuf {
+        self.folder.join(format!("keeper{number}.disk"))
+    }
+
+    /// Makes a frail keeper's disk `slow MILLIS`, `stall`, `full`, `fail`, or well again with nothing.
+    pub fn trouble_disk(&self, number: usize, wish: &str) -> Result<(), String> {
+        std::fs::write(self.disk_control(number), wish).map_err(|fault| fault.to_string())
+    }
+
     pub fn add_engine(&mut self) -> Result<usize, String> {
         let number = self.engines.len();
         let engine = Engine {
--- a/crates/yard/src/process.rs
+++ b/crates/yard/src/process.rs
@@ -10,9 +10,19 @@
     child: Child,
 }
 
+/// The keeper with pretended disks, built apart from the ordinary programs.
+pub const FRAIL_KEEPER: &str = "frail keeper";
+
 /// Where the built programs are: beside the running one, or one folder up from a test.
 pub fn program_path(program: &str) -> Result<PathBuf, String> {
     let own_path = std::env::current_exe().map_err(|fault| fault.to_string())?;
+    if program == FRAIL_KEEPER {
+        let candidate = own_path.ancestors().skip(2).take(3).map(|folder| folder.join("frail/debug/keeper"));
+        let found = candidate.into_iter().find(|path| path.is_file());
+        return found.ok_or_else(|| {
+            "build it first: cargo build -p keeper --features faults --target-dir target/frail".into()
+        });
+    }
     for folder in own_path.ancestors().skip(1).take(2) {
         let candidate = folder.join(program);
         if candidate.is_file() {
