Policies are compared by quantiles with intervals, for each policy and tenant

Cause: a mean of the first piece says little of a policy and nothing of how sure it is, and figures of all tenants and of earlier versions of a policy ran together.

Change: package figures: histograms of 56 fixed buckets growing by a fifth, by policy and tenant, told as Prometheus text with a format number and summed over routers. Quantiles carry the interval of their rank (19 in 20) and are withheld where fewer than ten values lie on their thinner side. Figures of a changed policy begin anew. New: blocks by which a pick differs from the default's choice, by the default's own weights; pace of streams; occupancy met.

By real programs: few requests are said to be too few, a changed policy's figures are gone. Ruled out: keeping raw values (unbounded), quantile sketches (another library for 56 numbers). Live A/A and A/B figures are not taken yet.

--- a/crates/console/src/main.rs
+++ b/crates/console/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' command line. It asks one of the doors it was given and says what came of it; a
 //! submission carries a request id, so that asking a second door can never do a thing twice.
 
+mod comparing;
 mod prelude;
 mod words;
 
@@ -29,11 +30,11 @@
     ExitCode::from(code)
 }
 
-struct Asker {
-    runtime: tokio::runtime::Runtime,
+pub struct Asker {
+    pub runtime: tokio::runtime::Runtime,
     doors: Vec<String>,
     key: String,
-    limit: Span,
+    pub limit: Span,
 }
 
 type Reply = (StatusCode, HeaderMap, Vec<u8>);
@@ -77,7 +78,12 @@
         None => RequestId::random(),
     };
     let question = match deed {
-        Deed::Compare { routers } => return compare(&asker, &routers),
+        Deed::Compare { routers, policy, tenant } => {
+            let mut book = gather(&asker, &routers)?;
+            narrow(&mut book, policy.as_deref(), tenant.as_deref())?;
+            show_comparison(&book, words.as_json);
+            return Ok(0);
+        }
         Deed::Post { path, body } => {
             Question::with_json(Method::POST, &path, &body).header("x-request-id", request.to_string())
         }
@@ -180,43 +186,3 @@
     let reach = if listing["reachable"] == true { "reachable" } else { "NOT reachable: the last list holds" };
     println!("listing {} platform {reach}", listing["number"]);
 }
-
-/// Sums the figures of each policy over the routers and prints them side by side.
-fn compare(asker: &Asker, routers: &[String]) -> Result<u8, Report> {
-    let mut sums: std::collections::BTreeMap<(String, String), f64> = Default::default();
-    for router in routers {
-        let asked = asker.runtime.block_on(ask_whole(router, Question::get("/metrics"), asker.limit, 4 << 20));
-        let (_, _, body) = asked.map_err(|reason| miette!("{router}: {reason}"))?;
-        let text = String::from_utf8_lossy(&body).into_owned();
-        for line in text.lines().filter_map(|line| line.strip_prefix("haremount_policy_")) {
-            let Some((name, rest)) = line.split_once("{policy=\"") else { continue };
-            let Some((policy, rest)) = rest.split_once('"') else { continue };
-            let Some((labels, value)) = rest.split_once("} ") else { continue };
-            let value: f64 = value.parse().unwrap_or(0.0);
-            *sums.entry((policy.to_owned(), format!("{name}{labels}"))).or_default() += value;
-        }
-    }
-    let policies: std::collections::BTreeSet<String> = sums.keys().map(|(policy, _)| policy.clone()).collect();
-    for policy in policies {
-        let sum = |name: &str| sums.get(&(policy.clone(), name.to_owned())).copied().unwrap_or(0.0);
-        let engines: Vec<f64> = sums
-            .iter()
-            .filter(|((known, name), _)| *known == policy && name.starts_with("engine_total"))
-            .map(|(_, value)| *value)
-            .collect();
-        let picks: f64 = engines.iter().sum();
-        let most = engines.iter().copied().fold(0.0, f64::max);
-        let requests = sum("requests_total").max(1.0);
-        println!(
-            "policy {policy}: requests {} first piece mean {:.0} ms, reused blocks {:.1} %, faults {:.2} %, \
-             other engine than default {:.1} %, busiest engine {:.1} % of picks",
-            sum("requests_total"),
-            sum("first_ms_sum") / requests,
-            100.0 * sum("reused_blocks_total") / sum("prompt_blocks_total").max(1.0),
-            100.0 * sum("faults_total") / requests,
-            100.0 * sum("differs_total") / requests,
-            100.0 * most / picks.max(1.0),
-        );
-    }
-    Ok(0)
-}
--- a/crates/console/src/prelude.rs
+++ b/crates/console/src/prelude.rs
@@ -1,6 +1,9 @@
 //! The one import of this package's files.
 
+pub(crate) use crate::Asker;
+pub(crate) use crate::comparing::*;
 pub(crate) use crate::words::*;
+pub(crate) use figures::prelude::{Figures, PolicyBook, Quantile};
 pub(crate) use serde_json::{Value, json};
 pub(crate) use std::process::ExitCode;
 pub(crate) use trade::prelude::*;
--- a/crates/console/src/words.rs
+++ b/crates/console/src/words.rs
@@ -30,7 +30,9 @@
   --base EDITION       the edition a change is based on
   --request ID         the request id of a submission, to ask for the same one again
   --limit-s SECONDS    how long to wait for an answer (default 15)
-  --json               print the door's JSON as it came
+  --policy NAME        with policy compare: this policy and the default alone
+  --tenant NAME        with policy compare: this tenant alone
+  --json               print the door's JSON as it came, or the comparison as JSON
   --help, --version
 
 Exit codes: 0 done, 1 refused or not reached, 2 wrong usage, 3 outcome unknown (ask again with --request).";
@@ -44,6 +46,9 @@
     pub request: Option<String>,
     pub limit_s: u64,
     pub as_json: bool,
+    /// Of a comparison, this policy and the default alone, or this tenant alone.
+    pub policy: Option<String>,
+    pub tenant: Option<String>,
     pub command: Vec<String>,
 }
 
@@ -56,7 +61,7 @@
     DropKey { path: String },
     Post { path: String, body: Value },
     PostFile { path: String, file: String },
-    Compare { routers: Vec<String> },
+    Compare { routers: Vec<String>, policy: Option<String>, tenant: Option<String> },
 }
 
 pub enum Read {
@@ -94,6 +99,8 @@
                 let seconds = text.parse().ok().filter(|seconds| (1..=600).contains(seconds));
                 words.limit_s = seconds.ok_or_else(|| miette!("--limit-s: {text} is not 1 to 600"))?;
             }
+            lexopt::Arg::Long("policy") => words.policy = Some(value(&mut parser)?),
+            lexopt::Arg::Long("tenant") => words.tenant = Some(value(&mut parser)?),
             lexopt::Arg::Long("json") => words.as_json = true,
             lexopt::Arg::Value(word) => {
                 words.command.push(word.into_string().map_err(|_| miette!("not UTF-8; see console --help"))?);
@@ -121,9 +128,11 @@
             ["key", "withdraw", tenant, name] => Deed::DropKey { path: format!("/v1/tenants/{tenant}/keys/{name}") },
             ["policy", "check", file] => Deed::PostFile { path: "/v1/policies/check".into(), file: (*file).into() },
             ["policy", "show", name] => Deed::Show { path: format!("/v1/policies/{name}") },
-            ["policy", "compare", routers] => {
-                Deed::Compare { routers: routers.split(',').map(str::to_owned).collect() }
-            }
+            ["policy", "compare", routers] => Deed::Compare {
+                routers: routers.split(',').map(str::to_owned).collect(),
+                policy: self.policy.clone(),
+                tenant: self.tenant.clone(),
+            },
             ["plan", "list"] => Deed::Show { path: "/v1/plans".into() },
             ["plan", "show", id] => Deed::Show { path: format!("/v1/plans/{id}") },
             ["plan", "confirm", id] => Deed::Post { path: format!("/v1/plans/{id}/confirm"), body: json!({}) },
--- /dev/null
+++ b/crates/figures/src/policies.rs
@@ -0,0 +1,105 @@
+//! Figures by policy and tenant.
+
+use crate::prelude::*;
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Figures {
+    pub requests: u64,
+    pub faults: u64,
+    pub prompt_blocks: u64,
+    pub reused_blocks: u64,
+    /// Picks in which the default policy would have chosen another engine.
+    pub differs: u64,
+    /// By how many blocks those picks cost more than the default's, by the default's own weights.
+    pub excess_blocks: u64,
+    /// Milliseconds until the first piece.
+    pub first: Histogram,
+    /// Milliseconds between the pieces of a stream, one mean for each stream.
+    pub pace: Histogram,
+    /// Blocks that the chosen engine was working on.
+    pub occupancy: Histogram,
+    pub engines: BTreeMap<String, u64>,
+}
+
+impl Figures {
+    pub fn merge(&mut self, other: &Figures) {
+        for (own, theirs) in self.sums_mut().into_iter().zip(other.sums()) {
+            *own += theirs.1;
+        }
+        for (own, theirs) in self.histograms_mut().into_iter().zip(other.histograms()) {
+            own.merge(theirs.1);
+        }
+        for (engine, count) in &other.engines {
+            *self.engines.entry(engine.clone()).or_default() += count;
+        }
+    }
+
+    pub fn sums(&self) -> [(&'static str, u64); 6] {
+        [
+            ("requests", self.requests),
+            ("faults", self.faults),
+            ("prompt_blocks", self.prompt_blocks),
+            ("reused_blocks", self.reused_blocks),
+            ("differs", self.differs),
+            ("excess_blocks", self.excess_blocks),
+        ]
+    }
+
+    pub(crate) fn sums_mut(&mut self) -> [&mut u64; 6] {
+        [
+            &mut self.requests,
+            &mut self.faults,
+            &mut self.prompt_blocks,
+            &mut self.reused_blocks,
+            &mut self.differs,
+            &mut self.excess_blocks,
+        ]
+    }
+
+    pub fn histograms(&self) -> [(&'static str, &Histogram); 3] {
+        [("first_ms", &self.first), ("pace_ms", &self.pace), ("occupancy_blocks", &self.occupancy)]
+    }
+
+    pub(crate) fn histograms_mut(&mut self) -> [&mut Histogram; 3] {
+        [&mut self.first, &mut self.pace, &mut self.occupancy]
+    }
+
+    /// The share of all picks that went to the engine picked most.
+    pub fn busiest_share(&self) -> f64 {
+        let picks: u64 = self.engines.values().sum();
+        let most = self.engines.values().max().copied().unwrap_or(0);
+        most as f64 / picks.max(1) as f64
+    }
+}
+
+/// Figures of every policy and tenant.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PolicyBook {
+    pub by_place: BTreeMap<(String, String), Figures>,
+}
+
+impl PolicyBook {
+    pub fn of(&mut self, policy: &str, tenant: &str) -> &mut Figures {
+        self.by_place.entry((policy.to_owned(), tenant.to_owned())).or_default()
+    }
+
+    /// A policy was changed: what was seen of it before says nothing of it now.
+    pub fn forget(&mut self, policy: &str) {
+        self.by_place.retain(|(known, _), _| known != policy);
+    }
+
+    pub fn merge(&mut self, other: &PolicyBook) {
+        for ((policy, tenant), figures) in &other.by_place {
+            self.of(policy, tenant).merge(figures);
+        }
+    }
+
+    /// The sums over all tenants of each policy.
+    pub fn by_policy(&self) -> BTreeMap<&str, Figures> {
+        let mut sums: BTreeMap<&str, Figures> = BTreeMap::new();
+        for ((policy, _), figures) in &self.by_place {
+            sums.entry(policy).or_default().merge(figures);
+        }
+        sums
+    }
+}
--- a/crates/placement/src/picker.rs
+++ b/crates/placement/src/picker.rs
@@ -48,6 +48,8 @@
     pub candidates: Vec<Score>,
     /// What the default policy would have chosen.
     pub default_engine: EngineName,
+    /// What the chosen engine costs more than that one, by the default's weights.
+    pub default_excess: f64,
     pub policy: String,
     /// Where the chosen engine gets blocks it lacks; the rest it prefills.
     pub fetches: Vec<FetchRun>,
@@ -254,13 +256,15 @@
         let (mut candidates, prefillers): (Vec<Score>, Vec<Score>) =
             scores.into_iter().partition(|score| score.role != Role::Prefill);
         let chosen = self.cheapest(&candidates, prompt)?.clone();
-        let default_engine = if policy == DEFAULT_POLICY {
-            chosen.engine.clone()
+        let (default_engine, default_excess) = if policy == DEFAULT_POLICY {
+            (chosen.engine.clone(), 0.0)
         } else {
             let default_scores = self.score(sight, prompt, &sight.default_table, now);
             let default_candidates: Vec<Score> =
                 default_scores.into_iter().filter(|score| score.role != Role::Prefill).collect();
-            self.cheapest(&default_candidates, prompt)?.engine.clone()
+            let default_chosen = self.cheapest(&default_candidates, prompt)?;
+            let own_cost = default_candidates.iter().find(|score| score.engine == chosen.engine)?.cost;
+            (default_chosen.engine.clone(), own_cost - default_chosen.cost)
         };
         candidates.sort_by(|left, right| left.cost.total_cmp(&right.cost));
         let address = sight.state.listing.engines.get(&chosen.engine)?.address.clone();
@@ -270,6 +274,7 @@
             address,
             candidates,
             default_engine,
+            default_excess,
             policy,
             fetches: Vec::new(),
             prefill: None,
--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -60,6 +60,8 @@
     outbox: VecDeque<Bytes>,
     piece_count: u64,
     first_ms: Option<u64>,
+    /// The policy that placed it.
+    policy: String,
 }
 
 impl Run {
@@ -82,6 +84,7 @@
             outbox: VecDeque::new(),
             piece_count: 0,
             first_ms: None,
+            policy: String::new(),
         };
         driver.drive().await
     }
@@ -150,13 +153,15 @@
         let reused_blocks = prompt_blocks.saturating_sub(placement.chosen.prefill_blocks.0);
         Counts::add(&self.stand.counts.reused_blocks, reused_blocks);
         let first_ms = boot_now().since(self.plan.began).as_millis();
-        self.stand.note_policy(&placement.policy, |figures| {
+        self.stand.note_policy(&placement.policy, &self.plan.tenant, |figures| {
             figures.requests += 1;
-            figures.first_ms_sum += first_ms;
+            figures.first.add(first_ms as f64);
+            figures.occupancy.add(placement.chosen.decode_blocks.0 as f64);
             figures.prompt_blocks += prompt_blocks;
             figures.reused_blocks += reused_blocks;
             figures.differs += u64::from(placement.default_engine != placement.chosen.engine);
-            *figures.engines.entry(placement.chosen.engine.clone()).or_default() += 1;
+            figures.excess_blocks += placement.default_excess as u64;
+            *figures.engines.entry(placement.chosen.engine.0.clone()).or_default() += 1;
         });
         let fetched_blocks = placement.fetches.iter().map(|run| run.names.len() as u64).sum();
         Counts::add(&self.stand.counts.fetch_blocks, fetched_blocks);
@@ -305,6 +310,7 @@
             Some((Picked::Placed(placement), Some(place))) => {
                 let engine = placement.chosen.engine.clone();
                 self.engine = engine.clone();
+                self.policy = placement.policy.clone();
                 let (stream, replied, reader) = (None, None, EventReader::default());
                 self.shot = Some(Shot { placement, sight, place, stream, replied, reader });
                 PickOutcome::Placed(engine)
@@ -481,6 +487,12 @@
         Counts::add(counter, 1);
         let end_event = format!("id: {}.{}\ndata: {STREAM_END}\n\n", self.run.plan.run, self.piece_count);
         self.log_end(outcome, cut.as_ref().map_or("", |reason| &reason.told));
+        if let (None, Some(first_ms), true) = (&cut, self.first_ms, self.piece_count > 1) {
+            let streamed = boot_now().since(self.run.plan.began).as_millis().saturating_sub(first_ms);
+            let pace = streamed as f64 / (self.piece_count - 1) as f64;
+            let tenant = &self.run.plan.tenant;
+            self.run.stand.note_policy(&self.policy, tenant, |figures| figures.pace.add(pace));
+        }
         match cut {
             Some(reason) => sink.cut(reason),
             None => {
@@ -537,7 +549,8 @@
 
     fn note_fault(&self, reason: &str, ran: Ran, rests: bool) {
         let Some(shot) = &self.shot else { return };
-        self.run.stand.note_policy(&shot.placement.policy, |figures| figures.faults += 1);
+        let tenant = &self.run.plan.tenant;
+        self.run.stand.note_policy(&shot.placement.policy, tenant, |figures| figures.faults += 1);
         event!(
             warn,
             "shot_fault",
--- a/crates/router/src/stand.rs
+++ b/crates/router/src/stand.rs
@@ -14,20 +14,7 @@
     pub draining: AtomicBool,
     pub counts: Counts,
     doors: RwLock<HashMap<NodeId, String>>,
-    policies: Mutex<BTreeMap<String, PolicyFigures>>,
-}
-
-/// What live traffic showed of one policy on this router.
-#[derive(Clone, Debug, Default)]
-pub struct PolicyFigures {
-    pub requests: u64,
-    pub first_ms_sum: u64,
-    pub faults: u64,
-    pub prompt_blocks: u64,
-    pub reused_blocks: u64,
-    /// Picks in which the default policy would have chosen another engine.
-    pub differs: u64,
-    pub engines: BTreeMap<EngineName, u64>,
+    policies: Mutex<PolicyBook>,
 }
 
 /// Counters for `/metrics`.
@@ -60,38 +47,28 @@
         Arc::clone(&self.sight.read().expect("no holder of this lock panics"))
     }
 
+    /// Puts a sight in force. Figures of a policy that was changed begin anew.
     pub fn publish(&self, sight: FleetSight) {
+        let earlier = self.sight();
+        let (old_policies, new_policies) = (&earlier.state.desired.policies, &sight.state.desired.policies);
+        let names = old_policies.keys().chain(new_policies.keys());
+        for name in names.filter(|name| old_policies.get(*name) != new_policies.get(*name)) {
+            self.policies().forget(name);
+        }
         *self.sight.write().expect("no holder of this lock panics") = Arc::new(sight);
         self.news.send_modify(|count| *count += 1);
     }
 
-    pub fn note_policy(&self, policy: &str, note: impl FnOnce(&mut PolicyFigures)) {
-        let mut policies = self.policies.lock().expect("no holder of this lock panics");
-        note(policies.entry(policy.to_owned()).or_default());
+    fn policies(&self) -> std::sync::MutexGuard<'_, PolicyBook> {
+        self.policies.lock().expect("no holder of this lock panics")
+    }
+
+    pub fn note_policy(&self, policy: &str, tenant: &TenantName, note: impl FnOnce(&mut Figures)) {
+        note(self.policies().of(policy, tenant.as_str()));
     }
 
     pub fn policy_metrics(&self) -> String {
-        let policies = self.policies.lock().expect("no holder of this lock panics");
-        let mut text = String::new();
-        for (policy, figures) in policies.iter() {
-            let rows = [
-                ("requests_total", figures.requests),
-                ("first_ms_sum", figures.first_ms_sum),
-                ("faults_total", figures.faults),
-                ("prompt_blocks_total", figures.prompt_blocks),
-                ("reused_blocks_total", figures.reused_blocks),
-                ("differs_total", figures.differs),
-            ];
-            for (name, value) in rows {
-                text.push_str(&format!("haremount_policy_{name}{{policy=\"{policy}\"}} {value}\n"));
-            }
-            for (engine, count) in &figures.engines {
-                text.push_str(&format!(
-                    "haremount_policy_engine_total{{policy=\"{policy}\",engine=\"{engine}\"}} {count}\n"
-                ));
-            }
-        }
-        text
+        self.policies().tell()
     }
 
     pub fn know_doors(&self, doors: Vec<(NodeId, String)>) {
--- a/crates/yard/tests/later.rs
+++ b/crates/yard/tests/later.rs
@@ -50,6 +50,20 @@
     let routers = format!("{},{}", fleet.router_address(0), fleet.router_address(1));
     let (code, text) = console(&fleet, &["policy", "compare", &routers]);
     assert!(code == Some(0) && text.contains("policy reuse: requests 6"), "{text}");
+    assert!(text.contains("p50 too few requests") && text.contains("tenant tenant0: requests 6"), "{text}");
+    for (flag, name) in [("--policy", "unheard"), ("--tenant", "nobody")] {
+        let (code, text) = console(&fleet, &["policy", "compare", &routers, flag, name]);
+        assert!(code == Some(1) && text.contains(name), "{text}");
+    }
+    let (code, text) = console(&fleet, &["policy", "compare", &routers, "--json", "--policy", "reuse"]);
+    let compared: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!((code, compared["policies"]["reuse"]["requests"].as_u64()), (Some(0), Some(6)), "{text}");
+    fleet.patch_document(&json!({"policies": {"reuse": {"weight": 9}}})).unwrap();
+    let (_, text) = console(&fleet, &["policy", "compare", &routers]);
+    assert!(!text.contains("policy reuse"), "a changed policy's figures begin anew: {text}");
+    fleet
+        .patch_document(&json!({"policies": {"reuse": {"weight": 8, "rules": [{"band": "busy", "weight": 2}]}}}))
+        .unwrap();
     let (_, table) = console(&fleet, &["policy", "show", "reuse"]);
     assert!(table.contains("\"busy\": 2.0") || table.contains("\"busy\": 2"), "{table}");
 
