An engine that keeps a shot's limit a moment before its router is no fault

Cause: router and engine count one limit, each by itself; the engine's count is a millisecond short, as the limit is sent in whole ones. When the engine won, its 504 limit_passed was read as any refusal: the caller was told 502, the engine was rested as faulty, and a repeatable request drew a second shot on no time. Ruled out: a slow machine (the engine's answer is quoted in the failure); a longer limit in the test would only have hidden it. Change: limit_passed from an engine is a head of its own, and ends the request as limit passed, unknown, without a fault. Before: the new test of carriage does not compile or, with the head read as refused, finds a fault and a second pick. After: passes; the whole-program test passes.

--- a/crates/carriage/src/mind.rs
+++ b/crates/carriage/src/mind.rs
@@ -43,6 +43,8 @@
     Good,
     /// An answer that means by contract that nothing was started.
     NotStarted,
+    /// The engine ended the shot at the limit it was given, a moment before its router did.
+    OutOfTime,
     /// Any other answer than success.
     Refused,
 }
@@ -316,6 +318,7 @@
     fn take_head(&mut self, head: Head, told: String) {
         match head {
             Head::NotStarted => self.lose_shot(Ran::No, told),
+            Head::OutOfTime => self.stop_shot(Ran::Perhaps, told, GivenUpKind::LimitPassed),
             Head::Refused => self.lose_shot(Ran::Perhaps, told),
             Head::Good => self.stage = Stage::Headed,
         }
@@ -535,6 +538,17 @@
         }
     }
 
+    #[test]
+    fn an_engine_that_keeps_the_limit_is_no_fault() {
+        let out_of_time = Input::Head { head: Head::OutOfTime, told: "limit_passed".into() };
+        for repeatable in [false, true] {
+            let inputs = vec![placed("a"), Input::Connected, out_of_time.clone()];
+            let effects = after(Terms { repeatable, ..terms() }, inputs);
+            assert_eq!(given_up(&effects), Some((GivenUpKind::LimitPassed, Ran::Perhaps)), "{effects:?}");
+            assert!(!effects.iter().any(|effect| matches!(effect, Effect::ShotFault { .. })), "{effects:?}");
+        }
+    }
+
     #[test]
     fn foreign_and_partial_answers_never_pass() {
         let whole = Terms { streams: false, ..terms() };
--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -389,8 +389,11 @@
             let body = read_whole(&mut replied.body, 1 << 16, Duration::from_secs(1)).await.unwrap_or_default();
             let told: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
             let told_kind = told["error"]["type"].as_str().unwrap_or("").to_owned();
-            let did_not_start = matches!(told_kind.as_str(), "not_accepting" | "other_weights");
-            let head = if did_not_start { Head::NotStarted } else { Head::Refused };
+            let head = match told_kind.as_str() {
+                "not_accepting" | "other_weights" => Head::NotStarted,
+                "limit_passed" => Head::OutOfTime,
+                _ => Head::Refused,
+            };
             return Input::Head { head, told: format!("engine answered {} {told_kind}", status.as_u16()) };
         }
         if let Some(shot) = self.shot.as_mut() {
