Engines end by themselves what a frozen or lost router has under way (rule 6)

Cause: a frozen router cannot cut anything, and its engines were given the request's whole limit (up to 10 s), so a withdrawn key got work done up to 8 s after the acknowledgement. Ruled out: cancelling by the conductor (it may be lost or cut off in the same moment); a short limit for all shots (it would cut good streams of 6 s and more).

--- a/crates/carriage/src/lib.rs
+++ b/crates/carriage/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod prelude;
 
+mod allowance;
 mod gate;
 mod held;
 mod mind;
--- a/crates/carriage/src/prelude.rs
+++ b/crates/carriage/src/prelude.rs
@@ -1,5 +1,6 @@
 //! The one import of this package's files.
 
+pub use crate::allowance::*;
 pub use crate::gate::*;
 pub use crate::held::*;
 pub use crate::mind::*;
--- a/crates/contract/src/engines.rs
+++ b/crates/contract/src/engines.rs
@@ -4,9 +4,15 @@
 
 pub const SHOT_HEADER: &str = "x-haremount-shot";
 pub const WEIGHTS_HEADER: &str = "x-haremount-weights";
-/// How long the shot may be worked on, in milliseconds; the engine ends it then, whoever asks.
+/// How long the shot may be worked on, in milliseconds; the engine ends it then, unless more was allowed
+/// meanwhile by a `POST` to [`limit_page`].
 pub const LIMIT_HEADER: &str = "x-haremount-limit-ms";
 
+/// Where a shot under way is allowed more time, from that call on.
+pub fn limit_page(shot: &str) -> String {
+    format!("/v1/shots/{shot}/limit")
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineRequest {
     pub model: String,
--- a/crates/engine/src/site.rs
+++ b/crates/engine/src/site.rs
@@ -38,6 +38,8 @@
     news: tokio::sync::watch::Sender<u64>,
     weights: Mutex<Weights>,
     pace: Pace,
+    /// Until when each shot under way may be worked on.
+    allowed: Mutex<HashMap<String, tokio::sync::watch::Sender<Instant>>>,
     running: AtomicU64,
     waiting: AtomicU64,
     starts: Mutex<Option<std::fs::File>>,
@@ -86,6 +88,7 @@
             news: tokio::sync::watch::channel(0).0,
             weights: Mutex::new(Weights { edition: settings.whole("weights")?, accepting: true, highest_term: 0 }),
             pace: Pace::new(settings.whole("prefill_us")?, settings.whole("decode_us")?),
+            allowed: Mutex::default(),
             running: AtomicU64::new(0),
             waiting: AtomicU64::new(0),
             starts: Mutex::new(starts),
@@ -127,6 +130,7 @@
                 outcome_json(StatusCode::OK, &json!(snapshot))
             }
             ("POST", ["v1", "kept", "blocks"]) => self.tell_blocks(asked).await,
+            ("POST", ["v1", "shots", shot, "limit"]) => self.allow(shot, &asked),
             ("POST", ["v1", "prefill"]) => self.prefill_only(asked).await,
             ("GET", ["v1", "state"]) => outcome_json(StatusCode::OK, &json!(self.state())),
             ("GET", ["metrics"]) => self.metrics(),
@@ -240,8 +244,7 @@
 
     async fn complete(self: Arc<Self>, mut asked: Asked) -> WebOutcome {
         let shot = asked.header(SHOT_HEADER).unwrap_or("").to_owned();
-        let limit_ms = asked.header(LIMIT_HEADER).and_then(|text| text.parse::<u64>().ok());
-        let limit = Duration::from_millis(limit_ms.unwrap_or(LONGEST_WORK_MS).min(LONGEST_WORK_MS));
+        let limit = limit_of(&asked);
         let asked_weights = asked.header(WEIGHTS_HEADER).and_then(|text| text.parse::<u64>().ok());
         let Ok(body) = asked.read_body(MOST_REQUEST_BYTES * 2).await else {
             return refuse(StatusCode::BAD_REQUEST, "bad_request", "body unreadable");
@@ -274,12 +277,12 @@
             let answered = answered.with_header(SHOT_HEADER, &reported_shot);
             let this = Arc::clone(&self);
             tokio::spawn(async move {
-                let running = Running::new(&this, own_shot);
+                let (running, time_over) = this.begin(own_shot, limit);
                 let work = Work { request: &request, names: &names, shot: &reported_shot, faults: &faults };
                 tokio::select! {
                     _ = this.run(work, cached_blocks, &running, Some(&pieces)) => {}
                     () = pieces.gone() => {}
-                    () = tokio::time::sleep(limit) => {}
+                    () = passed(time_over) => {}
                 }
                 if running.whole.load(Ordering::SeqCst) {
                     pieces.finish();
@@ -287,11 +290,13 @@
             });
             return answered;
         }
-        let running = Running::new(&self, own_shot);
+        let (running, time_over) = self.begin(own_shot, limit);
         let work = Work { request: &request, names: &names, shot: &reported_shot, faults: &faults };
-        let working = tokio::time::timeout(limit, self.run(work, cached_blocks, &running, None));
-        let Ok(fetched_blocks) = working.await else {
-            return refuse(StatusCode::GATEWAY_TIMEOUT, "limit_passed", "the shot's limit passed");
+        let fetched_blocks = tokio::select! {
+            fetched_blocks = self.run(work, cached_blocks, &running, None) => fetched_blocks,
+            () = passed(time_over) => {
+                return refuse(StatusCode::GATEWAY_TIMEOUT, "limit_passed", "the shot's limit passed");
+            }
         };
         let whole_text: String =
             (0..request.max_tokens).map(|place| stand_in_piece(&request.prompt, &reported_shot, place)).collect();
@@ -306,6 +311,25 @@
         outcome_json(StatusCode::OK, &json!(completion)).with_header(SHOT_HEADER, &reported_shot)
     }
 
+    /// Begins to count a shot's run and its time.
+    fn begin(&self, shot: String, limit: Duration) -> (Running<'_>, tokio::sync::watch::Receiver<Instant>) {
+        let (allowed, time_over) = tokio::sync::watch::channel(boot_now() + Span::of(limit));
+        held(&self.allowed).insert(shot.clone(), allowed);
+        (Running::new(self, shot), time_over)
+    }
+
+    /// Gives a shot under way more time; less is never taken.
+    fn allow(&self, shot: &str, asked: &Asked) -> WebOutcome {
+        let until = boot_now() + Span::of(limit_of(asked));
+        let is_running = held(&self.allowed).get(shot).map(|allowed| {
+            allowed.send_modify(|allowed_until| *allowed_until = until.max(*allowed_until));
+        });
+        match is_running {
+            Some(()) => outcome_json(StatusCode::OK, &json!({})),
+            None => refuse(StatusCode::NOT_FOUND, "no_such_shot", "no such shot is under way"),
+        }
+    }
+
     fn log_start(&self, request: &EngineRequest, shot: &str, weights: u64, cached_blocks: u64) {
         self.log_line(&EngineLine::Start(StartLine {
             at: boot_now().0 / 1_000_000,
@@ -441,6 +465,26 @@
     }
 }
 
+/// How long a shot may be worked on from now on.
+fn limit_of(asked: &Asked) -> Duration {
+    let limit_ms = asked.header(LIMIT_HEADER).and_then(|text| text.parse::<u64>().ok());
+    Duration::from_millis(limit_ms.unwrap_or(LONGEST_WORK_MS).min(LONGEST_WORK_MS))
+}
+
+/// Resolves when a shot's time is over, however often it was given more.
+async fn passed(mut time_over: tokio::sync::watch::Receiver<Instant>) {
+    loop {
+        let left = time_over.borrow_and_update().since(boot_now());
+        if left == Span(0) {
+            return;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(left.as_duration()) => {}
+            _ = time_over.changed() => {}
+        }
+    }
+}
+
 /// Answers a poll for events: at once if there are any, else when some come or the wait is over.
 pub async fn tell_events(
     memory: &Mutex<Memory>,
@@ -505,6 +549,7 @@
 impl Drop for Running<'_> {
     fn drop(&mut self) {
         self.site.running.fetch_sub(1, Ordering::SeqCst);
+        held(&self.site.allowed).remove(&self.shot);
         self.site.log_line(&EngineLine::End {
             at: boot_now().0 / 1_000_000,
             engine: self.site.name.clone(),
--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -46,6 +46,8 @@
     stream: Option<OpenStream>,
     replied: Option<Replied>,
     reader: EventReader,
+    /// Allows its engine more time; ends with the shot.
+    _allowing: Option<Allowing>,
 }
 
 /// A run and its carriage.
@@ -312,7 +314,7 @@
                 self.engine = engine.clone();
                 self.policy = placement.policy.clone();
                 let (stream, replied, reader) = (None, None, EventReader::default());
-                self.shot = Some(Shot { placement, sight, place, stream, replied, reader });
+                self.shot = Some(Shot { placement, sight, place, stream, replied, reader, _allowing: None });
                 PickOutcome::Placed(engine)
             }
             Some((Picked::NoBudget, _)) => PickOutcome::NoBudget,
@@ -359,11 +361,14 @@
             salt,
             limit: plan.limit,
         };
-        let limit_ms = plan.limit.since(boot_now()).as_millis().max(1);
+        let allowance = Allowance::under(self.run.stand.lease_until(), plan.limit);
+        let allowed_ms = allowance.left(boot_now()).as_millis().max(1);
+        shot._allowing =
+            Some(Allowing::begin(&self.run.stand, &shot.placement.address, &shot_name, plan.limit, allowance));
         let question = Question::with_json(Method::POST, "/v1/completions", &json!(engine_request))
             .header(SHOT_HEADER, shot_name)
             .header(WEIGHTS_HEADER, ground.weights.to_string())
-            .header(LIMIT_HEADER, limit_ms.to_string());
+            .header(LIMIT_HEADER, allowed_ms.to_string());
         let bar = Arc::new(Mutex::new(None));
         let gate = {
             let (stand, bar) = (Arc::clone(&self.run.stand), Arc::clone(&bar));
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -2,6 +2,7 @@
 //! Duties: the feed (fleet and lease from the agent), the table (picks, shares, budget), followers of
 //! the engines' events, and the entry on a small runtime. Nothing starts without a lease.
 
+mod allowing;
 mod carry;
 mod entry;
 mod feed;
--- a/crates/router/src/prelude.rs
+++ b/crates/router/src/prelude.rs
@@ -1,5 +1,6 @@
 //! The one import of this package's files.
 
+pub(crate) use crate::allowing::*;
 pub(crate) use crate::carry::*;
 pub(crate) use crate::entry::*;
 pub(crate) use crate::feed::*;
--- a/crates/router/src/stand.rs
+++ b/crates/router/src/stand.rs
@@ -92,7 +92,7 @@
         is_leased(self.lease_until(), now)
     }
 
-    fn lease_until(&self) -> Instant {
+    pub fn lease_until(&self) -> Instant {
         Instant(self.lease_until.load(Ordering::SeqCst))
     }
 
--- a/crates/simulator/src/carrying.rs
+++ b/crates/simulator/src/carrying.rs
@@ -51,6 +51,8 @@
     names: Vec<BlockHash>,
     /// When its question reaches the engine; a close of the stream comes after that.
     arrives_at: Option<Instant>,
+    /// How long the engine may work on it, as the router last told it.
+    allowance: Allowance,
 }
 
 impl World {
@@ -110,11 +112,18 @@
             return self.defer(woken_at, Happening::RunInput { to, input });
         }
         let router = self.nodes[to.node].router.as_ref().filter(|router| router.id == to.router);
-        let run = router.and_then(|router| router.runs.get(&to.run));
-        let is_under_way = run.and_then(|run| run.shot.as_ref()).is_some_and(|shot| shot.name == to.shot);
-        if is_under_way {
-            self.drive(to.node, to.router, to.run, input);
+        let Some((router, run)) = router.and_then(|router| Some((router, router.runs.get(&to.run)?))) else { return };
+        if run.shot.as_ref().is_none_or(|shot| shot.name != to.shot) {
+            return;
         }
+        // A router woken looks at its key and lease before it reads what has come meanwhile.
+        let local_now = self.nodes[to.node].clock.read(self.now);
+        let (key_hash, tenant) = (&run.request.key_hash, &run.request.tenant);
+        let input = match may_go_on(&router.sight, router.lease_until, key_hash, tenant, local_now) {
+            Err(bar) => CarriageInput::WorkBarred(bar),
+            Ok(()) => input,
+        };
+        self.drive(to.node, to.router, to.run, input);
     }
 
     /// Steps a run's carriage, and whatever follows from its effects at once.
@@ -291,6 +300,7 @@
             ground,
             names,
             arrives_at: None,
+            allowance: Allowance::under(router.lease_until, run.limit),
         });
         PickOutcome::Placed(engine_name)
     }
@@ -310,6 +320,7 @@
         }
         let arrives_at = self.now + self.net.delay(&mut self.draw);
         shot.arrives_at = Some(arrives_at);
+        shot.allowance = Allowance::under(router.lease_until, run.limit);
         let ask = EngineAsk {
             to: ShotPlaceName { node, router: router_id, run: run.number, shot: shot.name.clone() },
             tenant: run.request.tenant.clone(),
@@ -319,7 +330,7 @@
             fetches: shot.placement.fetches.clone(),
             tokens: run.request.tokens,
             streams: run.request.streams,
-            limit: run.limit.since(local_now),
+            limit: shot.allowance.left(local_now),
         };
         let engine = shot.engine;
         self.at(arrives_at, Happening::EngineGets { engine, ask: Box::new(ask) });
@@ -422,6 +433,24 @@
         for (number, input) in ended {
             self.drive(node, router_id, number, input);
         }
+        self.allow_more(node, local_now);
+    }
+
+    /// Engines that are at work for long are allowed more time while the lease bears it.
+    fn allow_more(&mut self, node: usize, local_now: Instant) {
+        let Some(router) = self.nodes[node].router.as_mut() else { return };
+        let mut allowed = Vec::new();
+        for run in router.runs.values_mut() {
+            let Some(shot) = run.shot.as_mut().filter(|shot| shot.arrives_at.is_some()) else { continue };
+            if let Some(more) = shot.allowance.more(router.lease_until, run.limit, local_now) {
+                shot.allowance = more;
+                allowed.push((shot.engine, shot.name.clone(), more.left(local_now)));
+            }
+        }
+        for (engine, shot, span) in allowed {
+            let delay = self.net.delay(&mut self.draw);
+            self.later(delay, Happening::EngineAllows { engine, shot, span });
+        }
     }
 
     pub fn work_pulse(&mut self, node: usize, life: u64) {
@@ -434,10 +463,6 @@
     /// A router's runs end with it; engines notice at once, or not if the whole machine is gone.
     pub fn lose_runs(&mut self, node: usize, with_machine: bool) {
         let Some(router) = self.nodes[node].router.take() else { return };
-        if with_machine {
-            let at = self.millis();
-            self.record.world.push(WorldLine::MachineLost { at, router: router.id.to_string() });
-        }
         for run in router.runs.into_values() {
             if !run.carriage.is_done() {
                 self.feed_caller(&run, CallerNews::Lost);
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -84,7 +84,7 @@
     KillInCampaign,
     /// The conductor is cut off from core and nodes, not from engines, and new weights are named.
     IsolateHolder,
-    /// A node is cut off, and the key of a caller it streams to is withdrawn.
+    /// A node is cut off, frozen or lost, and the key of a caller it streams to is withdrawn.
     WithdrawBehind(usize),
 }
 
@@ -119,7 +119,7 @@
             8 => Fault::StallDisk { keeper, span },
             9 => Fault::KillNode(node),
             10 => Fault::KillRouter(node),
-            11 => Fault::FreezeNode { node, span },
+            11 => Fault::FreezeNode { node, span: Span(span.0 * 2) },
             12 => {
                 let other = (keeper + 1) % keepers;
                 Fault::SplitCore(if draw.chance(50) { vec![keeper] } else { vec![keeper, other] })
--- a/crates/simulator/src/pool.rs
+++ b/crates/simulator/src/pool.rs
@@ -132,6 +132,7 @@
     pub tokens: u64,
     place: u64,
     streams: bool,
+    begins_at: Instant,
     limit: Instant,
     manner: Manner,
     /// News to the router come in order.
@@ -201,16 +202,18 @@
             to: ask.to.clone(),
             tokens: ask.tokens,
             place: 0,
+            begins_at,
             streams: ask.streams,
             limit: now + ask.limit,
             manner,
             told_until: begins_at,
             headed: false,
         };
+        let looks_at = begins_at.min(shot.limit);
         let engine = &mut self.engines[number];
         let boot = engine.memory.boot;
         engine.shots.insert(ask.to.shot.clone(), shot);
-        self.at(begins_at, Happening::EngineWorks { engine: number, boot, shot: ask.to.shot });
+        self.at(looks_at, Happening::EngineWorks { engine: number, boot, shot: ask.to.shot });
     }
 
     /// The blocks a shot is served from, its own and the fetched, are judged; then all are kept.
@@ -271,10 +274,18 @@
         }
         let Some(mut shot) = engine.shots.remove(&shot_name) else { return };
         if now >= shot.limit {
+            let told = String::from("limit_passed");
+            let input = match shot.headed {
+                true => CarriageInput::Broken(told),
+                false => CarriageInput::Head { head: Head::OutOfTime, told },
+            };
+            let told_at = shot.told_until.max(now + delay);
+            self.tell_run(&shot.to, told_at, input);
             return self.end_engine_shot(number, &shot, false);
         }
-        if matches!(shot.manner, Manner::Silent) {
-            let looks_at = shot.limit;
+        if matches!(shot.manner, Manner::Silent) || now < shot.begins_at {
+            let begins_at = if now < shot.begins_at { shot.begins_at } else { shot.limit };
+            let looks_at = begins_at.min(shot.limit);
             engine.shots.insert(shot_name.clone(), shot);
             return self.at(looks_at, Happening::EngineWorks { engine: number, boot, shot: shot_name });
         }
@@ -341,6 +352,13 @@
         self.record.engines.push(EngineLine::End { at, engine, shot: shot_name, pieces: shot.place, whole });
     }
 
+    pub fn engine_allows(&mut self, number: usize, shot_name: &str, span: Span) {
+        let until = self.now + span;
+        if let Some(shot) = self.engines[number].shots.get_mut(shot_name) {
+            shot.limit = shot.limit.max(until);
+        }
+    }
+
     /// The router's end of a shot's stream is closed.
     pub fn engine_loses_caller(&mut self, number: usize, shot_name: &str) {
         if let Some(shot) = self.engines[number].shots.remove(shot_name) {
--- a/crates/simulator/src/trouble.rs
+++ b/crates/simulator/src/trouble.rs
@@ -113,8 +113,8 @@
         self.name_weights(others[0]);
     }
 
-    /// A caller streams a long answer under a fresh key; then its node is cut off for longer than that,
-    /// and the key is withdrawn.
+    /// A caller streams a long answer under a fresh key; then its node is cut off or frozen for longer
+    /// than that, or its machine is lost, and the key is withdrawn.
     fn withdraw_behind(&mut self, node: usize) {
         let Some((key_hash, tenant, _)) = self.live_keys.last().cloned() else { return };
         self.call_long(node, TenantName(tenant), key_hash.clone());
@@ -123,8 +123,19 @@
 
     pub fn hear_withdraws_behind(&mut self, node: usize, key_hash: &str) {
         let Some(place) = self.live_keys.iter().position(|(key, _, _)| key == key_hash) else { return };
-        self.held_cuts.push((node, self.now + Span::seconds(9)));
-        self.heal_but_held(false);
+        let until = self.now + Span::seconds(9);
+        match self.draw.below(3) {
+            0 => {
+                self.held_cuts.push((node, until));
+                self.heal_but_held(false);
+            }
+            1 => self.nodes[node].frozen_until = self.nodes[node].frozen_until.max(until),
+            _ => {
+                self.lose_runs(node, true);
+                self.kill_node(node);
+                self.start_node(node);
+            }
+        }
         self.withdraw(node % KEEPERS, place);
     }
 
--- a/crates/verdict/src/judge.rs
+++ b/crates/verdict/src/judge.rs
@@ -3,8 +3,6 @@
 use crate::prelude::*;
 
 pub const KEY_LIMIT_MS: u64 = 5_000;
-/// The longest limit a shot may have, and its way to the engine.
-pub const LONGEST_SHOT_MS: u64 = 10_300;
 pub const LISTING_LIMIT_MS: u64 = 3_000;
 pub const DESIRED_STATE_LIMIT_MS: u64 = 2_000;
 pub const WEIGHTS_LIMIT_MS: u64 = 20_000;
@@ -194,14 +192,6 @@
 fn withdrawn_keys_do_nothing(record: &Record) -> Vec<String> {
     let starts = starts_by_run(record);
     let ends = record.ends();
-    let lost_routers: Vec<&str> = record
-        .world
-        .iter()
-        .filter_map(|line| match line {
-            WorldLine::MachineLost { router, .. } => Some(router.as_str()),
-            _ => None,
-        })
-        .collect();
     let mut found = Vec::new();
     for line in &record.world {
         let WorldLine::KeyWithdrawn { at, key: withdrawn_key } = line else { continue };
@@ -218,10 +208,7 @@
                 if start.at > limit {
                     found.push(format!("run {} began {} ms after its key's end", caller.run, start.at - at));
                 }
-                // What a lost machine left behind ends by the shot's own limit.
-                let is_left_behind = lost_routers.iter().any(|router| start.shot.starts_with(*router));
-                let work_limit = if is_left_behind { limit.max(start.at + LONGEST_SHOT_MS) } else { limit };
-                let late_end = ends.get(start.shot.as_str()).filter(|end| end.at > work_limit && start.at <= limit);
+                let late_end = ends.get(start.shot.as_str()).filter(|end| end.at > limit && start.at <= limit);
                 if let Some(end) = late_end {
                     found.push(format!("run {} was worked on {} ms after its key's end", caller.run, end.at - at));
                 }
--- a/crates/verdict/src/lines.rs
+++ b/crates/verdict/src/lines.rs
@@ -65,11 +65,6 @@
         at: u64,
         tenant: String,
     },
-    /// A router was lost with its machine, without a word to the engines it had shots at.
-    MachineLost {
-        at: u64,
-        router: String,
-    },
     /// A kept block served a shot though it was made on other weights or for another tenant.
     MemoryUsed {
         at: u64,
--- a/crates/yard/tests/withdrawn.rs
+++ b/crates/yard/tests/withdrawn.rs
@@ -110,3 +110,26 @@
     record.callers = vec![line];
     assert_eq!(judge(&record), []);
 }
+
+#[test]
+fn the_engines_of_a_frozen_router_end_its_work_by_themselves() {
+    let fleet = slow_fleet();
+    let caller = LongCaller::begin(&fleet, 0, 3, "");
+    let other = LongCaller::begin(&fleet, 1, 4, "");
+    let frozen_router = fleet.nodes[0].router.as_ref().unwrap();
+    let frozen_agent = fleet.nodes[0].agent.as_ref().unwrap();
+    frozen_router.freeze();
+    frozen_agent.freeze();
+    withdraw(&fleet, 3);
+    let (other_line, other_text) = other.end();
+    assert!(other_text.contains("[DONE]"), "a router that lives is allowed time on and on: {other_text}");
+    let ended = wait_until(Duration::from_secs(20), || fleet.record(&[]).ends().len() == 2);
+    assert!(ended, "nobody but the engine itself can have ended it");
+    frozen_router.wake();
+    frozen_agent.wake();
+    let (line, text) = caller.end();
+    assert!(text.contains("event: error"), "{text}");
+    let mut record = fleet.record(&[]);
+    record.callers = vec![line, other_line];
+    assert_eq!(judge(&record), []);
+}
