Waves of new weights leave half of the engines that serve, not of those listed

Cause: the conductor closed up to half of a model's listed engines at a time. Engines that are drained, silent or never confirmed counted among those that go on, and roles were not told apart, so a wave could close every engine that still served. Ruled out: a late conductor (it acted within 80 ms of the change), old weights given up early (they had 11 s left). Change: half of those seen lately, confirmed, open and not drained, counted by model and role, may be closed at a time; drained engines are reloaded without taking a place.

--- a/crates/conductor/src/mind.rs
+++ b/crates/conductor/src/mind.rs
@@ -5,7 +5,7 @@
 /// Streams may run this long after a close; then the order to load is given all the same, and the
 /// engine refuses it while anything runs.
 pub const STREAM_LIMIT: Span = Span::seconds(10);
-const FRESH: Span = Span::millis(1500);
+pub const FRESH: Span = Span::millis(1500);
 
 /// What an engine said of itself, and when.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -64,7 +64,7 @@
         now: Instant,
     ) -> Vec<Act> {
         self.closed_since.retain(|engine, _| state.standings.get(engine).is_some_and(|standing| standing.closed));
-        let mut room = self.room(state);
+        let mut room = room(state, observed, now);
         let mut acts = Vec::new();
         for (engine, listed) in &state.listing.engines {
             let Some(seen) = observed.get(engine).filter(|seen| now.since(seen.at) < FRESH) else { continue };
@@ -109,26 +109,6 @@
         acts
     }
 
-    /// How many more engines of each model may be closed: half of the open ones, at least one, at a time.
-    fn room(&self, state: &FleetState) -> BTreeMap<ModelName, usize> {
-        let mut room = BTreeMap::new();
-        let open_engines = state.listing.engines.values().filter(|listed| listed.listed == Listed::Open);
-        for listed in open_engines {
-            *room.entry(listed.model.clone()).or_insert(0) += 1;
-        }
-        for count in room.values_mut() {
-            *count = usize::max(*count / 2, 1);
-        }
-        for (engine, standing) in &state.standings {
-            let closed_engine = state.listing.engines.get(engine).filter(|_| standing.closed);
-            let Some(listed) = closed_engine.filter(|listed| listed.listed == Listed::Open) else { continue };
-            if let Some(count) = room.get_mut(&listed.model) {
-                *count = count.saturating_sub(1);
-            }
-        }
-        room
-    }
-
     #[allow(clippy::too_many_arguments)]
     fn tend(
         &mut self,
@@ -137,7 +117,7 @@
         listed: &ListedEngine,
         seen: &Observed,
         wanted: WeightsEdition,
-        room: &mut BTreeMap<ModelName, usize>,
+        room: &mut Room,
         now: Instant,
     ) -> Option<Act> {
         let standing = state.standings.get(engine).cloned().unwrap_or_default();
@@ -151,8 +131,10 @@
         }
         let is_in_use = standing.confirmed.is_some() && !standing.closed;
         if is_in_use {
-            let places_left = room.get_mut(&listed.model)?;
-            *places_left = places_left.checked_sub(1)?;
+            if !state.drained.contains(engine) {
+                let places_left = room.get_mut(&(listed.model.clone(), listed.role))?;
+                *places_left = places_left.checked_sub(1)?;
+            }
             let closed = Standing { closed: true, ..standing };
             return Some(Act::Stand { engine: engine.clone(), standing: closed });
         }
@@ -162,6 +144,29 @@
     }
 }
 
+/// How many more engines of each model and role may be closed.
+type Room = BTreeMap<(ModelName, Role), usize>;
+
+/// Half of those that serve or would but for being closed, at least one, may be closed at a time. What
+/// is drained, silent or never confirmed serves nobody and bears nothing.
+fn room(state: &FleetState, observed: &BTreeMap<EngineName, Observed>, now: Instant) -> Room {
+    let mut counts: BTreeMap<(ModelName, Role), (usize, usize)> = BTreeMap::new();
+    for (engine, listed) in &state.listing.engines {
+        let is_seen = observed.get(engine).is_some_and(|seen| now.since(seen.at) < FRESH);
+        let is_open = listed.listed == Listed::Open && !state.drained.contains(engine);
+        let standing = state.standings.get(engine).filter(|standing| standing.confirmed.is_some());
+        let Some(standing) = standing.filter(|_| is_seen && is_open) else { continue };
+        let (serving, closed) = counts.entry((listed.model.clone(), listed.role)).or_default();
+        *serving += 1;
+        *closed += usize::from(standing.closed);
+    }
+    let rooms = counts.into_iter().map(|(naming, (serving, closed))| {
+        let most_closed = usize::max(serving / 2, 1);
+        (naming, most_closed.saturating_sub(closed))
+    });
+    rooms.collect()
+}
+
 /// Whether a step's condition holds; steps that change something have none.
 fn may_do(state: &FleetState, step: &Step, observed: &BTreeMap<EngineName, Observed>, now: Instant) -> bool {
     match step {
@@ -226,8 +231,43 @@
         panic!("never settles")
     }
 
+    #[test]
+    fn engines_that_serve_nobody_do_not_count_among_those_that_go_on() {
+        let (mut state, mut observed) = six_engines();
+        for drained in ["e0", "e1", "e2"] {
+            state.drained.insert(drained.into());
+        }
+        observed.get_mut(&EngineName::from("e3")).unwrap().at = Instant(0);
+        apply(&mut state, Command::Merge { base: None, patch: r#"{"models":{"m":{"weights":2}}}"#.into() });
+        let now = Instant(0) + FRESH;
+        for seen in observed.iter_mut().filter(|(name, _)| name.as_str() != "e3").map(|(_, seen)| seen) {
+            seen.at = now;
+        }
+        let acts = Conductor::default().direct(&state, &observed, now);
+        let closed: Vec<&str> = acts
+            .iter()
+            .filter_map(|act| match act {
+                Act::Stand { engine, standing } if standing.closed => Some(engine.as_str()),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(closed, ["e0", "e1", "e2", "e4"], "of the two that serve, one goes on");
+    }
+
     #[test]
     fn new_weights_go_round_in_waves_and_settle() {
+        let (mut state, mut observations) = six_engines();
+        let mut conductor = Conductor::default();
+        apply(&mut state, Command::Merge { base: None, patch: r#"{"models":{"m":{"weights":2}}}"#.into() });
+        play(&mut state, &mut observations, &mut conductor);
+        for standing in state.standings.values() {
+            assert_eq!(standing.confirmed, Some((WeightsEdition(2), "x".to_owned())));
+            assert!(!standing.closed);
+        }
+    }
+
+    /// Six engines of one model, all confirmed on its first weights.
+    fn six_engines() -> (FleetState, BTreeMap<EngineName, Observed>) {
         let mut state = FleetState::default();
         apply(&mut state, Command::Merge { base: None, patch: r#"{"models":{"m":{"weights":1}}}"#.into() });
         let engine_names: Vec<EngineName> = (0..6).map(|number| EngineName(format!("e{number}"))).collect();
@@ -247,11 +287,6 @@
         let mut conductor = Conductor::default();
         play(&mut state, &mut observations, &mut conductor);
         assert!(state.standings.values().all(|standing| standing.confirmed.is_some()));
-        apply(&mut state, Command::Merge { base: None, patch: r#"{"models":{"m":{"weights":2}}}"#.into() });
-        play(&mut state, &mut observations, &mut conductor);
-        for standing in state.standings.values() {
-            assert_eq!(standing.confirmed, Some((WeightsEdition(2), "x".to_owned())));
-            assert!(!standing.closed);
-        }
+        (state, observations)
     }
 }
