A prefill elsewhere passes the gate and names its weights, as any work does

Cause: in a split pool the prefill went out before the gate of the first write, and named neither shot nor weights nor limit. A router frozen between pick and connect and woken would begin one on an engine listed away or behind a wall put up meanwhile; an engine on new weights could keep blocks under the old ones' names, for others to fetch. Ruled out: leaving it to the decoding engine's gate (it comes after the prefill).

--- a/crates/contract/src/engines.rs
+++ b/crates/contract/src/engines.rs
@@ -164,6 +164,8 @@
 #[serde(tag = "line", rename_all = "snake_case")]
 pub enum EngineLine {
     Start(StartLine),
+    /// A prompt is prefilled for a shot that another engine decodes.
+    Prefill(StartLine),
     /// The work on a shot is over: whole, or ended before that.
     End {
         at: u64,
--- a/crates/engine/src/site.rs
+++ b/crates/engine/src/site.rs
@@ -257,19 +257,12 @@
             return refuse(StatusCode::INTERNAL_SERVER_ERROR, "engine_fault", "told to refuse");
         }
         let names = cut(&Salt(request.cache_salt.clone()), request.prompt.as_bytes());
-        let cached_blocks = {
-            let weights = held(&self.weights);
-            if !weights.accepting {
-                return refuse(StatusCode::SERVICE_UNAVAILABLE, "not_accepting", "this engine starts nothing now");
-            }
-            if asked_weights.is_some_and(|asked_edition| asked_edition != weights.edition) {
-                return refuse(StatusCode::CONFLICT, "other_weights", &format!("weights {}", weights.edition));
-            }
-            self.running.fetch_add(1, Ordering::SeqCst);
-            let cached_blocks = held(&self.memory).overlap(&names) as u64;
-            self.log_start(&request, &shot, weights.edition, cached_blocks);
-            cached_blocks
+        let weights = match self.admit(asked_weights) {
+            Ok(weights) => weights,
+            Err(refusal) => return *refusal,
         };
+        let cached_blocks = held(&self.memory).overlap(&names) as u64;
+        self.log_start(&request, &shot, weights, cached_blocks);
         let own_shot = shot.clone();
         let reported_shot = if faults.wrong_shot { "00000000".to_owned() } else { shot };
         if request.stream {
@@ -311,6 +304,21 @@
         outcome_json(StatusCode::OK, &json!(completion)).with_header(SHOT_HEADER, &reported_shot)
     }
 
+    /// Counts work in, if it may begin on the weights it asks for; the weights it begins on.
+    fn admit(&self, asked_weights: Option<u64>) -> Result<u64, Box<WebOutcome>> {
+        let weights = held(&self.weights);
+        if !weights.accepting {
+            let refusal = refuse(StatusCode::SERVICE_UNAVAILABLE, "not_accepting", "this engine starts nothing now");
+            return Err(Box::new(refusal));
+        }
+        if asked_weights.is_some_and(|asked_edition| asked_edition != weights.edition) {
+            let refusal = refuse(StatusCode::CONFLICT, "other_weights", &format!("weights {}", weights.edition));
+            return Err(Box::new(refusal));
+        }
+        self.running.fetch_add(1, Ordering::SeqCst);
+        Ok(weights.edition)
+    }
+
     /// Begins to count a shot's run and its time.
     fn begin(&self, shot: String, limit: Duration) -> (Running<'_>, tokio::sync::watch::Receiver<Instant>) {
         let (allowed, time_over) = tokio::sync::watch::channel(boot_now() + Span::of(limit));
@@ -448,18 +456,34 @@
 
     /// Prefills a prompt and keeps its blocks, for another engine to fetch and decode.
     async fn prefill_only(&self, mut asked: Asked) -> WebOutcome {
+        let shot = asked.header(SHOT_HEADER).unwrap_or("").to_owned();
+        let limit = limit_of(&asked);
+        let asked_weights = asked.header(WEIGHTS_HEADER).and_then(|text| text.parse::<u64>().ok());
         let body = asked.read_body(MOST_REQUEST_BYTES * 2).await.unwrap_or_default();
         let Ok(request) = serde_json::from_slice::<PrefillRequest>(&body) else {
             return refuse(StatusCode::BAD_REQUEST, "bad_request", "no prefill request");
         };
-        if !held(&self.weights).accepting {
-            return refuse(StatusCode::SERVICE_UNAVAILABLE, "not_accepting", "this engine starts nothing now");
-        }
-        let names = cut(&Salt(request.cache_salt), request.prompt.as_bytes());
-        let known_count = held(&self.memory).overlap(&names);
+        let names = cut(&Salt(request.cache_salt.clone()), request.prompt.as_bytes());
         let prompt_blocks = blocks_of(request.prompt.len()).0;
+        let (weights, _running) = match self.admit(asked_weights) {
+            Ok(weights) => (weights, Counted(&self.running)),
+            Err(refusal) => return *refusal,
+        };
+        let known_count = held(&self.memory).overlap(&names);
+        self.log_line(&EngineLine::Prefill(StartLine {
+            at: boot_now().0 / 1_000_000,
+            engine: self.name.clone(),
+            shot,
+            salt: request.cache_salt,
+            weights,
+            prompt_blocks,
+            cached_blocks: known_count as u64,
+        }));
         let _in_work = self.pace.begin(prompt_blocks);
-        self.pace.prefill(prompt_blocks - known_count as u64).await;
+        let prefilling = self.pace.prefill(prompt_blocks - known_count as u64);
+        if tokio::time::timeout(limit, prefilling).await.is_err() {
+            return refuse(StatusCode::GATEWAY_TIMEOUT, "limit_passed", "the prefill's limit passed");
+        }
         self.keep(&names, known_count);
         outcome_json(StatusCode::OK, &json!(Found { found: names.len() as u64 }))
     }
--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -169,13 +169,31 @@
         Counts::add(&self.stand.counts.fetch_blocks, fetched_blocks);
     }
 
-    /// In a split pool, asks for the prefill first. If it fails, the decoding engine prefills itself.
-    async fn prefill(&self, prefill_place: &PrefillPlace, cache_salt: &str) {
-        let (prompt, cache_salt) = ((*self.plan.prompt_text).clone(), cache_salt.to_owned());
-        let request = json!(PrefillRequest { prompt, cache_salt });
-        let question = Question::with_json(Method::POST, "/v1/prefill", &request);
+    /// In a split pool, asks for the prefill first, through the gate as any work. If it fails, the
+    /// decoding engine prefills itself.
+    async fn prefill(&self, prefill_place: &PrefillPlace, shot_name: &str, ground: &Ground) {
+        let (prompt, cache_salt) = ((*self.plan.prompt_text).clone(), ground.salt.0.clone());
         let half_left = Span(self.plan.limit.since(boot_now()).0 / 2);
-        if let Err(reason) = ask_whole(&prefill_place.address, question, half_left, 1 << 16).await {
+        let allowance = Allowance::under(self.stand.lease_until(), self.plan.limit);
+        let allowed_ms = allowance.left(boot_now()).min(half_left).as_millis().max(1);
+        let question =
+            Question::with_json(Method::POST, "/v1/prefill", &json!(PrefillRequest { prompt, cache_salt }))
+                .header(SHOT_HEADER, shot_name)
+                .header(WEIGHTS_HEADER, ground.weights.to_string())
+                .header(LIMIT_HEADER, allowed_ms.to_string());
+        let stand = Arc::clone(&self.stand);
+        let ground = Ground { engine: prefill_place.engine.clone(), ..ground.clone() };
+        let gate = Box::new(move || stand.may_start(&ground).map_err(|found| format!("{found:?}")));
+        let asking = async {
+            let stream = open_stream(&prefill_place.address, CONNECT_LIMIT).await?;
+            let replied = stream.send_gated(question, gate).await.map_err(|fault| fault.reason)?;
+            match replied.status {
+                StatusCode::OK => Ok(()),
+                status => Err(format!("engine answered {}", status.as_u16())),
+            }
+        };
+        let late = Err("it took half of the time left".into());
+        if let Err(reason) = tokio::time::timeout(half_left.as_duration(), asking).await.unwrap_or(late) {
             event!(warn, "prefill_fault", run = self.plan.run, engine = prefill_place.engine, reason = reason);
         }
     }
@@ -349,9 +367,6 @@
             cache_salt: salt.0.clone(),
             fetch: fetch_orders(&shot.placement.fetches),
         };
-        if let Some(prefill_place) = &shot.placement.prefill {
-            self.run.prefill(prefill_place, &salt.0).await;
-        }
         let ground = Ground {
             key_hash: plan.key_hash.clone(),
             tenant: plan.tenant.clone(),
@@ -361,6 +376,9 @@
             salt,
             limit: plan.limit,
         };
+        if let Some(prefill_place) = &shot.placement.prefill {
+            self.run.prefill(prefill_place, &shot_name, &ground).await;
+        }
         let allowance = Allowance::under(self.run.stand.lease_until(), plan.limit);
         let allowed_ms = allowance.left(boot_now()).as_millis().max(1);
         shot._allowing =
--- a/crates/router/src/prelude.rs
+++ b/crates/router/src/prelude.rs
@@ -31,7 +31,7 @@
 pub(crate) use units::prelude::*;
 pub(crate) use web::prelude::{
     Asked, BodyFault, Bytes, Method, OpenStream, OutcomeFuture, PieceSender, Question, Replied, SendFault, Site,
-    StatusCode, WebOutcome, WebOutcomeExt, ask_whole, bind, no_such_page, open_stream, outcome_bytes, outcome_json,
+    StatusCode, WebOutcome, WebOutcomeExt, bind, no_such_page, open_stream, outcome_bytes, outcome_json,
     outcome_pieces, read_whole, refuse, serve, small_runtime,
 };
 pub(crate) use wire::prelude::{RouterDown, RouterUp};
--- a/crates/simulator/src/carrying.rs
+++ b/crates/simulator/src/carrying.rs
@@ -53,6 +53,15 @@
     arrives_at: Option<Instant>,
     /// How long the engine may work on it, as the router last told it.
     allowance: Allowance,
+    prefilled: Prefilled,
+}
+
+/// In a split pool, how far the prefill elsewhere has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Prefilled {
+    Not,
+    Asked,
+    Over,
 }
 
 impl World {
@@ -128,9 +137,19 @@
 
     /// Steps a run's carriage, and whatever follows from its effects at once.
     pub fn drive(&mut self, node: usize, router_id: NodeId, number: u64, input: CarriageInput<SimPiece>) {
+        self.drive_on(node, router_id, number, Some(input));
+    }
+
+    /// With no input, a shot whose prefill is over goes on to its engine.
+    fn drive_on(&mut self, node: usize, router_id: NodeId, number: u64, input: Option<CarriageInput<SimPiece>>) {
         let Some(router) = self.nodes[node].router.as_mut().filter(|router| router.id == router_id) else { return };
         let Some(mut run) = router.runs.remove(&number) else { return };
-        let mut inputs = VecDeque::from([input]);
+        let writes = input.is_none();
+        let mut inputs: VecDeque<CarriageInput<SimPiece>> = input.into_iter().collect();
+        if writes {
+            let local_now = self.nodes[node].clock.read(self.now);
+            self.write(node, router_id, &mut run, local_now, &mut inputs);
+        }
         while let Some(input) = inputs.pop_front() {
             for effect in run.carriage.step(input) {
                 self.carry(node, router_id, &mut run, effect, &mut inputs);
@@ -178,7 +197,10 @@
                     false if self.draw.chance(30) => (Span::millis(700), CarriageInput::ConnectFault("late".into())),
                     false => (Span::millis(2), CarriageInput::ConnectFault("refused".into())),
                 };
+                let prefiller = under_way.placement.prefill.iter().map(|prefill| prefill.engine.clone());
+                let engines = prefiller.chain([under_way.ground.engine.clone()]).collect();
                 self.later(span, Happening::RunInput { to, input });
+                self.freeze_in_connect(node, &run.request.key_hash, &run.request.tenant, engines);
             }
             CarriageEffect::Write => self.write(node, router_id, run, local_now, inputs),
             CarriageEffect::Began => {
@@ -301,6 +323,7 @@
             names,
             arrives_at: None,
             allowance: Allowance::under(router.lease_until, run.limit),
+            prefilled: Prefilled::Not,
         });
         PickOutcome::Placed(engine_name)
     }
@@ -314,6 +337,33 @@
         inputs: &mut VecDeque<CarriageInput<SimPiece>>,
     ) {
         let (Some(router), Some(shot)) = (&self.nodes[node].router, run.shot.as_mut()) else { return };
+        let to = ShotPlaceName { node, router: router_id, run: run.number, shot: shot.name.clone() };
+        if let Some(prefill) = shot.placement.prefill.clone()
+            && shot.prefilled == Prefilled::Not
+        {
+            shot.prefilled = Prefilled::Asked;
+            let ground = Ground { engine: prefill.engine.clone(), ..shot.ground.clone() };
+            let place = self.engines.iter().position(|engine| engine.name == prefill.engine);
+            let may_prefill = may_start(&router.sight, router.lease_until, &ground, local_now).is_ok();
+            if let Some(engine) = place.filter(|_| may_prefill) {
+                let ask = EngineAsk {
+                    to: to.clone(),
+                    tenant: run.request.tenant.clone(),
+                    weights: ground.weights,
+                    salt: ground.salt.clone(),
+                    names: shot.names.clone(),
+                    fetches: Vec::new(),
+                    tokens: 0,
+                    streams: false,
+                    limit: run.limit.since(local_now),
+                };
+                let patience = Span(run.limit.since(local_now).0 / 2);
+                let delay = self.net.delay(&mut self.draw);
+                self.later(delay, Happening::EnginePrefills { engine, ask: Box::new(ask) });
+                return self.later(patience, Happening::Prefilled { to });
+            }
+        }
+        shot.prefilled = Prefilled::Over;
         if let Err(bar) = may_start(&router.sight, router.lease_until, &shot.ground, local_now) {
             inputs.push_back(CarriageInput::Barred(bar));
             return;
@@ -322,7 +372,7 @@
         shot.arrives_at = Some(arrives_at);
         shot.allowance = Allowance::under(router.lease_until, run.limit);
         let ask = EngineAsk {
-            to: ShotPlaceName { node, router: router_id, run: run.number, shot: shot.name.clone() },
+            to,
             tenant: run.request.tenant.clone(),
             weights: shot.ground.weights,
             salt: shot.ground.salt.clone(),
@@ -336,6 +386,19 @@
         self.at(arrives_at, Happening::EngineGets { engine, ask: Box::new(ask) });
     }
 
+    /// A prefill is over, or was waited for long enough: the decoding engine is asked.
+    pub fn hear_prefilled(&mut self, to: ShotPlaceName) {
+        let woken_at = self.nodes[to.node].frozen_until;
+        if woken_at > self.now {
+            return self.defer(woken_at, Happening::Prefilled { to });
+        }
+        let router = self.nodes[to.node].router.as_ref().filter(|router| router.id == to.router);
+        let shot = router.and_then(|router| router.runs.get(&to.run)?.shot.as_ref());
+        if shot.is_some_and(|shot| shot.name == to.shot && shot.prefilled == Prefilled::Asked) {
+            self.drive_on(to.node, to.router, to.run, None);
+        }
+    }
+
     fn end_shot(&mut self, node: usize, run: &mut SimRun) {
         let Some(shot) = run.shot.take() else { return };
         if let Some(router) = self.nodes[node].router.as_mut() {
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -86,6 +86,8 @@
     IsolateHolder,
     /// A node is cut off, frozen or lost, and the key of a caller it streams to is withdrawn.
     WithdrawBehind(usize),
+    /// A node is frozen just when one of its shots connects, and what the shot was chosen on changes.
+    FreezeInConnect(usize),
 }
 
 /// The names of every kind of fault.
@@ -105,7 +107,7 @@
         let engine = draw.below(engines as u64) as usize;
         let span = Span::millis(draw.between(300, 5_000));
         let both_ways = draw.chance(60);
-        match draw.below(47) {
+        match draw.below(50) {
             0 => Fault::KillKeeper(keeper),
             1 => Fault::StopKeeper(keeper),
             2 => {
@@ -148,6 +150,7 @@
             36 | 37 => Fault::KillInCampaign,
             38 | 39 => Fault::IsolateHolder,
             40..=42 => Fault::WithdrawBehind(node),
+            43..=45 => Fault::FreezeInConnect(node),
             _ => Fault::MisbehaveAll { manner: Manner::draw(draw), span },
         }
     }
--- a/crates/simulator/src/keepers.rs
+++ b/crates/simulator/src/keepers.rs
@@ -193,7 +193,7 @@
                     address: engine.name.0.clone(),
                     zone: engine.zone.clone(),
                     model: ModelName(MODEL.into()),
-                    role: Default::default(),
+                    role: engine.role,
                     listed: engine.listed?,
                 };
                 Some((engine.name.clone(), listed_engine))
--- a/crates/simulator/src/operators.rs
+++ b/crates/simulator/src/operators.rs
@@ -93,13 +93,7 @@
             9 | 10 => {
                 let tenant = format!("t{}", self.draw.below(TENANTS as u64));
                 let walled = self.draw.chance(60);
-                let at = self.millis();
-                if !walled {
-                    self.record.world.push(WorldLine::Unwalled { at, tenant: tenant.clone() });
-                    self.unwallings.entry(tenant.clone()).or_default().0 += 1;
-                }
-                let patch = format!(r#"{{"tenants":{{"{tenant}":{{"walled":{walled}}}}}}}"#);
-                (patch, if walled { Meaning::Walled(tenant) } else { Meaning::Unwalled(tenant) })
+                return self.wall(keeper, tenant, walled);
             }
             _ => {
                 let patch = format!(r#"{{"kinds":["k","x{}"]}}"#, self.draw.below(1000));
@@ -109,6 +103,17 @@
         self.change(keeper, patch, means);
     }
 
+    pub fn wall(&mut self, keeper: usize, tenant: String, walled: bool) {
+        let at = self.millis();
+        if !walled {
+            self.record.world.push(WorldLine::Unwalled { at, tenant: tenant.clone() });
+            self.unwallings.entry(tenant.clone()).or_default().0 += 1;
+        }
+        let patch = format!(r#"{{"tenants":{{"{tenant}":{{"walled":{walled}}}}}}}"#);
+        let means = if walled { Meaning::Walled(tenant) } else { Meaning::Unwalled(tenant) };
+        self.change(keeper, patch, means);
+    }
+
     pub fn withdraw(&mut self, keeper: usize, place: usize) {
         let (key, tenant, number) = self.live_keys.remove(place);
         let patch = format!(r#"{{"tenants":{{"{tenant}":{{"keys":{{"k{number}":null}}}}}}}}"#);
@@ -159,25 +164,26 @@
 
     pub fn change_listing(&mut self) {
         let number = self.draw.below(ENGINES as u64) as usize;
-        let at = self.millis();
-        let engine = self.engines[number].name.0.clone();
+        if self.engines[number].listed == Some(Listed::Open) {
+            return self.list_away(number);
+        }
+        self.listing_number += 1;
+        let (at, engine) = (self.millis(), self.engines[number].name.0.clone());
+        self.note(format!("platform: listing {} {engine} open", self.listing_number));
+        self.engines[number].listed = Some(Listed::Open);
+        self.record.world.push(WorldLine::ListedOpen { at, engine });
+    }
+
+    /// Lists an engine as leaving or gone, unless many are already or it is.
+    pub fn list_away(&mut self, number: usize) {
         let away_count = self.engines.iter().filter(|engine| engine.listed != Some(Listed::Open)).count();
-        let comes_back = self.engines[number].listed != Some(Listed::Open);
-        if !comes_back && away_count >= 6 {
+        if self.engines[number].listed != Some(Listed::Open) || away_count >= 6 {
             return;
         }
         self.listing_number += 1;
-        self.note(format!(
-            "platform: listing {} {engine} {}",
-            self.listing_number,
-            if comes_back { "open" } else { "away" }
-        ));
-        if comes_back {
-            self.engines[number].listed = Some(Listed::Open);
-            self.record.world.push(WorldLine::ListedOpen { at, engine });
-        } else {
-            self.engines[number].listed = if self.draw.chance(50) { Some(Listed::Leaving) } else { None };
-            self.record.world.push(WorldLine::ListedAway { at, engine });
-        }
+        let (at, engine) = (self.millis(), self.engines[number].name.0.clone());
+        self.note(format!("platform: listing {} {engine} away", self.listing_number));
+        self.engines[number].listed = if self.draw.chance(50) { Some(Listed::Leaving) } else { None };
+        self.record.world.push(WorldLine::ListedAway { at, engine });
     }
 }
--- a/crates/simulator/src/pool.rs
+++ b/crates/simulator/src/pool.rs
@@ -111,6 +111,7 @@
 pub struct SimEngine {
     pub name: EngineName,
     pub zone: Zone,
+    pub role: Role,
     pub weights: WeightsEdition,
     pub listed: Option<Listed>,
     pub up: bool,
@@ -185,15 +186,8 @@
         }
         let (at, manner) = (self.millis(), if engine.manner_until > now { engine.manner } else { Manner::Good });
         let own_count = engine.memory.overlap(&ask.names);
-        self.record.engines.push(EngineLine::Start(StartLine {
-            at,
-            engine: engine.name.0.clone(),
-            shot: ask.to.shot.clone(),
-            salt: ask.salt.0.clone(),
-            weights: engine.weights.0,
-            prompt_blocks: ask.names.len() as u64,
-            cached_blocks: own_count as u64,
-        }));
+        let line = start_line(at, engine, &ask, own_count);
+        self.record.engines.push(EngineLine::Start(line));
         self.use_memory(number, &ask, own_count);
         let lacking = (ask.names.len() - own_count) as u64;
         let slow_span = if manner == Manner::Late { self.draw.between(2_000, 9_000) } else { 0 };
@@ -216,6 +210,24 @@
         self.at(looks_at, Happening::EngineWorks { engine: number, boot, shot: ask.to.shot });
     }
 
+    /// In a split pool: prefills and keeps a prompt that another engine is to decode.
+    pub fn engine_prefills(&mut self, number: usize, ask: EngineAsk) {
+        let delay = self.net.delay(&mut self.draw);
+        let at = self.millis();
+        let engine = &self.engines[number];
+        let told = Happening::Prefilled { to: ask.to.clone() };
+        if !engine.up || !engine.accepting || engine.weights != ask.weights {
+            return self.later(delay, told);
+        }
+        let own_count = engine.memory.overlap(&ask.names);
+        let line = start_line(at, engine, &ask, own_count);
+        self.record.engines.push(EngineLine::Prefill(line));
+        self.use_memory(number, &ask, own_count);
+        let lacking = (ask.names.len() - own_count) as u64;
+        let span = Span::millis(self.draw.between(1, 20) + lacking * 4);
+        self.later(span + delay, told);
+    }
+
     /// The blocks a shot is served from, its own and the fetched, are judged; then all are kept.
     fn use_memory(&mut self, number: usize, ask: &EngineAsk, own_count: usize) {
         let mut used: Vec<(BlockHash, Made)> = Vec::new();
@@ -467,6 +479,18 @@
     }
 }
 
+fn start_line(at: u64, engine: &SimEngine, ask: &EngineAsk, own_count: usize) -> StartLine {
+    StartLine {
+        at,
+        engine: engine.name.0.clone(),
+        shot: ask.to.shot.clone(),
+        salt: ask.salt.0.clone(),
+        weights: engine.weights.0,
+        prompt_blocks: ask.names.len() as u64,
+        cached_blocks: own_count as u64,
+    }
+}
+
 fn follow(picker: &mut Picker, source: &EngineName, memory: &SimMemory, hides: bool, local_now: Instant) {
     let boot = memory.boot.to_string();
     match picker.place_of(source) {
--- a/crates/simulator/src/prelude.rs
+++ b/crates/simulator/src/prelude.rs
@@ -15,7 +15,7 @@
 pub(crate) use conductor::prelude::{Act, Conductor, Observed};
 pub(crate) use contract::prelude::{EngineLine, StartLine};
 pub(crate) use courier::prelude::{Courier, CourierEffect, CourierInput, RouterDown, RouterUp};
-pub(crate) use desired::prelude::{Intent, Listed, ListedEngine};
+pub(crate) use desired::prelude::{Intent, Listed, ListedEngine, Role};
 pub(crate) use placement::prelude::{
     FetchFrom, FetchRun, FleetSight, KeptEvent, Picker, Placement, Prompt, STORE_SOURCE,
 };
--- a/crates/simulator/src/trouble.rs
+++ b/crates/simulator/src/trouble.rs
@@ -97,6 +97,7 @@
             Fault::KillInCampaign => self.campaign_fails = true,
             Fault::IsolateHolder => self.isolate_holder(),
             Fault::WithdrawBehind(node) => self.withdraw_behind(node),
+            Fault::FreezeInConnect(node) => self.freezing = Some(node),
             Fault::ListAway => (0..6).for_each(|_| self.change_listing()),
         }
     }
@@ -139,6 +140,31 @@
         self.withdraw(node % KEEPERS, place);
     }
 
+    /// A shot connects at a node that is to freeze in this moment: nothing it was chosen on stays.
+    pub fn freeze_in_connect(&mut self, node: usize, key_hash: &str, tenant: &TenantName, engines: Vec<EngineName>) {
+        if self.freezing != Some(node) {
+            return;
+        }
+        self.freezing = None;
+        let until = self.now + Span::millis(self.draw.between(4_000, 9_000));
+        self.nodes[node].frozen_until = self.nodes[node].frozen_until.max(until);
+        let keeper = self.draw.below(KEEPERS as u64) as usize;
+        match self.draw.below(4) {
+            0 => self.wall(keeper, tenant.0.clone(), true),
+            1 => self.name_weights(keeper),
+            _ => {
+                for engine in engines {
+                    if let Some(number) = self.engines.iter().position(|known| known.name == engine) {
+                        self.list_away(number);
+                    }
+                }
+            }
+        }
+        if let Some(place) = self.live_keys.iter().position(|(key, _, _)| key == key_hash) {
+            self.withdraw(keeper, place);
+        }
+    }
+
     /// Heals the network, but for cuts that are held for a while.
     pub fn heal_but_held(&mut self, heals: bool) {
         if heals {
@@ -188,6 +214,7 @@
         }
         self.power_fails = false;
         self.campaign_fails = false;
+        self.freezing = None;
         for number in 0..ENGINES {
             self.start_engine(number);
             let engine = &mut self.engines[number];
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -27,6 +27,8 @@
     RunInput { to: ShotPlaceName, input: CarriageInput<SimPiece> },
     EngineGets { engine: usize, ask: Box<EngineAsk> },
     EngineWorks { engine: usize, boot: u64, shot: String },
+    EnginePrefills { engine: usize, ask: Box<EngineAsk> },
+    Prefilled { to: ShotPlaceName },
     EngineAllows { engine: usize, shot: String, span: Span },
     EngineLosesCaller { engine: usize, shot: String },
     OrderLeaves { keeper: usize, life: u64, engine: usize, order: SimOrder },
@@ -85,6 +87,8 @@
     pub power_fails: bool,
     /// The next campaign for a view loses keepers in its midst.
     pub campaign_fails: bool,
+    /// The node that freezes when it next connects a shot.
+    pub freezing: Option<usize>,
     /// Nodes that stay cut off from the core for a while, whatever heals.
     pub held_cuts: Vec<(usize, Instant)>,
     pub callers: Vec<SimCaller>,
@@ -166,10 +170,16 @@
                 link: None,
             })
             .collect();
+        let is_split = Draw::new(seed ^ 0x0511_7000).chance(25);
         let engines = (0..ENGINES)
             .map(|number| SimEngine {
                 name: EngineName(format!("e{number}")),
                 zone: Zone(ZONES[number % 4].into()),
+                role: match (is_split, number % 3) {
+                    (false, _) => Role::Whole,
+                    (true, 0) => Role::Prefill,
+                    (true, _) => Role::Decode,
+                },
                 weights: WeightsEdition(1),
                 listed: Some(Listed::Open),
                 up: false,
@@ -211,6 +221,7 @@
             raced: BTreeMap::new(),
             power_fails: false,
             campaign_fails: false,
+            freezing: None,
             held_cuts: Vec::new(),
             callers: Vec::new(),
             tickets: BTreeMap::new(),
@@ -349,6 +360,8 @@
             Happening::RunInput { to, input } => self.hear_engine(to, input),
             Happening::EngineGets { engine, ask } => self.engine_gets(engine, *ask),
             Happening::EngineWorks { engine, boot, shot } => self.engine_works(engine, boot, shot),
+            Happening::EnginePrefills { engine, ask } => self.engine_prefills(engine, *ask),
+            Happening::Prefilled { to } => self.hear_prefilled(to),
             Happening::EngineAllows { engine, shot, span } => self.engine_allows(engine, &shot, span),
             Happening::EngineLosesCaller { engine, shot } => self.engine_loses_caller(engine, &shot),
             Happening::OrderLeaves { keeper, life, engine, order } => self.order_leaves(keeper, life, engine, order),
--- a/crates/verdict/src/judge.rs
+++ b/crates/verdict/src/judge.rs
@@ -47,16 +47,16 @@
     violations
 }
 
-fn starts_by_run(record: &Record) -> BTreeMap<&str, Vec<&StartLine>> {
+fn by_run<'a>(lines: impl Iterator<Item = &'a StartLine>) -> BTreeMap<&'a str, Vec<&'a StartLine>> {
     let mut starts: BTreeMap<&str, Vec<&StartLine>> = BTreeMap::new();
-    for start in record.starts() {
+    for start in lines {
         starts.entry(run_of(&start.shot)).or_default().push(start);
     }
     starts
 }
 
 fn runs_once(record: &Record) -> Vec<String> {
-    let starts = starts_by_run(record);
+    let starts = by_run(record.starts());
     let mut found = Vec::new();
     let mut started_by_key: BTreeMap<(&str, &str), BTreeSet<&str>> = BTreeMap::new();
     for caller in record.callers.iter().filter(|caller| !caller.idempotency.is_empty() && !caller.repeatable) {
@@ -116,7 +116,7 @@
 }
 
 fn memory_is_of_its_weights(record: &Record) -> Vec<String> {
-    let foreign_starts = record.starts().filter(|start| !start.salt.starts_with(&format!("w{}.", start.weights)));
+    let foreign_starts = record.works().filter(|start| !start.salt.starts_with(&format!("w{}.", start.weights)));
     let mut found: Vec<String> = foreign_starts
         .map(|start| format!("shot {} ran on weights {} with salt {}", start.shot, start.weights, start.salt))
         .collect();
@@ -190,7 +190,7 @@
 /// Work is judged, not starts alone: no shot may begin, go on at its engine, or bring its caller a
 /// piece, later than the limit after the acknowledgement.
 fn withdrawn_keys_do_nothing(record: &Record) -> Vec<String> {
-    let starts = starts_by_run(record);
+    let works = by_run(record.works());
     let ends = record.ends();
     let mut found = Vec::new();
     for line in &record.world {
@@ -204,7 +204,7 @@
                     caller.last_at - at
                 ));
             }
-            for start in starts.get(caller.run.as_str()).into_iter().flatten() {
+            for start in works.get(caller.run.as_str()).into_iter().flatten() {
                 if start.at > limit {
                     found.push(format!("run {} began {} ms after its key's end", caller.run, start.at - at));
                 }
@@ -228,7 +228,7 @@
             _ => None,
         });
         let back_at = back_at.unwrap_or(u64::MAX);
-        for start in record.starts().filter(|start| start.engine == *left_engine) {
+        for start in record.works().filter(|start| start.engine == *left_engine) {
             if start.at > at + LISTING_LIMIT_MS && start.at < back_at {
                 found.push(format!(
                     "engine {left_engine} began {} ms after it was listed away, at {}",
@@ -268,7 +268,7 @@
     let mut found = Vec::new();
     for line in &record.world {
         let WorldLine::WeightsAcked { at, weights } = line else { continue };
-        for start in record.starts().filter(|start| start.weights < *weights) {
+        for start in record.works().filter(|start| start.weights < *weights) {
             if start.at > at + WEIGHTS_LIMIT_MS {
                 found.push(format!(
                     "shot {} began on weights {} {} ms late",
@@ -480,7 +480,7 @@
 
     #[test]
     fn each_judge_catches_its_violation() {
-        let changes: [(u8, Change); 27] = [
+        let changes: [(u8, Change); 28] = [
             (1, |record| record.engines.push(start(101, "e2", "r.1.2", 1))),
             (1, |record| record.engines.push(start(101, "e2", "r.2.1", 3))),
             (2, |record| record.callers[0].wrong = "foreign".into()),
@@ -513,6 +513,10 @@
             }),
             (6, |record| record.engines[0] = start(5_001, "e2", "r.1.1", 1)),
             (7, |record| record.engines[0] = start(3_001, "e1", "r.1.1", 1)),
+            (7, |record| {
+                let EngineLine::Start(line) = start(3_001, "e1", "r.3.1", 2) else { panic!() };
+                record.engines.push(EngineLine::Prefill(line));
+            }),
             (6, |record| record.engines[2] = end(5_001, "r.1.1", true)),
             (6, |record| record.callers[0].last_at = 5_001),
             (8, |record| record.world.push(sample(9_000, "q", 3, true))),
--- a/crates/verdict/src/lines.rs
+++ b/crates/verdict/src/lines.rs
@@ -110,6 +110,14 @@
     pub fn starts(&self) -> impl Iterator<Item = &StartLine> {
         self.engines.iter().filter_map(|line| match line {
             EngineLine::Start(start) => Some(start),
+            EngineLine::Prefill(_) | EngineLine::End { .. } | EngineLine::Order { .. } => None,
+        })
+    }
+
+    /// Every beginning of work on a prompt: starts, and prefills for starts elsewhere.
+    pub fn works(&self) -> impl Iterator<Item = &StartLine> {
+        self.engines.iter().filter_map(|line| match line {
+            EngineLine::Start(start) | EngineLine::Prefill(start) => Some(start),
             EngineLine::End { .. } | EngineLine::Order { .. } => None,
         })
     }
@@ -120,7 +128,7 @@
             EngineLine::End { at, shot, pieces, whole, .. } => {
                 Some((shot.as_str(), ShotEnd { at: *at, pieces: *pieces, whole: *whole }))
             }
-            EngineLine::Start(_) | EngineLine::Order { .. } => None,
+            EngineLine::Start(_) | EngineLine::Prefill(_) | EngineLine::Order { .. } => None,
         });
         ends.collect()
     }
--- a/crates/yard/src/prelude.rs
+++ b/crates/yard/src/prelude.rs
@@ -5,7 +5,7 @@
 pub use crate::relay::*;
 pub use crate::report::*;
 pub use crate::trouble::*;
-pub(crate) use contract::prelude::EngineLine;
+pub use contract::prelude::EngineLine;
 pub use serde_json::{Value, json};
 pub(crate) use std::collections::BTreeMap;
 pub(crate) use std::io::BufRead;
--- a/crates/yard/tests/strangers.rs
+++ b/crates/yard/tests/strangers.rs
@@ -42,6 +42,17 @@
     let record = fleet.record(&[]);
     assert!(record.starts().all(|start| start.engine != "engine0"), "the prefilling engine answers nobody");
     assert_eq!(record.starts().count(), 4);
+    let prefills: Vec<_> =
+        record.engines.iter().filter(|line| matches!(line, yard::prelude::EngineLine::Prefill(_))).collect();
+    assert!(!prefills.is_empty() && prefills.len() <= 4, "prefills are told as work: {prefills:?}");
+    let other_weights = web::prelude::Question::with_json(
+        Method::POST,
+        "/v1/prefill",
+        &json!({"prompt": prompt, "cache_salt": "w9.x"}),
+    )
+    .header("x-haremount-weights", "9");
+    let (status, answer) = fleet.ask_question(&fleet.engines[0].address, other_weights).unwrap();
+    assert_eq!((status, answer["error"]["type"].as_str()), (409, Some("other_weights")), "{answer}");
     assert_eq!(judge(&record), []);
 }
 
