--- a/crates/contract/src/engines.rs
+++ b/crates/contract/src/engines.rs
@@ -166,6 +166,11 @@
     Start(StartLine),
     /// A prompt is prefilled for a shot that another engine decodes.
     Prefill(StartLine),
+    /// Kept blocks were asked for, for a prompt that another engine serves.
+    Asked {
+        at: u64,
+        engine: String,
+    },
     /// The work on a shot is over: whole, or ended before that.
     End {
         at: u64,
--- a/crates/engine/src/site.rs
+++ b/crates/engine/src/site.rs
@@ -450,6 +450,7 @@
 
     async fn tell_blocks(&self, mut asked: Asked) -> WebOutcome {
         let Some(names) = read_names(&mut asked).await else { return bad_names() };
+        self.log_line(&EngineLine::Asked { at: boot_now().0 / 1_000_000, engine: self.name.clone() });
         let found = held(&self.memory).overlap(&names) as u64;
         outcome_json(StatusCode::OK, &json!(Found { found }))
     }
--- a/crates/placement/src/fetch.rs
+++ b/crates/placement/src/fetch.rs
@@ -1,6 +1,7 @@
 //! The fetch planner: where the blocks an engine lacks come from. From the engine's own run on, the
 //! source that saves most against prefill is taken, run after run, while it saves anything; the rest is
-//! prefilled. Only sources on the same weights count, and names are salted, so nothing foreign matches.
+//! prefilled. Only engines listed open on the same weights count as peers: one that leaves is asked for
+//! nothing more. Names are salted, so nothing foreign matches.
 
 use crate::prelude::*;
 
@@ -65,7 +66,7 @@
         let chosen_zone = listing.get(&chosen.engine).map(|listed| listed.zone.clone());
         let mut sources: Vec<FetchSource> = listing
             .iter()
-            .filter(|(engine, _)| **engine != chosen.engine)
+            .filter(|(engine, listed)| **engine != chosen.engine && listed.listed == Listed::Open)
             .filter(|(engine, _)| {
                 let confirmed = sight.state.standings.get(*engine).and_then(|standing| standing.confirmed.as_ref());
                 confirmed.is_some_and(|(weights, _)| *weights == chosen.weights)
--- a/crates/simulator/src/pool.rs
+++ b/crates/simulator/src/pool.rs
@@ -247,6 +247,10 @@
             if !wanted.starts_with(&run.names) {
                 break;
             }
+            if let FetchFrom::Peer(peer) = &run.from {
+                let (at, engine) = (self.now.0 / 1_000_000, peer.0.clone());
+                self.record.engines.push(EngineLine::Asked { at, engine });
+            }
             let fetched: Vec<(BlockHash, Made)> =
                 run.names.iter().map_while(|name| Some((*name, source.made(name)?.clone()))).collect();
             let is_short = fetched.len() < run.names.len();
--- a/crates/verdict/src/judge.rs
+++ b/crates/verdict/src/judge.rs
@@ -228,12 +228,11 @@
             _ => None,
         });
         let back_at = back_at.unwrap_or(u64::MAX);
-        for start in record.works().filter(|start| start.engine == *left_engine) {
-            if start.at > at + LISTING_LIMIT_MS && start.at < back_at {
+        for asked_at in record.requests_to(left_engine) {
+            if asked_at > at + LISTING_LIMIT_MS && asked_at < back_at {
+                let late = asked_at - at;
                 found.push(format!(
-                    "engine {left_engine} began {} ms after it was listed away, at {}",
-                    start.at - at,
-                    start.at
+                    "engine {left_engine} was asked {late} ms after it was listed away, at {asked_at}"
                 ));
             }
         }
@@ -480,7 +479,7 @@
 
     #[test]
     fn each_judge_catches_its_violation() {
-        let changes: [(u8, Change); 28] = [
+        let changes: [(u8, Change); 29] = [
             (1, |record| record.engines.push(start(101, "e2", "r.1.2", 1))),
             (1, |record| record.engines.push(start(101, "e2", "r.2.1", 3))),
             (2, |record| record.callers[0].wrong = "foreign".into()),
@@ -517,6 +516,7 @@
                 let EngineLine::Start(line) = start(3_001, "e1", "r.3.1", 2) else { panic!() };
                 record.engines.push(EngineLine::Prefill(line));
             }),
+            (7, |record| record.engines.push(EngineLine::Asked { at: 3_001, engine: "e1".into() })),
             (6, |record| record.engines[2] = end(5_001, "r.1.1", true)),
             (6, |record| record.callers[0].last_at = 5_001),
             (8, |record| record.world.push(sample(9_000, "q", 3, true))),
--- a/crates/verdict/src/lines.rs
+++ b/crates/verdict/src/lines.rs
@@ -110,7 +110,9 @@
     pub fn starts(&self) -> impl Iterator<Item = &StartLine> {
         self.engines.iter().filter_map(|line| match line {
             EngineLine::Start(start) => Some(start),
-            EngineLine::Prefill(_) | EngineLine::End { .. } | EngineLine::Order { .. } => None,
+            EngineLine::Prefill(_) | EngineLine::Asked { .. } | EngineLine::End { .. } | EngineLine::Order { .. } => {
+                None
+            }
         })
     }
 
@@ -118,17 +120,29 @@
     pub fn works(&self) -> impl Iterator<Item = &StartLine> {
         self.engines.iter().filter_map(|line| match line {
             EngineLine::Start(start) | EngineLine::Prefill(start) => Some(start),
-            EngineLine::End { .. } | EngineLine::Order { .. } => None,
+            EngineLine::Asked { .. } | EngineLine::End { .. } | EngineLine::Order { .. } => None,
         })
     }
 
+    /// Whenever an engine was asked for anything on behalf of a prompt, in any way.
+    pub fn requests_to<'a>(&'a self, engine_name: &'a str) -> impl Iterator<Item = u64> + 'a {
+        let works = self.works().map(|start| (start.engine.as_str(), start.at));
+        let fetches = self.engines.iter().filter_map(|line| match line {
+            EngineLine::Asked { at, engine } => Some((engine.as_str(), *at)),
+            _ => None,
+        });
+        works.chain(fetches).filter(move |(engine, _)| *engine == engine_name).map(|(_, at)| at)
+    }
+
     /// How the work on each shot ended, as its engine told: when, after how many pieces, whether whole.
     pub fn ends(&self) -> BTreeMap<&str, ShotEnd> {
         let ends = self.engines.iter().filter_map(|line| match line {
             EngineLine::End { at, shot, pieces, whole, .. } => {
                 Some((shot.as_str(), ShotEnd { at: *at, pieces: *pieces, whole: *whole }))
             }
-            EngineLine::Start(_) | EngineLine::Prefill(_) | EngineLine::Order { .. } => None,
+            EngineLine::Start(_) | EngineLine::Prefill(_) | EngineLine::Asked { .. } | EngineLine::Order { .. } => {
+                None
+            }
         });
         ends.collect()
     }
