--- a/crates/courier/src/mind.rs
+++ b/crates/courier/src/mind.rs
@@ -30,10 +30,24 @@
 /// The agent to its router, over loopback.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RouterDown {
-    Snapshot(Box<FleetState>),
-    Push { number: Edition, submission: Submission, age: Option<Span> },
-    Lease { until: Instant },
-    Settled { ticket: u64, outcome: Settled },
+    /// The whole state, and when each edition of weights lately given up gave way.
+    Snapshot {
+        state: Box<FleetState>,
+        gave_way: Vec<(ModelName, WeightsEdition, Instant)>,
+    },
+    /// The next change, and when it was committed, if that is known: never later than it was.
+    Push {
+        number: Edition,
+        submission: Submission,
+        committed: Option<Instant>,
+    },
+    Lease {
+        until: Instant,
+    },
+    Settled {
+        ticket: u64,
+        outcome: Settled,
+    },
     Doors(Vec<RouterDoor>),
 }
 
@@ -87,6 +101,9 @@
     /// When the last lease was granted, or the stream came up.
     last_granted: Instant,
     last_renewed: Instant,
+    /// What comes on this stream now was not said before: when the renewal last granted left here. A
+    /// machine that slept must not take what waited for it meanwhile for new.
+    said_since: Instant,
     behind_since: Option<Instant>,
     router: Option<RouterPlace>,
     lives: u64,
@@ -106,6 +123,7 @@
             last_heard: Instant(0),
             last_granted: Instant(0),
             last_renewed: Instant(0),
+            said_since: Instant(0),
             behind_since: None,
             router: None,
             lives: 0,
@@ -129,6 +147,7 @@
                 self.core = CoreStream::Up;
                 self.last_heard = now;
                 self.last_granted = now;
+                self.said_since = now;
                 self.behind_since = None;
                 self.renew(now);
             }
@@ -235,6 +254,7 @@
             NodeDown::Whereabouts(view) => self.hear_whereabouts(view, now),
             NodeDown::Granted { sent, span, life } => {
                 self.last_granted = now;
+                self.said_since = self.said_since.max(sent);
                 self.behind_since = None;
                 let asked_for_this_life = self.router.as_ref().is_some_and(|router| router.life == life);
                 if asked_for_this_life {
@@ -253,13 +273,23 @@
                     self.behind_since.get_or_insert(now);
                 }
             }
-            NodeDown::Snapshot(state) => self.plan.push(CourierEffect::SayRouter(RouterDown::Snapshot(state))),
+            NodeDown::Snapshot { state, gave_way } => {
+                let gave_way = gave_way.into_iter().map(|(model, weights, age)| (model, weights, self.when(age)));
+                let message = RouterDown::Snapshot { state, gave_way: gave_way.collect() };
+                self.plan.push(CourierEffect::SayRouter(message));
+            }
             NodeDown::Push { number, submission, age } => {
-                self.plan.push(CourierEffect::SayRouter(RouterDown::Push { number, submission, age }));
+                let committed = age.map(|age| self.when(age));
+                self.plan.push(CourierEffect::SayRouter(RouterDown::Push { number, submission, committed }));
             }
         }
     }
 
+    /// The earliest instant of what was so long ago when it was said.
+    fn when(&self, age: Span) -> Instant {
+        Instant(self.said_since.0.saturating_sub(age.0))
+    }
+
     fn hear_whereabouts(&mut self, view: View, now: Instant) {
         let other_fleet = self.view.fleet != FleetId(0) && view.fleet != FleetId(0) && view.fleet != self.view.fleet;
         if other_fleet {
@@ -283,3 +313,39 @@
         self.dial(tail_address, now);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+    use warden::prelude::Command;
+
+    fn at(seconds: u64) -> Instant {
+        Instant(0) + Span::seconds(seconds)
+    }
+
+    /// What the router is told of a push that says "just now", heard at an instant.
+    fn committed(courier: &mut Courier, now: Instant) -> Option<Instant> {
+        let submission =
+            Submission { request: RequestId(1), command: Command::Merge { base: None, patch: "{}".into() } };
+        let push = NodeDown::Push { number: Edition(1), submission, age: Some(Span(0)) };
+        let plan = courier.step(CourierInput::Core(push), now);
+        plan.into_iter().find_map(|effect| match effect {
+            CourierEffect::SayRouter(RouterDown::Push { committed, .. }) => committed,
+            _ => None,
+        })
+    }
+
+    #[test]
+    fn what_waited_for_a_sleeping_machine_is_not_new() {
+        let mut courier = Courier::new(vec!["k".into()], 0);
+        courier.step(CourierInput::Pulse, at(1));
+        courier.step(CourierInput::CoreUp, at(1));
+        courier.step(CourierInput::RouterUp, at(1));
+        let granted = |sent| CourierInput::Core(NodeDown::Granted { sent, span: Span::seconds(2), life: 1 });
+        courier.step(granted(at(2)), at(2));
+        assert_eq!(committed(&mut courier, at(2)), Some(at(2)));
+        assert_eq!(committed(&mut courier, at(14)), Some(at(2)), "it slept for twelve seconds");
+        courier.step(granted(at(14)), at(14));
+        assert_eq!(committed(&mut courier, at(14)), Some(at(14)));
+    }
+}
--- a/crates/placement/src/picker.rs
+++ b/crates/placement/src/picker.rs
@@ -487,14 +487,19 @@
         let sight = fleet(&["one"], DOCUMENT);
         let mut state = (*sight.state).clone();
         state.desired.models.get_mut(&"m".into()).unwrap().weights = WeightsEdition(2);
-        let pushed_sight = sight.following(state.clone(), Some(Span::seconds(5)), NOW);
+        let five_ago = Instant(NOW.0 - Span::seconds(5).0);
+        let pushed_sight = sight.following(state.clone(), Some(five_ago), NOW);
         let engine = "one".into();
         assert_eq!(pushed_sight.usable_weights(&engine, NOW + Span::millis(9999)), Some(WeightsEdition(1)));
         assert_eq!(pushed_sight.usable_weights(&engine, NOW + Span::seconds(10)), None);
         assert_eq!(sight.following(state.clone(), None, NOW).usable_weights(&engine, NOW), None);
+        let told = [("m".into(), WeightsEdition(1), five_ago)];
+        let fresh_sight = FleetSight::default().starting_over(state.clone(), &told, NOW);
+        assert_eq!(fresh_sight.usable_weights(&engine, NOW + Span::millis(9999)), Some(WeightsEdition(1)));
+        assert_eq!(fresh_sight.usable_weights(&engine, NOW + Span::seconds(10)), None);
         state.desired.models.get_mut(&"m".into()).unwrap().weights = WeightsEdition(3);
         let later = NOW + Span::seconds(9);
-        let moved_again = pushed_sight.following(state, Some(Span(0)), later);
+        let moved_again = pushed_sight.following(state, Some(later), later);
         assert_eq!(moved_again.usable_weights(&engine, later), Some(WeightsEdition(1)));
         let past = NOW + Span::seconds(10);
         assert_eq!(
--- a/crates/placement/src/sight.rs
+++ b/crates/placement/src/sight.rs
@@ -18,15 +18,15 @@
 }
 
 impl FleetSight {
-    /// The sight after a change. `age` is how long ago the change was committed; when it is not known,
-    /// as with a snapshot, old weights are given up at once.
-    pub fn following(&self, state: FleetState, age: Option<Span>, now: Instant) -> FleetSight {
+    /// The sight after a change. `committed` is when the change was, at the earliest; when that is not
+    /// known, old weights are given up at once.
+    pub fn following(&self, state: FleetState, committed: Option<Instant>, now: Instant) -> FleetSight {
         let mut old_until = self.old_until.clone();
         for (model, wish) in &state.desired.models {
             let Some(known_wish) = self.state.desired.models.get(model) else { continue };
             if known_wish.weights < wish.weights {
-                let span_left = age.map_or(Span(0), |age| Span(OLD_WEIGHTS_SPAN.0.saturating_sub(age.0)));
-                old_until.insert((model.clone(), known_wish.weights), now + span_left);
+                let until = committed.map_or(now, |committed| committed + OLD_WEIGHTS_SPAN);
+                old_until.insert((model.clone(), known_wish.weights), until);
             }
         }
         old_until.retain(|_, until| now < *until);
@@ -56,6 +56,23 @@
         }
     }
 
+    /// The sight of a whole state, told with when the weights lately given up gave way.
+    pub fn starting_over(
+        &self,
+        state: FleetState,
+        gave_way: &[(ModelName, WeightsEdition, Instant)],
+        now: Instant,
+    ) -> FleetSight {
+        let mut sight = self.following(state, None, now);
+        for (model, weights, since) in gave_way {
+            let until = *since + OLD_WEIGHTS_SPAN;
+            if now < until {
+                sight.old_until.entry((model.clone(), *weights)).or_insert(until);
+            }
+        }
+        sight
+    }
+
     /// The weights an engine may be used with now: those it confirmed, if they are the wanted ones or
     /// old ones not yet given up; nothing if the engine is not listed open or is closed.
     pub fn usable_weights(&self, engine: &EngineName, now: Instant) -> Option<WeightsEdition> {
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -108,12 +108,13 @@
             }
             LinkEvent::Said(_, RouterDown::Doors(doors)) => self.plan.stand.know_doors(doors),
             LinkEvent::Said(_, RouterDown::Lease { until }) => self.plan.stand.extend_lease(until),
-            LinkEvent::Said(_, RouterDown::Snapshot(state)) => {
-                if state.edition > self.plan.stand.sight().state.edition {
-                    self.put_in_force(*state, None);
+            LinkEvent::Said(_, RouterDown::Snapshot { state, gave_way }) => {
+                let current = self.plan.stand.sight();
+                if state.edition > current.state.edition {
+                    self.put_in_force(current.starting_over(*state, &gave_way, boot_now()));
                 }
             }
-            LinkEvent::Said(_, RouterDown::Push { number, submission, age }) => {
+            LinkEvent::Said(_, RouterDown::Push { number, submission, committed }) => {
                 let current = self.plan.stand.sight();
                 if number <= current.state.edition {
                     return;
@@ -127,14 +128,13 @@
                 }
                 let mut state = (*current.state).clone();
                 state.apply(&submission);
-                self.put_in_force(state, age);
+                self.put_in_force(current.following(state, committed, boot_now()));
             }
         }
     }
 
-    fn put_in_force(&mut self, state: FleetState, age: Option<Span>) {
-        let edition = state.edition;
-        let sight = self.plan.stand.sight().following(state, age, boot_now());
+    fn put_in_force(&mut self, sight: FleetSight) {
+        let edition = sight.state.edition;
         self.plan.stand.publish(sight);
         self.plan.table.tell(TableCommand::Fleet);
         self.say_applied(edition);
--- a/crates/router/src/prelude.rs
+++ b/crates/router/src/prelude.rs
@@ -15,7 +15,7 @@
 pub(crate) use blocks::prelude::{BLOCK_TOKENS, Salt, blocks_of, cut};
 pub(crate) use carriage::prelude::*;
 pub(crate) use contract::prelude::*;
-pub(crate) use desired::prelude::{Command, FleetState, Settled, Submission};
+pub(crate) use desired::prelude::{Command, Settled, Submission};
 pub(crate) use figures::prelude::{Figures, PolicyBook};
 pub(crate) use links::prelude::{Hello, Link, LinkEvent, Purpose, dial_and_hold};
 pub(crate) use placement::prelude::*;
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -82,7 +82,8 @@
     },
     /// At the next campaign for a view, keepers are lost in the midst of it.
     KillInCampaign,
-    /// The conductor is cut off from core and nodes, not from engines, and new weights are named.
+    /// The conductor is cut off from core and nodes, not from engines, and new weights are named; at times
+    /// its successor too, and nodes that sleep through it.
     IsolateHolder,
     /// A node is cut off, frozen or lost, and the key of a caller it streams to is withdrawn.
     WithdrawBehind(usize),
--- a/crates/simulator/src/nodes.rs
+++ b/crates/simulator/src/nodes.rs
@@ -187,7 +187,7 @@
         }
         let local_now = node.clock.read(now);
         let Some(router) = node.router.as_mut().filter(|router| router.id == router_id) else { return };
-        let (state, age) = match message {
+        let sight = match message {
             RouterDown::Settled { ticket, outcome } => return self.settle_claim(number, ticket, outcome),
             RouterDown::Doors(doors) => {
                 router.doors = doors;
@@ -197,24 +197,24 @@
                 router.lease_until = router.lease_until.max(until);
                 return;
             }
-            RouterDown::Snapshot(state) => {
+            RouterDown::Snapshot { state, gave_way } => {
                 if state.edition <= router.sight.state.edition {
                     return;
                 }
-                (*state, None)
+                router.sight.starting_over(*state, &gave_way, local_now)
             }
-            RouterDown::Push { number, submission, age } => {
+            RouterDown::Push { number, submission, committed } => {
                 if number != router.sight.state.edition.next() {
                     return;
                 }
                 let mut state = (*router.sight.state).clone();
                 state.apply(&submission);
-                (state, age)
+                router.sight.following(state, committed, local_now)
             }
         };
-        let edition = state.edition;
-        let last_settled = state.settled.back().map(|(request, _)| *request);
-        router.sight = router.sight.following(state, age, local_now);
+        let edition = sight.state.edition;
+        let last_settled = sight.state.settled.back().map(|(request, _)| *request);
+        router.sight = sight;
         router.picker.keep_only(&router.sight);
         if let Some(request) = last_settled {
             self.see_committed(edition, request, &format!("n{number}"));
--- a/crates/simulator/src/trouble.rs
+++ b/crates/simulator/src/trouble.rs
@@ -95,14 +95,18 @@
             Fault::LoseStore => self.store.restart(),
             Fault::CutPair { keeper, other, both_ways } => self.net.cut_between(&[keeper], &[other], both_ways),
             Fault::KillInCampaign => self.campaign_fails = true,
-            Fault::IsolateHolder => self.isolate_holder(),
+            Fault::IsolateHolder => self.isolate_holder(2),
             Fault::WithdrawBehind(node) => self.withdraw_behind(node),
             Fault::FreezeInConnect(node) => self.freezing = Some(node),
             Fault::ListAway => (0..6).for_each(|_| self.change_listing()),
         }
     }
 
-    fn isolate_holder(&mut self) {
+    /// With `again`, whoever holds the duty next is cut off in turn, as soon as it may act.
+    pub fn isolate_holder(&mut self, again: u64) {
+        if self.faults_over {
+            return;
+        }
         let states = self.keepers.iter().filter_map(|keeper| keeper.warden.as_ref()).map(Warden::state);
         let newest = states.max_by_key(|state| state.edition);
         let Some(duty) = newest.and_then(|state| state.duties.get(&DutyKind::Conductor).copied()) else { return };
@@ -111,7 +115,22 @@
         let nodes: Vec<usize> = (0..NODES).map(|node| NODE_BASE + node).collect();
         self.net.cut_between(&[holder], &others, true);
         self.net.cut_between(&[holder], &nodes, true);
+        if self.draw.chance(60) && again > 0 {
+            let span = Span::millis(self.draw.between(5_000, 8_000));
+            self.later(Span(span.0 - 1_000_000_000), Happening::Heals);
+            self.later(span, Happening::IsolatesHolder { again: again - 1 });
+        }
+        if again < 2 {
+            return;
+        }
         self.name_weights(others[0]);
+        // Nodes that sleep through it hear of the new weights late, and must not think them new.
+        let sleepers = if self.draw.chance(50) { 3 } else { 0 };
+        for _ in 0..sleepers {
+            let node = self.draw.below(NODES as u64) as usize;
+            let until = self.now + Span::millis(self.draw.between(11_000, 16_000));
+            self.nodes[node].frozen_until = self.nodes[node].frozen_until.max(until);
+        }
     }
 
     /// A caller streams a long answer under a fresh key; then its node is cut off or frozen for longer
@@ -212,6 +231,7 @@
             self.keepers[number].sync_span = Span::millis(2);
             self.start_keeper(number);
         }
+        self.faults_over = true;
         self.power_fails = false;
         self.campaign_fails = false;
         self.freezing = None;
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -43,6 +43,7 @@
     Resumes { node: usize, caller: usize, carried: bool },
     AsksAgain { node: usize, request: SimRequest },
     Loses { keeper: usize },
+    IsolatesHolder { again: u64 },
     Revives,
     Heals,
     WithdrawsBehind { node: usize, key_hash: String },
@@ -89,6 +90,7 @@
     pub campaign_fails: bool,
     /// The node that freezes when it next connects a shot.
     pub freezing: Option<usize>,
+    pub faults_over: bool,
     /// Nodes that stay cut off from the core for a while, whatever heals.
     pub held_cuts: Vec<(usize, Instant)>,
     pub callers: Vec<SimCaller>,
@@ -222,6 +224,7 @@
             power_fails: false,
             campaign_fails: false,
             freezing: None,
+            faults_over: false,
             held_cuts: Vec::new(),
             callers: Vec::new(),
             tickets: BTreeMap::new(),
@@ -377,6 +380,7 @@
             Happening::ComesBack { node, caller } => self.hear_comes_back(node, caller),
             Happening::Resumes { node, caller, carried } => self.resume(node, caller, carried),
             Happening::AsksAgain { node, request } => self.ask_again(node, request),
+            Happening::IsolatesHolder { again } => self.isolate_holder(again),
             Happening::Loses { keeper } => self.kill_keeper(keeper),
             Happening::Revives => self.revive(),
             Happening::Heals => self.heal_but_held(true),
--- a/crates/warden/src/chaining.rs
+++ b/crates/warden/src/chaining.rs
@@ -49,6 +49,7 @@
                 if self.may_be_levelled(from, view, nonce) {
                     self.log = Log::restore(mark, (*state).clone(), Vec::new());
                     self.store(Stored::Snapshot { mark, state });
+                    self.forget_dates();
                     self.align();
                 }
             }
@@ -94,9 +95,12 @@
 
     /// What was committed before we stood aligned may be older than our seeing it: its age is not
     /// known. An aligned tail's own append is the commit, so its dates are right.
-    fn forget_dates(&mut self) {
+    pub(crate) fn forget_dates(&mut self) {
         self.restored_at = self.log.last().edition;
         self.committed_at.clear();
+        let models = &self.log.state().desired.models;
+        self.wanted_weights = models.iter().map(|(model, wish)| (model.clone(), wish.weights)).collect();
+        self.gave_way.clear();
     }
 
     fn align(&mut self) {
--- a/crates/warden/src/messages.rs
+++ b/crates/warden/src/messages.rs
@@ -115,7 +115,11 @@
     NotNow,
     /// Not renewed: the node lags behind.
     Behind,
-    Snapshot(Box<FleetState>),
+    /// The whole state, and how long ago each edition of weights lately given up gave way.
+    Snapshot {
+        state: Box<FleetState>,
+        gave_way: Vec<(ModelName, WeightsEdition, Span)>,
+    },
     Settled {
         ticket: u64,
         outcome: Settled,
--- a/crates/warden/src/mind.rs
+++ b/crates/warden/src/mind.rs
@@ -4,6 +4,8 @@
 
 pub const PULSE_SPAN: Span = Span::millis(200);
 const DATED_RECORDS: usize = 1024;
+/// Longer than any router goes on with weights that gave way.
+const KEPT_WEIGHTS_SPAN: Span = Span::seconds(60);
 pub const SUSPECT_AFTER: Span = Span::millis(800);
 
 #[derive(Clone, Debug)]
@@ -40,6 +42,9 @@
     pub(crate) committed: Edition,
     /// When this life first saw recent records; those of an earlier life are not in it.
     pub(crate) committed_at: BTreeMap<Edition, Instant>,
+    /// The weights wanted when last looked, and when the ones before them gave way in this life.
+    pub(crate) wanted_weights: BTreeMap<ModelName, WeightsEdition>,
+    pub(crate) gave_way: BTreeMap<(ModelName, WeightsEdition), Instant>,
     pub(crate) peers: BTreeMap<NodeId, Peer>,
     pub(crate) acquaintances: BTreeMap<NodeId, Member>,
     /// Where the log ended when this life began, or was replaced by a snapshot.
@@ -78,6 +83,8 @@
             log: Log::restore(kept.mark, kept.state, kept.records),
             committed: Edition(0),
             committed_at: BTreeMap::new(),
+            wanted_weights: BTreeMap::new(),
+            gave_way: BTreeMap::new(),
             peers: BTreeMap::new(),
             acquaintances,
             restored_at: Edition(0),
@@ -97,7 +104,7 @@
             inbox: VecDeque::new(),
             plan: Vec::new(),
         };
-        restored_warden.restored_at = restored_warden.log.last().edition;
+        restored_warden.forget_dates();
         if restored_warden.view.tail() == Some(restored_warden.me.id) {
             restored_warden.tail = Some(TailDuty::new(now + READ_LEASE + LEASE_MARGIN));
         }
@@ -153,6 +160,17 @@
         while self.committed_at.len() > DATED_RECORDS {
             self.committed_at.pop_first();
         }
+        let wanted = self.log.state().desired.models.iter().map(|(model, wish)| (model.clone(), wish.weights));
+        let wanted: BTreeMap<ModelName, WeightsEdition> = wanted.collect();
+        if wanted == self.wanted_weights {
+            return;
+        }
+        for (model, weights) in std::mem::replace(&mut self.wanted_weights, wanted) {
+            if self.wanted_weights.get(&model).is_some_and(|wanted| *wanted > weights) {
+                self.gave_way.insert((model, weights), now);
+            }
+        }
+        self.gave_way.retain(|_, since| now.since(*since) < KEPT_WEIGHTS_SPAN);
     }
 
     pub fn view(&self) -> &View {
--- a/crates/warden/src/tailing.rs
+++ b/crates/warden/src/tailing.rs
@@ -253,7 +253,12 @@
                     }
                 }
                 None => {
-                    let message = NodeDown::Snapshot(Box::new(self.log.state().clone()));
+                    let gave_way = self.gave_way.iter();
+                    let gave_way = gave_way
+                        .map(|((model, weights), since)| (model.clone(), *weights, now.since(*since)))
+                        .collect();
+                    let state = Box::new(self.log.state().clone());
+                    let message = NodeDown::Snapshot { state, gave_way };
                     told_effects.push(Effect::Tell { node: *node, message, until: Some(read_until) });
                 }
             }
--- a/crates/yard/tests/places.rs
+++ b/crates/yard/tests/places.rs
@@ -99,3 +99,18 @@
     assert!(served_within(&fleet, 0, Duration::from_secs(20)));
     assert_eq!(judge(&fleet.record(&[])), []);
 }
+
+#[test]
+fn a_router_restarted_while_new_weights_go_round_uses_the_old_ones_still() {
+    let slow_load = vec!["--prefill-us=0".to_owned(), "--decode-us=1000".to_owned(), "--load-ms=9000".to_owned()];
+    let mut fleet =
+        Fleet::start(FleetPlan { nodes: 1, engines: 2, engine_flags: slow_load, ..FleetPlan::small() }).unwrap();
+    fleet.patch_document(&json!({"models": {"model": {"weights": 2}}})).unwrap();
+    fleet.nodes[0].router = None;
+    fleet.start_router(0).unwrap();
+    assert!(served_within(&fleet, 0, Duration::from_secs(30)), "{:?}", fleet.fleet_page());
+    let record = fleet.record(&[]);
+    let first_weights = record.starts().next().map(|start| start.weights);
+    assert_eq!(first_weights, Some(1), "served before the first wave was through");
+    assert_eq!(judge(&record), []);
+}
