Idempotency keys are held by time, refused when too many, never forgotten early

Two more in the same place: a claim repeated by its own run after 512 other submissions was told 409 by itself; and one that came after its giving back, on a slower way, stayed for a run that never was. Ruled out: a clock in the records (heads differ); one list by number, larger. Routers and operators' reads no longer carry claims, which were cloned at every change. Before: the tests of desired::claims cannot be met (the first of 8193 claims is free again).

--- a/crates/carriage/src/mind.rs
+++ b/crates/carriage/src/mind.rs
@@ -24,10 +24,28 @@
     Taken,
     /// Another run has the key.
     Held(String),
+    /// No more keys can be remembered: better not run than forget one early.
+    Full,
     /// Nobody knows in time.
     Unknown,
 }
 
+impl Claimed {
+    /// What the core's settlement means; none came in time if there is none.
+    pub fn of(settled: Option<Settled>) -> Claimed {
+        let complaint = match settled {
+            Some(Settled::Taken(_)) => return Claimed::Taken,
+            Some(Settled::Refused(complaints)) => complaints.into_iter().next(),
+            Some(Settled::Stale { .. }) | None => None,
+        };
+        match complaint {
+            None => Claimed::Unknown,
+            Some(complaint) if complaint.reason == CLAIMS_FULL => Claimed::Full,
+            Some(complaint) => Claimed::Held(complaint.path),
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PickOutcome {
     Placed(EngineName),
@@ -274,6 +292,7 @@
                     reason: run,
                 }));
             }
+            Claimed::Full => self.give_up(GivenUpKind::NotServed, "too many idempotency keys are held".into()),
             Claimed::Unknown => {
                 self.holds_claim = true;
                 self.give_up(GivenUpKind::NotServed, "the claim could not be settled".into());
@@ -574,6 +593,8 @@
         assert!(refused.contains(&Effect::ReleaseClaim), "{refused:?}");
         let uncertain = vec![taken, placed("a"), Input::Connected, Input::LimitPassed];
         assert!(!after(claims.clone(), uncertain).contains(&Effect::ReleaseClaim));
+        let full = after(claims.clone(), vec![Input::ClaimSettled(Claimed::Full)]);
+        assert_eq!(given_up(&full), Some((GivenUpKind::NotServed, Ran::No)));
         let held = after(claims, vec![Input::ClaimSettled(Claimed::Held("r.9".into()))]);
         assert_eq!(given_up(&held), Some((GivenUpKind::Claimed, Ran::Perhaps)));
     }
--- a/crates/carriage/src/prelude.rs
+++ b/crates/carriage/src/prelude.rs
@@ -5,5 +5,6 @@
 pub use crate::held::*;
 pub use crate::mind::*;
 pub(crate) use blocks::prelude::Salt;
+pub(crate) use desired::prelude::{CLAIMS_FULL, Settled};
 pub(crate) use placement::prelude::FleetSight;
 pub(crate) use units::prelude::*;
--- a/crates/desired/src/fleet.rs
+++ b/crates/desired/src/fleet.rs
@@ -5,8 +5,8 @@
 use crate::prelude::*;
 
 const REMEMBERED_SUBMISSIONS: usize = 512;
-/// How many claims of idempotency keys are remembered.
-pub const KEPT_CLAIMS: usize = 8192;
+/// What a refused claim is told when no more can be remembered.
+pub const CLAIMS_FULL: &str = "full";
 
 /// How the platform lists an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -121,6 +121,10 @@
         router: NodeId,
         run: u64,
     },
+    /// The tail has the book of claims turned.
+    TurnClaims {
+        turn: u64,
+    },
 }
 
 fn other_term() -> Settled {
@@ -170,10 +174,9 @@
     pub plans: BTreeMap<Edition, Plan>,
     /// Engines an operator had drained.
     pub drained: BTreeSet<EngineName>,
-    /// The latest claims, and which run made each.
-    pub claims: BTreeMap<BlockHash, (NodeId, u64)>,
-    pub claim_order: VecDeque<BlockHash>,
     pub settled: VecDeque<(RequestId, Settled)>,
+    #[serde(default)]
+    pub claim_book: ClaimBook,
 }
 
 impl FleetState {
@@ -192,6 +195,44 @@
         outcome
     }
 
+    /// Applies as a router does, which keeps no claims: they concern the core alone.
+    pub fn follow(&mut self, submission: &Submission) {
+        let is_of_claims = matches!(
+            submission.command,
+            Command::Claim { .. } | Command::Release { .. } | Command::TurnClaims { .. }
+        );
+        if !is_of_claims {
+            self.apply(submission);
+            return;
+        }
+        self.edition = self.edition.next();
+        self.settled.push_back((submission.request, Settled::Taken(self.edition)));
+        if self.settled.len() > REMEMBERED_SUBMISSIONS {
+            self.settled.pop_front();
+        }
+    }
+
+    /// The state as routers are given it.
+    pub fn without_claims(&self) -> FleetState {
+        let claim_book = ClaimBook::blank(self.claim_book.turn);
+        FleetState {
+            edition: self.edition,
+            desired_edition: self.desired_edition,
+            desired_text: self.desired_text.clone(),
+            desired: self.desired.clone(),
+            shared_wall: self.shared_wall,
+            walls: self.walls.clone(),
+            listing: self.listing.clone(),
+            listing_edition: self.listing_edition,
+            standings: self.standings.clone(),
+            duties: self.duties.clone(),
+            plans: self.plans.clone(),
+            drained: self.drained.clone(),
+            settled: self.settled.clone(),
+            claim_book,
+        }
+    }
+
     pub fn settled_before(&self, request: RequestId) -> Option<Settled> {
         self.settled.iter().rev().find(|(earlier, _)| *earlier == request).map(|(_, outcome)| outcome.clone())
     }
@@ -228,7 +269,14 @@
                 Settled::Taken(number)
             }
             Command::Claim { claim, router, run } => self.claim(number, *claim, (*router, *run)),
-            Command::Release { claim, router, run } => self.release(number, *claim, (*router, *run)),
+            Command::Release { claim, router, run } => {
+                self.claim_book.give_back(*claim, (*router, *run));
+                Settled::Taken(number)
+            }
+            Command::TurnClaims { turn } => match self.claim_book.turn_from(*turn) {
+                true => Settled::Taken(number),
+                false => Settled::Refused(vec![Complaint::at("turn", "turned already")]),
+            },
             plan_command => self.plan_command(number, plan_command),
         }
     }
@@ -333,27 +381,14 @@
         outcome
     }
 
-    fn claim(&mut self, number: Edition, claim: BlockHash, holder: (NodeId, u64)) -> Settled {
-        if let Some((router, run)) = self.claims.get(&claim) {
-            let path = format!("{router}.{run}");
-            return Settled::Refused(vec![Complaint::at(&path, "claimed")]);
-        }
-        self.claims.insert(claim, holder);
-        self.claim_order.push_back(claim);
-        while self.claim_order.len() > KEPT_CLAIMS {
-            if let Some(oldest_claim) = self.claim_order.pop_front() {
-                self.claims.remove(&oldest_claim);
-            }
-        }
-        Settled::Taken(number)
-    }
-
-    fn release(&mut self, number: Edition, claim: BlockHash, holder: (NodeId, u64)) -> Settled {
-        if self.claims.get(&claim) == Some(&holder) {
-            self.claims.remove(&claim);
-            self.claim_order.retain(|known_claim| *known_claim != claim);
-        }
-        Settled::Taken(number)
+    fn claim(&mut self, number: Edition, claim: BlockHash, claimant: Claimant) -> Settled {
+        let (path, reason) = match self.claim_book.take(claim, claimant) {
+            Ok(()) => return Settled::Taken(number),
+            Err(ClaimFault::Held((router, run))) => (format!("{router}.{run}"), "claimed"),
+            Err(ClaimFault::Released) => (format!("{}.{}", claimant.0, claimant.1), "given back before"),
+            Err(ClaimFault::Full) => (String::new(), CLAIMS_FULL),
+        };
+        Settled::Refused(vec![Complaint::at(&path, reason)])
     }
 
     fn stale(&self, base: Option<Edition>) -> Option<Settled> {
--- a/crates/desired/src/lib.rs
+++ b/crates/desired/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod prelude;
 
+mod claims;
 mod document;
 mod fleet;
 mod plans;
--- a/crates/desired/src/prelude.rs
+++ b/crates/desired/src/prelude.rs
@@ -1,5 +1,6 @@
 //! The one import of this package's files.
 
+pub use crate::claims::*;
 pub use crate::document::*;
 pub use crate::fleet::*;
 pub use crate::plans::*;
--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -306,13 +306,7 @@
         let (router, run) = (self.run.router, self.run.plan.run_number);
         let Some(claim) = self.run.plan.claim else { return Input::ClaimSettled(Claimed::Unknown) };
         let settled = self.run.core_line.submit(Command::Claim { claim, router, run }).await;
-        Input::ClaimSettled(match settled {
-            Some(Settled::Taken(_)) => Claimed::Taken,
-            Some(Settled::Refused(complaints)) => {
-                Claimed::Held(complaints.first().map(|complaint| complaint.path.clone()).unwrap_or_default())
-            }
-            _ => Claimed::Unknown,
-        })
+        Input::ClaimSettled(Claimed::of(settled))
     }
 
     fn release_claim(&self) {
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -127,7 +127,7 @@
                     return;
                 }
                 let mut state = (*current.state).clone();
-                state.apply(&submission);
+                state.follow(&submission);
                 self.put_in_force(current.following(state, committed, boot_now()));
             }
         }
--- a/crates/simulator/src/carrying.rs
+++ b/crates/simulator/src/carrying.rs
@@ -463,14 +463,7 @@
 
     pub fn settle_claim(&mut self, node: usize, ticket: u64, outcome: Settled) {
         let Some((_, router, run)) = self.tickets.remove(&ticket) else { return };
-        let claimed = match outcome {
-            Settled::Taken(_) => Claimed::Taken,
-            Settled::Refused(complaints) => {
-                Claimed::Held(complaints.first().map(|complaint| complaint.path.clone()).unwrap_or_default())
-            }
-            Settled::Stale { .. } => Claimed::Unknown,
-        };
-        self.drive(node, router, run, CarriageInput::ClaimSettled(claimed));
+        self.drive(node, router, run, CarriageInput::ClaimSettled(Claimed::of(Some(outcome))));
     }
 
     // What ends work.
--- a/crates/simulator/src/nodes.rs
+++ b/crates/simulator/src/nodes.rs
@@ -208,7 +208,7 @@
                     return;
                 }
                 let mut state = (*router.sight.state).clone();
-                state.apply(&submission);
+                state.follow(&submission);
                 router.sight.following(state, committed, local_now)
             }
         };
--- a/crates/warden/src/asks.rs
+++ b/crates/warden/src/asks.rs
@@ -74,7 +74,7 @@
                 }
                 return;
             }
-            Question::State => AskOutcome::State(Box::new(self.log.state().clone())),
+            Question::State => AskOutcome::State(Box::new(self.log.state().without_claims())),
             Question::Nodes => {
                 let Some(tail) = &self.tail else { return };
                 let reports = tail
--- a/crates/warden/src/prelude.rs
+++ b/crates/warden/src/prelude.rs
@@ -6,7 +6,9 @@
 pub(crate) use crate::tailing::*;
 pub use crate::viewing::list_ids;
 pub use chain::prelude::{ChainMessage, Log, Mark, Record};
-pub use desired::prelude::{Command, Complaint, Duty, DutyKind, FleetState, Listing, Settled, Standing, Submission};
+pub use desired::prelude::{
+    CLAIM_SPAN, Command, Complaint, Duty, DutyKind, FleetState, Listing, Settled, Standing, Submission,
+};
 pub use lease::prelude::{
     DUTY_GAP, HeldLease, LAG_LIMIT, LEASE_MARGIN, NODE_LEASE, NodeLeases, READ_LEASE, ReadLease,
 };
--- a/crates/warden/src/tailing.rs
+++ b/crates/warden/src/tailing.rs
@@ -19,6 +19,8 @@
     pub(crate) asked: Vec<Asked>,
     pub(crate) doors: BTreeMap<NodeId, RouterDoor>,
     pub(crate) told_doors: Vec<RouterDoor>,
+    /// The turn of the book of claims, and since when this tail has seen it.
+    pub(crate) claim_turn: (u64, Instant),
 }
 
 /// A linked node: the life of the router behind it, and the edition it was pushed last.
@@ -83,6 +85,7 @@
             asked: Vec::new(),
             doors: BTreeMap::new(),
             told_doors: Vec::new(),
+            claim_turn: (u64::MAX, Instant(0)),
         }
     }
 }
@@ -196,6 +199,23 @@
         self.tell_doors(read_until);
         self.settle_asked(now, read_until);
         self.appoint(now);
+        self.turn_claims(now);
+    }
+
+    /// Has the book of claims turned once this tail has seen its page for the whole span.
+    fn turn_claims(&mut self, now: Instant) {
+        let turn = self.log.state().claim_book.turn;
+        let (Some(head), Some(tail)) = (self.view.head(), self.tail.as_mut()) else { return };
+        if tail.claim_turn.0 != turn {
+            tail.claim_turn = (turn, now);
+        }
+        if now.since(tail.claim_turn.1) < CLAIM_SPAN {
+            return;
+        }
+        tail.claim_turn.1 = now;
+        let request = RequestId(BlockHash::over(&[b"turn", &turn.to_le_bytes()]).0);
+        self.send(head, CoreMessage::Submit(Submission { request, command: Command::TurnClaims { turn } }));
+        self.take_own_outcomes();
     }
 
     pub(crate) fn note_listing(&mut self, read: Option<(String, ListingNumber)>, asked: Instant) {
@@ -257,7 +277,7 @@
                     let gave_way = gave_way
                         .map(|((model, weights), since)| (model.clone(), *weights, now.since(*since)))
                         .collect();
-                    let state = Box::new(self.log.state().clone());
+                    let state = Box::new(self.log.state().without_claims());
                     let message = NodeDown::Snapshot { state, gave_way };
                     told_effects.push(Effect::Tell { node: *node, message, until: Some(read_until) });
                 }
