A share of a trial tenant's requests, by lot, so that policies are compared alike

Cause: policy compare held a trial's requests against other tenants' (and, of its own, those of an earlier time), so that differences of tenants and hours looked like differences of policies. Ruled out: comparing a tenant with itself before the trial (the hour differs); drawing by prefix (each side would keep its own memory, and the sides differ in what they share). Change: routing.trial_percent (1 to 100, default 100): each request of a tenant on trial goes by lot to the trial's policy or, at the same time, to the default; a policy is held against the default's requests of the same tenants alone; a tenant's figures begin anew when its trial or the share is changed. Before: no such comparison could be asked for. After: tests of placement (30 of 100 lots), figures (its own tenants alone).

--- a/crates/console/src/comparing.rs
+++ b/crates/console/src/comparing.rs
@@ -35,10 +35,11 @@
 
 pub fn show_comparison(book: &PolicyBook, as_json: bool) {
     let by_policy = book.by_policy();
-    let default = by_policy.get("default");
     if as_json {
-        let policies: serde_json::Map<String, Value> =
-            by_policy.iter().map(|(policy, figures)| ((*policy).to_owned(), as_value(figures, default))).collect();
+        let policies: serde_json::Map<String, Value> = by_policy
+            .iter()
+            .map(|(policy, figures)| ((*policy).to_owned(), as_value(figures, beside(book, policy).as_ref())))
+            .collect();
         let places: Vec<Value> = book
             .by_place
             .iter()
@@ -52,8 +53,12 @@
     }
     for (policy, figures) in &by_policy {
         println!("policy {policy}: {}", in_words(figures));
-        if let Some(default) = default.filter(|_| *policy != "default") {
-            println!("  against the default: {}", verdict(figures, default));
+        match beside(book, policy) {
+            Some(default) => println!("  against the default, same tenants: {}", verdict(figures, &default)),
+            None if *policy != "default" => {
+                println!("  against the default, same tenants: no request of theirs went by it")
+            }
+            None => {}
         }
         for ((_, tenant), figures) in book.by_place.iter().filter(|((known, _), _)| known == policy) {
             println!("  tenant {tenant}: {}", in_words(figures));
@@ -61,6 +66,11 @@
     }
 }
 
+/// What a policy is held against: the default's requests of the same tenants, drawn by lot.
+fn beside(book: &PolicyBook, policy: &str) -> Option<Figures> {
+    (policy != "default").then(|| book.default_beside(policy)).flatten()
+}
+
 const SHARES: [(&str, f64); 3] = [("p50", 0.5), ("p90", 0.9), ("p99", 0.99)];
 
 fn in_words(figures: &Figures) -> String {
--- a/crates/desired/src/document.rs
+++ b/crates/desired/src/document.rs
@@ -43,12 +43,20 @@
     pub sight: Sight,
     pub limit: Span,
     pub retry_percent: u64,
+    /// How many in a hundred of a trial tenant's requests go by the policy on trial; the rest, drawn by
+    /// lot at the same time, by the default.
+    #[serde(default = "all_of_them")]
+    pub trial_percent: u64,
     pub events_late: Span,
     /// What prefilling a block costs an engine, for weighing a fetch against it.
     pub prefill_block: Span,
     pub fetch: FetchWish,
 }
 
+fn all_of_them() -> u64 {
+    100
+}
+
 /// What fetching kept blocks costs, by link.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FetchWish {
@@ -77,6 +85,7 @@
             sight: Sight::Events,
             limit: Span::seconds(8),
             retry_percent: 10,
+            trial_percent: all_of_them(),
             events_late: Span::seconds(2),
             prefill_block: Span::micros(1500),
             fetch: FetchWish::default(),
@@ -168,6 +177,9 @@
         if let Some(millis) = fields.whole("limit_ms", 100, 10_000) {
             routing.limit = Span::millis(millis);
         }
+        if let Some(percent) = fields.whole("trial_percent", 1, 100) {
+            routing.trial_percent = percent;
+        }
         if let Some(percent) = fields.whole("retry_percent", 0, 20) {
             routing.retry_percent = percent;
         }
--- a/crates/figures/src/policies.rs
+++ b/crates/figures/src/policies.rs
@@ -88,6 +88,22 @@
         self.by_place.retain(|(known, _), _| known != policy);
     }
 
+    /// A tenant's trial was changed: what was seen of it before is of another time.
+    pub fn forget_tenant(&mut self, tenant: &str) {
+        self.by_place.retain(|(_, known), _| known != tenant);
+    }
+
+    /// The default's figures of those tenants alone that also ran under a policy.
+    pub fn default_beside(&self, policy: &str) -> Option<Figures> {
+        let mut beside: Option<Figures> = None;
+        for (_, tenant) in self.by_place.keys().filter(|(known, _)| known == policy) {
+            if let Some(figures) = self.by_place.get(&("default".to_owned(), tenant.clone())) {
+                beside.get_or_insert_default().merge(figures);
+            }
+        }
+        beside
+    }
+
     pub fn merge(&mut self, other: &PolicyBook) {
         for ((policy, tenant), figures) in &other.by_place {
             self.of(policy, tenant).merge(figures);
@@ -103,3 +119,20 @@
         sums
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    #[test]
+    fn a_trial_is_held_against_its_own_tenants_alone() {
+        let mut book = PolicyBook::default();
+        book.of("trial", "a").requests = 10;
+        assert_eq!(book.default_beside("trial"), None, "nothing of theirs went by the default");
+        book.of("default", "a").requests = 9;
+        book.of("default", "b").requests = 500;
+        assert_eq!(book.default_beside("trial").map(|figures| figures.requests), Some(9));
+        book.forget_tenant("a");
+        assert_eq!(book.by_policy().len(), 1);
+    }
+}
--- a/crates/measure/src/picks.rs
+++ b/crates/measure/src/picks.rs
@@ -44,6 +44,7 @@
         blocks: BlockCount(names.len() as u64),
         names: BTreeMap::from([(WeightsEdition(1), names.clone())]),
         outcome_blocks: BlockCount(1),
+        lot: 0,
         tried: Vec::new(),
     };
     let sizes = [1_000u64, 10_000, 100_000, 1_000_000];
--- a/crates/placement/src/picker.rs
+++ b/crates/placement/src/picker.rs
@@ -19,6 +19,8 @@
     pub names: BTreeMap<WeightsEdition, Vec<BlockHash>>,
     pub blocks: BlockCount,
     pub outcome_blocks: BlockCount,
+    /// From 0 to 99, by which requests of a tenant on trial are told apart.
+    pub lot: u64,
     /// Engines already tried for this request.
     pub tried: Vec<EngineName>,
 }
@@ -248,7 +250,8 @@
     /// The lowest-cost engine among those that pass; nothing if none does. In a split pool the engine
     /// that prefills is picked by overlap, and the one that decodes by blocks in use and added.
     pub fn pick(&mut self, sight: &FleetSight, prompt: &Prompt, now: Instant) -> Option<Placement> {
-        let (policy, table) = match sight.trial_tables.get(&prompt.tenant) {
+        let is_drawn = prompt.lot < sight.state.desired.routing.trial_percent;
+        let (policy, table) = match sight.trial_tables.get(&prompt.tenant).filter(|_| is_drawn) {
             Some((name, table)) => (name.clone(), table),
             None => (DEFAULT_POLICY.to_owned(), &sight.default_table),
         };
@@ -413,6 +416,7 @@
             blocks: BlockCount(names.len() as u64),
             names: BTreeMap::from([(WeightsEdition(1), names)]),
             outcome_blocks: BlockCount(1),
+            lot: 0,
             tried: Vec::new(),
         }
     }
@@ -482,6 +486,20 @@
         assert_eq!(passing, ["well"]);
     }
 
+    #[test]
+    fn a_share_of_a_trial_tenants_requests_goes_by_the_trial() {
+        let document = r#"{"models":{"m":{"weights":1}},"tenants":{"t":{},"u":{}},"kinds":["k"],
+            "policies":{"p":{"weight":4}},"trials":{"t":"p"},"routing":{"trial_percent":30}}"#;
+        let sight = fleet(&["one", "two"], document);
+        let mut picker = Picker::new(NodeId(1), "a".into());
+        let mut on_trial = |tenant: &str, lot| {
+            let asked = Prompt { tenant: tenant.into(), lot, ..prompt("z") };
+            picker.pick(&sight, &asked, NOW).unwrap().policy == "p"
+        };
+        assert_eq!((0..100).filter(|lot| on_trial("t", *lot)).count(), 30);
+        assert_eq!((0..100).filter(|lot| on_trial("u", *lot)).count(), 0);
+    }
+
     #[test]
     fn old_weights_are_given_up_in_time() {
         let sight = fleet(&["one"], DOCUMENT);
--- a/crates/router/src/plan.rs
+++ b/crates/router/src/plan.rs
@@ -151,6 +151,7 @@
             names,
             blocks: blocks_of(self.prompt_text.len()),
             outcome_blocks: BlockCount(self.max_tokens.div_ceil(BLOCK_TOKENS as u64)),
+            lot: BlockHash::over(&[b"lot", self.run.as_bytes()]).0 % 100,
             tried: tried.to_vec(),
         }
     }
--- a/crates/router/src/stand.rs
+++ b/crates/router/src/stand.rs
@@ -47,7 +47,8 @@
         Arc::clone(&self.sight.read().expect("no holder of this lock panics"))
     }
 
-    /// Puts a sight in force. Figures of a policy that was changed begin anew.
+    /// Puts a sight in force. Figures of a policy that was changed, and of a tenant whose trial was, begin
+    /// anew, so that both sides of a trial are of the same time.
     pub fn publish(&self, sight: FleetSight) {
         let earlier = self.sight();
         let (old_policies, new_policies) = (&earlier.state.desired.policies, &sight.state.desired.policies);
@@ -55,6 +56,13 @@
         for name in names.filter(|name| old_policies.get(*name) != new_policies.get(*name)) {
             self.policies().forget(name);
         }
+        let (before, after) = (&earlier.state.desired, &sight.state.desired);
+        let share_moved = before.routing.trial_percent != after.routing.trial_percent;
+        for tenant in before.trials.keys().chain(after.trials.keys()) {
+            if share_moved || before.trials.get(tenant) != after.trials.get(tenant) {
+                self.policies().forget_tenant(tenant.as_str());
+            }
+        }
         *self.sight.write().expect("no holder of this lock panics") = Arc::new(sight);
         self.news.send_modify(|count| *count += 1);
     }
--- a/crates/simulator/src/carrying.rs
+++ b/crates/simulator/src/carrying.rs
@@ -285,6 +285,7 @@
             names,
             blocks: blocks_of(run.request.text.len()),
             outcome_blocks: BlockCount(run.request.tokens.div_ceil(16)),
+            lot: 0,
             tried,
         };
         let Some(placement) = router.picker.pick(sight, &prompt, local_now) else { return PickOutcome::NoEngine };
