--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,15 +3,16 @@
 mod fleets;
 mod picks;
 mod prelude;
+mod trials;
 
 use crate::prelude::*;
 
 static TRADE: Trade = Trade {
     program: "measure",
-    about: "Measures a fleet on this machine: picks, overhead, acks, recovery, pile-up or memory.",
+    about: "Measures a fleet on this machine: picks, overhead, acks, recovery, pile-up, memory or trials.",
     settings: &[setting(
         "what",
-        Kind::Choice(&["picks", "overhead", "acks", "recovery", "gap", "cuts", "pile-up", "memory"]),
+        Kind::Choice(&["picks", "overhead", "acks", "recovery", "gap", "cuts", "pile-up", "memory", "trials"]),
         None,
         "what to measure",
     )],
@@ -30,6 +31,7 @@
             "gap" => measure_gap(),
             "cuts" => measure_cuts(),
             "pile-up" => measure_pile_up(),
+            "trials" => measure_trials(),
             _ => measure_memory(),
         };
         outcome.map_err(|reason| miette!("{reason}"))
--- a/crates/measure/src/prelude.rs
+++ b/crates/measure/src/prelude.rs
@@ -2,8 +2,10 @@
 
 pub(crate) use crate::fleets::*;
 pub(crate) use crate::picks::*;
+pub(crate) use crate::trials::*;
 pub(crate) use blocks::prelude::{KeptEvent, Salt, cut};
 pub(crate) use desired::prelude::{Command, FleetState, Listed, ListedEngine, Listing, Standing, Submission};
+pub(crate) use figures::prelude::{Figures, PolicyBook};
 pub(crate) use placement::prelude::{FleetSight, Picker, Prompt};
 pub(crate) use std::collections::BTreeMap;
 pub(crate) use trade::prelude::*;
--- /dev/null
+++ b/crates/measure/src/trials.rs
@@ -0,0 +1,58 @@
+//! Trials on live traffic: a policy equal to the default must show no difference, one that is blind to
+//! kept prompts a known one; and what a hostile one does to the tenants beside it.
+
+use crate::prelude::*;
+
+const SECONDS: u64 = 25;
+
+/// Each office with half of a large tenant's requests on trial, policy after policy.
+pub fn measure_trials() -> Result<(), String> {
+    for office in ["engraving", "sms"] {
+        let fleet = Fleet::start(FleetPlan::office(office))?;
+        let tenant = fleet.tenants[0].0.clone();
+        for (round, policy) in ["same", "blind", "hostile", "same", "hostile"].into_iter().enumerate() {
+            fleet.patch_document(&json!({
+                "policies": {"same": {"weight": 1}, "blind": {"weight": 0}, "hostile": {"weight": 1_000_000}},
+                "trials": {tenant.clone(): policy},
+                "routing": {"trial_percent": 49 + round},
+            }))?;
+            let (calling, calls) = fleet.start_caller(&format!("day{round}"), SECONDS, 0, round as u64 + 1)?;
+            calling.join().map_err(|_| "the caller's thread failed")??;
+            let book = gather(&fleet)?;
+            let own = book.by_policy().remove(policy).unwrap_or_default();
+            let beside = book.default_beside(policy).unwrap_or_default();
+            let record = fleet.record(&[calls]);
+            let others = record.callers.iter().filter(|caller| caller.tenant != tenant);
+            let mut firsts: Vec<u64> = others.filter_map(|caller| caller.first_ms).collect();
+            println!("{office} {policy}: trial {}", told(&own));
+            println!("{office} {policy}: default of the same tenant {}", told(&beside));
+            println!("{office} {policy}: other tenants' first piece ms {}", crate::spread(&mut firsts));
+        }
+    }
+    Ok(())
+}
+
+fn gather(fleet: &Fleet) -> Result<PolicyBook, String> {
+    let mut book = PolicyBook::default();
+    for node in 0..fleet.nodes.len() {
+        book.merge(&PolicyBook::read(&fleet.metrics(&fleet.router_address(node))?)?);
+    }
+    Ok(book)
+}
+
+fn told(figures: &Figures) -> String {
+    let quantiles: Vec<String> = [("p50", 0.5), ("p90", 0.9)]
+        .iter()
+        .map(|(name, share)| match figures.first.quantile(*share) {
+            Some(found) => format!("{name} {:.0} ({:.0}-{:.0})", found.value, found.low, found.high),
+            None => format!("{name} too few"),
+        })
+        .collect();
+    let reused = 100.0 * figures.reused_blocks as f64 / figures.prompt_blocks.max(1) as f64;
+    format!(
+        "{} requests, first piece ms {}, reused {reused:.1} %, busiest engine {:.1} % of picks",
+        figures.requests,
+        quantiles.join(" "),
+        100.0 * figures.busiest_share()
+    )
+}
--- a/crates/yard/src/fleet.rs
+++ b/crates/yard/src/fleet.rs
@@ -487,10 +487,15 @@
         if formed { Ok(()) } else { Err(format!("the core did not form: {:?}", self.fleet_page())) }
     }
 
+    /// What a process says on its page of metrics.
+    pub fn metrics(&self, address: &str) -> Result<String, String> {
+        let asked = ask_whole(address, Question::get("/metrics"), Span::seconds(2), 16 << 20);
+        let (_, _, body) = self.runtime.block_on(asked)?;
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    }
+
     pub fn gauge(&self, address: &str, name: &str) -> Option<u64> {
-        let asked = ask_whole(address, Question::get("/metrics"), Span::seconds(2), 1 << 20);
-        let (_, _, body) = self.runtime.block_on(asked).ok()?;
-        let text = String::from_utf8_lossy(&body).into_owned();
+        let text = self.metrics(address).ok()?;
         let line = text.lines().find(|line| line.split(' ').next() == Some(name))?;
         line.rsplit(' ').next()?.parse().ok()
     }
