Packages named by what they are

Cause: seven packages had names that say nothing to a newcomer. Moved, with nothing else changed: warden -> coordinator (keepers' state machine), courier -> subscription (the agent's state machine), carriage -> attempts (a request's attempts), trade -> process (command line, settings, logs, signals), yard -> testbed (whole fleets on one machine; its program too), rings -> queues (bounded queues and duty threads), booth -> standin (what the stand-in servers share).

Ruled out: `runtime` in place of `process`, which would stand beside tokio's runtime and the variables called so; no file imports `std::process` by its bare name, so `process::` is unambiguous.

Conclusion: moves and names only.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,7 +1,7 @@
 //! The agent with the product's own settings.
 
 use agent::prelude::*;
-use trade::prelude::*;
+use process::prelude::*;
 use units::prelude::*;
 
 static TRADE: Trade = Trade {
--- a/crates/agent/src/prelude.rs
+++ b/crates/agent/src/prelude.rs
@@ -1,11 +1,11 @@
 //! The one import of this package's files, and of programs that run an agent.
 
 pub use crate::run::*;
-pub(crate) use courier::prelude::*;
+pub(crate) use coordinator::prelude::NodeDown;
 pub(crate) use links::prelude::{Hello, Link, LinkEvent, LinkId, Purpose, accept_links, dial_and_hold};
-pub(crate) use rings::prelude::*;
+pub(crate) use process::prelude::*;
+pub(crate) use queues::prelude::*;
 pub(crate) use std::sync::Arc;
 pub(crate) use std::sync::atomic::{AtomicU64, Ordering};
-pub(crate) use trade::prelude::*;
+pub(crate) use subscription::prelude::*;
 pub(crate) use units::prelude::*;
-pub(crate) use warden::prelude::NodeDown;
--- a/crates/caller/src/prelude.rs
+++ b/crates/caller/src/prelude.rs
@@ -3,11 +3,11 @@
 pub(crate) use crate::day::*;
 pub(crate) use crate::office::*;
 pub(crate) use contract::prelude::*;
+pub(crate) use process::prelude::*;
 pub(crate) use serde_json::{Value, json};
 pub(crate) use std::io::Write as _;
 pub(crate) use std::sync::{Arc, Mutex};
 pub(crate) use std::time::Duration;
-pub(crate) use trade::prelude::*;
 pub(crate) use units::prelude::*;
 pub(crate) use verdict::prelude::CallerLine;
 pub(crate) use web::prelude::{Method, Question, Replied, open_stream, read_whole, small_runtime};
--- a/crates/gateway/src/prelude.rs
+++ b/crates/gateway/src/prelude.rs
@@ -17,12 +17,13 @@
 pub use crate::request::*;
 pub use crate::table::*;
 pub(crate) use admission::prelude::RetryBudget;
+pub(crate) use attempts::prelude::is_leased;
 pub(crate) use blocks::prelude::Salt;
-pub(crate) use carriage::prelude::is_leased;
 pub(crate) use desired::prelude::{DesiredState, ServiceWish};
 pub use parts::prelude::{PartBatch, PartEvent, PartName, SourcePosition};
 pub(crate) use placement::prelude::{DEFAULT_POLICY, FleetSight, OldWeightsSpan};
-pub(crate) use rings::prelude::*;
+pub(crate) use process::prelude::{Report, event, miette, sha256_hex};
+pub(crate) use queues::prelude::*;
 pub use router::prelude::RouterDoor;
 pub(crate) use router::prelude::{CoreLine, FeedPlan, Stand, keep_feed};
 pub(crate) use routes::prelude::{NamedRoute, Variant};
@@ -36,7 +37,6 @@
 pub(crate) use std::sync::{Arc, Mutex};
 pub(crate) use std::time::Duration;
 pub(crate) use tokio::sync::oneshot;
-pub(crate) use trade::prelude::{Report, event, miette, sha256_hex};
 pub use units::prelude::*;
 pub(crate) use web::prelude::{
     Asked, BodyExt, BodyFault, CallerBounds, Incoming, KeptConnection, OutcomeFuture, PieceSender, Response, Site,
--- a/crates/keeper/src/main.rs
+++ b/crates/keeper/src/main.rs
@@ -2,8 +2,8 @@
 //! operators' door.
 
 use keeper::prelude::*;
+use process::prelude::*;
 use std::path::{Path, PathBuf};
-use trade::prelude::*;
 use units::prelude::*;
 
 static TRADE: Trade = Trade {
--- a/crates/keeper/src/prelude.rs
+++ b/crates/keeper/src/prelude.rs
@@ -15,13 +15,15 @@
 pub use conductor::prelude::OrderAnswer;
 pub(crate) use conductor::prelude::{Act, Bringer, Bringing, Conductor, Observed};
 pub(crate) use contract::prelude::*;
+pub(crate) use coordinator::prelude::*;
 pub(crate) use desired::prelude::{
     Band, Bounds as TextBounds, ConfigurationChange, DOCUMENT_BOUNDS, DesiredState, JsonValue, Listed, ListedEngine,
     Plan, PlanStatus, Policy, Revision, Role, merge, parse_bounded, read_document, read_intent, write_sorted,
 };
 pub(crate) use ledger::prelude::{DiskFault, Folder, Row};
 pub(crate) use links::prelude::{Hello, Link, LinkEvent, LinkId, Post, Purpose, accept_links};
-pub(crate) use rings::prelude::*;
+pub(crate) use process::prelude::*;
+pub(crate) use queues::prelude::*;
 pub(crate) use serde_json::{Value, json};
 pub(crate) use std::collections::{BTreeMap, BTreeSet, HashMap};
 pub(crate) use std::path::{Path, PathBuf};
@@ -30,9 +32,7 @@
 pub(crate) use std::time::Duration;
 pub use timing::prelude::Timing;
 pub(crate) use tokio::sync::oneshot;
-pub(crate) use trade::prelude::*;
 pub(crate) use units::prelude::*;
-pub(crate) use warden::prelude::*;
 pub(crate) use web::prelude::{
     Asked, OutcomeFuture, Site, WebOutcome, WebOutcomeExt, ask_whole, no_such_page, open_stream, outcome_bytes,
     outcome_json, refuse, serve, small_runtime,
--- a/crates/keeper/tests/filing.rs
+++ b/crates/keeper/tests/filing.rs
@@ -1,11 +1,11 @@
 //! What a keeper stores, as its data folder holds it: given back whole, with a gap named, and bounded.
 
+use coordinator::prelude::*;
 use desired::prelude::{ConfigurationChange, Revision};
 use keeper::prelude::*;
 use ledger::prelude::{Folder, Row};
 use std::path::{Path, PathBuf};
 use units::prelude::*;
-use warden::prelude::*;
 
 /// Large changes leave the ledger below this, a quarter of a core machine's disk.
 const MOST_LEDGER_BYTES: u64 = 32 << 20;
--- a/crates/keeper/tests/patience.rs
+++ b/crates/keeper/tests/patience.rs
@@ -1,15 +1,15 @@
 //! What waits for a desk whose disk refuses: kept for a while, then dropped, so that nobody stands still.
 
+use coordinator::prelude::{AskOutcome, Question};
 use keeper::prelude::*;
 use ledger::prelude::DiskFault;
 use links::prelude::{Hello, LinkEvent, Purpose, accept_links, dial_and_hold};
-use rings::prelude::*;
+use queues::prelude::*;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 use units::prelude::{FleetId, NodeId, Span};
-use warden::prelude::{AskOutcome, Question};
 
 fn refusal() -> DiskFault {
     DiskFault { reason: "no room".into(), may_pass: true }
--- a/crates/links/src/prelude.rs
+++ b/crates/links/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use crate::held::*;
 pub use crate::post::*;
 pub(crate) use crate::sockets::*;
-pub(crate) use rings::prelude::*;
+pub(crate) use queues::prelude::*;
 pub(crate) use serde::{Serialize, de::DeserializeOwned};
 pub(crate) use std::collections::HashMap;
 pub(crate) use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
--- a/crates/measure/src/prelude.rs
+++ b/crates/measure/src/prelude.rs
@@ -8,9 +8,9 @@
 pub(crate) use desired::prelude::{Command, FleetState, Listed, ListedEngine, Listing, Standing, Submission};
 pub(crate) use figures::prelude::{Figures, PolicyBook};
 pub(crate) use placement::prelude::{FleetSight, Picker, Prompt};
+pub(crate) use process::prelude::*;
 pub(crate) use std::collections::BTreeMap;
-pub(crate) use trade::prelude::*;
-pub(crate) use units::prelude::*;
-pub(crate) use yard::prelude::{
+pub(crate) use testbed::prelude::{
     DayReport, Duration, Fleet, FleetPlan, Method, Passage, Process, Value, boot_millis, json, wait_until,
 };
+pub(crate) use units::prelude::*;
--- a/crates/measure/src/scale/hollow_nodes.rs
+++ b/crates/measure/src/scale/hollow_nodes.rs
@@ -3,13 +3,13 @@
 //! streams is tallied by kind of message.
 
 use crate::prelude::*;
-use courier::prelude::{Courier, CourierEffect, CourierInput, RouterDown, RouterUp};
 use std::io::{BufReader, Read};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
+use subscription::prelude::{Courier, CourierEffect, CourierInput, RouterDown, RouterUp};
 use wire::prelude::{Hello, Inbound, NodeDown, NodeUp, Purpose, RouterDoor, encode, read_frame, write_frame};
 
 const DIAL_LIMIT: Duration = Duration::from_millis(500);
--- a/crates/measure/src/scale/requests.rs
+++ b/crates/measure/src/scale/requests.rs
@@ -20,7 +20,7 @@
     for size in sizes {
         let mut sample = Sample::new("requests", *size, round);
         let out_path = fleet.folder.join(format!("calls-{size}"));
-        let mut command = Command::new(yard::prelude::program_path("caller")?);
+        let mut command = Command::new(testbed::prelude::program_path("caller")?);
         command
             .arg(format!("--routers={}", fleet.router_address(0)))
             .arg(format!("--office={}", fleet.plan.office))
--- a/crates/trade/src/settings.rs
+++ b/crates/process/src/settings.rs
@@ -263,7 +263,7 @@
     };
 
     fn read_with_file(text: &str, flags: &[&str]) -> Result<Settings, String> {
-        let path = std::env::temp_dir().join(format!("trade-{}.json", NodeId::random()));
+        let path = std::env::temp_dir().join(format!("process-{}.json", NodeId::random()));
         std::fs::write(&path, text).unwrap();
         let mut arguments: Vec<std::ffi::OsString> = vec!["tested".into(), "--settings".into(), path.clone().into()];
         arguments.extend(flags.iter().map(std::ffi::OsString::from));
--- a/crates/router/src/prelude.rs
+++ b/crates/router/src/prelude.rs
@@ -12,22 +12,22 @@
 pub use crate::stand::*;
 pub use crate::table::*;
 pub use admission::prelude::{RetryBudget, Shares};
+pub use attempts::prelude::*;
 pub use blocks::prelude::{BLOCK_TOKENS, Salt, blocks_of, cut};
-pub use carriage::prelude::*;
 pub use contract::prelude::*;
 pub use desired::prelude::{Command, Settled, Submission};
 pub use figures::prelude::{Figures, PolicyBook};
 pub use links::prelude::{Hello, Link, LinkEvent, Purpose, dial_and_hold};
 pub use placement::prelude::*;
+pub use process::prelude::*;
+pub use queues::prelude::*;
 pub use recording::prelude::{DayWriter, RecordedPick, RecordedRun, RecordedScore};
-pub use rings::prelude::*;
 pub use serde_json::{Value, json};
 pub use std::collections::{HashMap, VecDeque};
 pub use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 pub use std::sync::{Arc, Mutex, RwLock};
 pub use std::time::Duration;
 pub use tokio::sync::oneshot;
-pub use trade::prelude::*;
 pub use units::prelude::*;
 pub use web::prelude::{
     Asked, BodyFault, Bytes, Method, OpenStream, OutcomeFuture, PieceSender, Question, Replied, SendFault, Site,
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -1,8 +1,8 @@
 //! Runs seeds, or one seed with its notes.
 
+use process::prelude::*;
 use simulator::prelude::*;
 use std::collections::BTreeMap;
-use trade::prelude::*;
 use units::prelude::*;
 
 static TRADE: Trade = Trade {
--- a/crates/store/src/main.rs
+++ b/crates/store/src/main.rs
@@ -1,8 +1,8 @@
 //! Stand-in for the prompt store: keeps blocks by name for any engine, tells of them by the same
 //! numbered events, and starts empty each time.
 
-use booth::prelude::*;
 use engine::prelude::*;
+use standin::prelude::*;
 
 static TRADE: Trade = Trade {
     program: "store",
--- a/crates/courier/src/mind.rs
+++ b/crates/subscription/src/mind.rs
@@ -346,7 +346,7 @@
 #[cfg(test)]
 mod tests {
     use crate::prelude::*;
-    use warden::prelude::Command;
+    use coordinator::prelude::Command;
 
     fn at(seconds: u64) -> Instant {
         Instant(0) + Span::seconds(seconds)
--- a/crates/yard/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -105,7 +105,7 @@
 impl Fleet {
     /// Starts everything and waits until requests are served by every router.
     pub fn start(plan: FleetPlan) -> Result<Fleet, String> {
-        let folder = std::env::temp_dir().join(format!("yard-{}", NodeId::random()));
+        let folder = std::env::temp_dir().join(format!("testbed-{}", NodeId::random()));
         Fleet::start_in(plan, folder, false)
     }
 
--- a/crates/yard/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,10 +1,10 @@
 //! The yard's program: starts a whole office on this machine, plays its day, and reports.
 
-use trade::prelude::*;
-use yard::prelude::*;
+use process::prelude::*;
+use testbed::prelude::*;
 
 static TRADE: Trade = Trade {
-    program: "yard",
+    program: "testbed",
     about: "Runs a whole fleet on this machine, plays an office's day, and reports.",
     settings: &[
         setting("office", Kind::Choice(&["engraving", "sms"]), Some("engraving"), "whose day is played"),
--- a/crates/yard/tests/core.rs
+++ b/crates/testbed/tests/core.rs
@@ -1,7 +1,7 @@
 //! The core by real processes: loss of each place in the chain, restart of all from disk, an empty
 //! replacement, founding refused where a fleet exists, and what a damaged folder says.
 
-use yard::prelude::*;
+use testbed::prelude::*;
 
 /// A fleet without engines or nodes: the core alone.
 fn core_only() -> Fleet {
--- a/crates/yard/tests/data.rs
+++ b/crates/testbed/tests/data.rs
@@ -2,7 +2,7 @@
 //! weights; callers that send nonsense or leave; draining.
 
 use std::io::{Read, Write};
-use yard::prelude::*;
+use testbed::prelude::*;
 
 fn engine_faults(fleet: &Fleet, engine: usize, faults: Value) {
     let answer = fleet.ask(&fleet.engines[engine].address, Method::POST, "/v1/faults", Some(&faults)).unwrap();
--- a/crates/yard/tests/disks.rs
+++ b/crates/testbed/tests/disks.rs
@@ -2,7 +2,7 @@
 //! not synced when power goes right after an acknowledgement. They need the keeper built with its
 //! `faults` feature, apart from the ordinary one; `./check` builds it.
 
-use yard::prelude::*;
+use testbed::prelude::*;
 
 fn frail_fleet(nodes: usize, engines: usize) -> Fleet {
     Fleet::start(FleetPlan { nodes, engines, frail: true, ..FleetPlan::small() }).unwrap()
--- a/crates/yard/tests/faults.rs
+++ b/crates/testbed/tests/faults.rs
@@ -1,7 +1,7 @@
 //! Whole-fleet faults by real processes: several machines at once, a full disk, a pool replaced engine
 //! by engine, configurations that are large or come in quick succession.
 
-use yard::prelude::*;
+use testbed::prelude::*;
 
 #[test]
 fn half_the_core_and_a_router_lost_at_once_come_back() {
--- a/crates/yard/tests/later.rs
+++ b/crates/testbed/tests/later.rs
@@ -3,7 +3,7 @@
 
 use std::io::{Read, Write};
 use std::process::Command;
-use yard::prelude::*;
+use testbed::prelude::*;
 
 fn console(fleet: &Fleet, words: &[&str]) -> (Option<i32>, String) {
     let door = fleet.keepers.iter().map(|keeper| keeper.door.clone()).collect::<Vec<_>>().join(",");
--- a/crates/yard/tests/path.rs
+++ b/crates/testbed/tests/path.rs
@@ -1,7 +1,7 @@
 //! The whole path, by real processes: a fleet forms, takes a desired state, serves, and carries every
 //! change to every router before it is acknowledged.
 
-use yard::prelude::*;
+use testbed::prelude::*;
 
 #[test]
 fn a_fleet_forms_serves_and_changes() {
--- a/crates/yard/tests/places.rs
+++ b/crates/testbed/tests/places.rs
@@ -2,7 +2,7 @@
 //! stream; every keeper that the settings name as a seed, one after the other.
 
 use std::io::{BufRead, BufReader, Write};
-use yard::prelude::*;
+use testbed::prelude::*;
 
 fn served_within(fleet: &Fleet, router: usize, cap: Duration) -> bool {
     wait_until(cap, || fleet.complete(router, 0, "are you there").is_ok_and(|answer| answer.0 == 200))
--- a/crates/yard/tests/settings.rs
+++ b/crates/testbed/tests/settings.rs
@@ -2,7 +2,7 @@
 //! operators' command line against a live core.
 
 use std::process::Command;
-use yard::prelude::*;
+use testbed::prelude::*;
 
 fn run(program: &str, arguments: &[&str], key: Option<&str>) -> (Option<i32>, String, String) {
     let mut command = Command::new(program_path(program).unwrap());
@@ -27,7 +27,7 @@
         "store",
         "caller",
         "replay",
-        "yard",
+        "testbed",
         "simulator",
     ] {
         let (code, help, _) = run(program, &["--help"], None);
--- a/crates/yard/tests/strangers.rs
+++ b/crates/testbed/tests/strangers.rs
@@ -1,8 +1,8 @@
 //! Strangers and odd pools: another wire format, another fleet, a split pool, links that slow down, and
 //! the rule that nothing reads the wall clock to decide.
 
+use testbed::prelude::*;
 use wire::prelude::{FORMAT, Hello, Purpose, write_frame};
-use yard::prelude::*;
 
 #[test]
 fn another_wire_format_and_another_fleet_are_refused_by_name() {
@@ -43,7 +43,7 @@
     assert!(record.starts().all(|start| start.engine != "engine0"), "the prefilling engine answers nobody");
     assert_eq!(record.starts().count(), 4);
     let prefills: Vec<_> =
-        record.engines.iter().filter(|line| matches!(line, yard::prelude::EngineLine::Prefill(_))).collect();
+        record.engines.iter().filter(|line| matches!(line, testbed::prelude::EngineLine::Prefill(_))).collect();
     assert!(!prefills.is_empty() && prefills.len() <= 4, "prefills are told as work: {prefills:?}");
     let other_weights = web::prelude::Question::with_json(
         Method::POST,
@@ -108,7 +108,7 @@
             assert!(path.ends_with("units/src/clock.rs"), "{path} reads the wall clock");
         }
         if text.contains(&reader_name) {
-            let may_print = ["units/src/clock.rs", "trade/src/logs.rs", "router/src/carry.rs"];
+            let may_print = ["units/src/clock.rs", "process/src/logs.rs", "router/src/carry.rs"];
             assert!(may_print.iter().any(|allowed| path.ends_with(allowed)), "{path} asks for wall time");
         }
     }
--- a/crates/yard/tests/withdrawn.rs
+++ b/crates/testbed/tests/withdrawn.rs
@@ -2,7 +2,7 @@
 //! of it and on one that cannot.
 
 use std::io::{BufRead, BufReader, Write};
-use yard::prelude::*;
+use testbed::prelude::*;
 
 /// A caller that streams a long answer, and what it saw.
 struct LongCaller {
