--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -4,5 +4,10 @@
 
 pub mod prelude;
 
+mod answers;
 mod judge;
 mod lines;
+mod memory;
+mod service;
+mod states;
+mod withdrawn;
