simulator: files divided by what they own, long functions in steps

Cause: carrying.rs (585 lines), pool.rs (509) and world.rs (438) each held several things. Now `runs`, `effects`, `placing`, `claims`, `bounds`, `resuming` for requests at routers; `engines`, `engine_work`, `memory`, `polling` for engines and what they keep; `events`, `founding`, `sampling` beside `world`. An engine's step on its work, a run's effects, the write and the world's beginning are parted into short functions; machines have constructors.

--- /dev/null
+++ b/crates/simulator/src/bounds.rs
@@ -0,0 +1,70 @@
+//! What ends or bounds work under way: limits, withdrawn keys, lost leases, routers that are gone.
+
+use crate::prelude::*;
+
+const WORK_LOOK: Span = Span::millis(100);
+
+impl World {
+    /// Limits, withdrawn keys and long-lost leases end what a router has under way.
+    pub fn look_at_work(&mut self, node: usize) {
+        if self.nodes[node].frozen_until > self.now {
+            return;
+        }
+        let local_now = self.nodes[node].clock.read(self.now);
+        let Some(router) = self.nodes[node].router.as_mut() else { return };
+        let router_id = router.id;
+        router.runs.retain(|_, run| !run.held.as_ref().is_some_and(|held| held.is_over(local_now)));
+        let mut ended = Vec::new();
+        for (number, run) in router.runs.iter().filter(|(_, run)| !run.carriage.is_done()) {
+            let (key_hash, tenant) = (&run.request.key_hash, &run.request.tenant);
+            if let Err(bar) = may_go_on(&router.sight, router.lease_until, key_hash, tenant, local_now) {
+                ended.push((*number, CarriageInput::WorkBarred(bar)));
+            } else if local_now >= run.limit {
+                ended.push((*number, CarriageInput::LimitPassed));
+            }
+        }
+        for (number, input) in ended {
+            self.drive(node, router_id, number, input);
+        }
+        self.allow_more(node, local_now);
+    }
+
+    /// Engines that are at work for long are allowed more time while the lease bears it.
+    pub(crate) fn allow_more(&mut self, node: usize, local_now: Instant) {
+        let Some(router) = self.nodes[node].router.as_mut() else { return };
+        let mut allowed = Vec::new();
+        for run in router.runs.values_mut() {
+            let Some(shot) = run.shot.as_mut().filter(|shot| shot.arrives_at.is_some()) else { continue };
+            if let Some(more) = shot.allowance.more(router.lease_until, run.limit, local_now) {
+                shot.allowance = more;
+                allowed.push((shot.engine, shot.name.clone(), more.left(local_now)));
+            }
+        }
+        for (engine, shot, span) in allowed {
+            let delay = self.net.delay(&mut self.draw);
+            self.later(delay, Happening::EngineAllows { engine, shot, span });
+        }
+    }
+
+    pub fn work_pulse(&mut self, node: usize, life: u64) {
+        if self.nodes[node].life == life {
+            self.look_at_work(node);
+            self.later(WORK_LOOK, Happening::WorkLook { node, life });
+        }
+    }
+
+    /// A router's runs end with it; engines notice at once, or not if the whole machine is gone.
+    pub fn lose_runs(&mut self, node: usize, with_machine: bool) {
+        let Some(router) = self.nodes[node].router.take() else { return };
+        for run in router.runs.into_values() {
+            if !run.carriage.is_done() {
+                self.feed_caller(&run, CallerNews::Lost);
+            }
+            let Some(shot) = run.shot.filter(|_| !with_machine) else { continue };
+            if let Some(arrives_at) = shot.arrives_at {
+                let lost = Happening::EngineLosesCaller { engine: shot.engine, shot: shot.name };
+                self.at(arrives_at.max(self.now + Span::millis(3)), lost);
+            }
+        }
+    }
+}
--- a/crates/simulator/src/cast.rs
+++ b/crates/simulator/src/cast.rs
@@ -11,6 +11,10 @@
 }
 
 impl Clock {
+    pub fn drawn(draw: &mut Draw) -> Clock {
+        Clock { offset: draw.between(1_000, 1_000_000) * 1_000_000_000, rate: draw.between(99_500, 100_500) }
+    }
+
     pub fn read(&self, at: Instant) -> Instant {
         Instant(self.offset + at.0 / 100_000 * self.rate)
     }
@@ -36,6 +40,27 @@
     pub submitted: BTreeMap<EngineName, Instant>,
 }
 
+impl SimKeeper {
+    /// A keeper that has not started, with an empty disk.
+    pub fn new(number: usize, clock: Clock) -> SimKeeper {
+        SimKeeper {
+            warden: None,
+            id: NodeId(number as u64 + 1),
+            address: format!("k{number}"),
+            disk: Kept::default(),
+            clock,
+            life: 0,
+            frozen_until: Instant(0),
+            busy_until: Instant(0),
+            sync_span: Span::millis(2),
+            census_since: None,
+            census_read: Instant(0),
+            conductor: Conductor::default(),
+            submitted: BTreeMap::new(),
+        }
+    }
+}
+
 pub struct SimNode {
     pub courier: Option<Courier>,
     pub id: NodeId,
@@ -48,6 +73,22 @@
     pub link: Option<usize>,
 }
 
+impl SimNode {
+    /// A node on which nothing has started.
+    pub fn new(number: usize, clock: Clock) -> SimNode {
+        SimNode {
+            courier: None,
+            id: NodeId(1000 + number as u64),
+            clock,
+            life: 0,
+            frozen_until: Instant(0),
+            router: None,
+            fed_router: None,
+            link: None,
+        }
+    }
+}
+
 /// The router: what is in force, until when it may start, and what it has under way.
 pub struct SimRouter {
     pub id: NodeId,
--- /dev/null
+++ b/crates/simulator/src/effects.rs
@@ -0,0 +1,117 @@
+//! What a run's state machine orders, carried out in the world.
+
+use crate::prelude::*;
+
+impl World {
+    pub(crate) fn carry(
+        &mut self,
+        node: usize,
+        router_id: NodeId,
+        run: &mut SimRun,
+        effect: CarriageEffect<SimPiece>,
+        inputs: &mut VecDeque<CarriageInput<SimPiece>>,
+    ) {
+        let now = self.now;
+        let local_now = self.nodes[node].clock.read(now);
+        match effect {
+            CarriageEffect::Claim => {
+                let Some(claim) = run.claim else { return };
+                let command = Command::Claim { claim, router: router_id, run: run.number };
+                self.ask_core(node, router_id, run.number, command, true);
+            }
+            CarriageEffect::ReleaseClaim => {
+                let Some(claim) = run.claim else { return };
+                let command = Command::Release { claim, router: router_id, run: run.number };
+                self.ask_core(node, router_id, run.number, command, false);
+            }
+            CarriageEffect::Pick { tried, is_retry } => {
+                inputs.push_back(CarriageInput::Picked(self.pick(node, run, tried, is_retry, local_now)));
+            }
+            CarriageEffect::Connect { shot } => self.connect_shot(node, router_id, run, shot),
+            CarriageEffect::Write => self.write(node, router_id, run, local_now, inputs),
+            CarriageEffect::Began => {
+                if let (Some(router), Some(shot)) = (self.nodes[node].router.as_mut(), &run.shot) {
+                    router.picker.note_kept(&shot.ground.engine, &shot.names, local_now);
+                }
+                if run.request.resumes && run.request.streams {
+                    run.held = Some(HeldEvents::default());
+                }
+            }
+            CarriageEffect::SendPiece(piece) => {
+                if let Some(held) = &mut run.held
+                    && !held.hold(piece.clone(), 64)
+                {
+                    inputs.push_back(CarriageInput::BookFull);
+                    return;
+                }
+                self.feed_caller(run, CallerNews::Piece(piece));
+            }
+            CarriageEffect::AnswerWhole(piece) => self.feed_caller(run, CallerNews::Whole(piece)),
+            CarriageEffect::EndWhole => {
+                if let Some(held) = &mut run.held {
+                    held.end(HeldEnd::Whole, local_now);
+                }
+                self.feed_caller(run, CallerNews::End);
+            }
+            CarriageEffect::EndCut(reason) => {
+                let kind = reason.kind;
+                run.cut_kind = kind;
+                if let Some(held) = &mut run.held {
+                    held.end(HeldEnd::Cut(reason), local_now);
+                }
+                self.feed_caller(run, CallerNews::Cut(kind));
+            }
+            CarriageEffect::GiveUp(given_up) => {
+                self.feed_caller(run, final_news(&given_up));
+            }
+            CarriageEffect::EndShot => self.end_shot(node, run),
+            CarriageEffect::ShotFault { rests, .. } => {
+                if let (Some(router), Some(shot), true) = (self.nodes[node].router.as_mut(), &run.shot, rests) {
+                    router.picker.note_fault(&shot.ground.engine, local_now);
+                }
+            }
+        }
+    }
+
+    fn connect_shot(&mut self, node: usize, router_id: NodeId, run: &mut SimRun, shot: String) {
+        let Some(under_way) = run.shot.as_mut() else { return };
+        under_way.name = shot.clone();
+        let to = ShotPlaceName { node, router: router_id, run: run.number, shot };
+        let (span, input) = match self.engines[under_way.engine].up {
+            true if self.net.slow && self.draw.chance(30) => {
+                (Span::millis(self.draw.between(100, 690)), CarriageInput::Connected)
+            }
+            true => (self.net.delay(&mut self.draw), CarriageInput::Connected),
+            false if self.draw.chance(30) => (Span::millis(700), CarriageInput::ConnectFault("late".into())),
+            false => (Span::millis(2), CarriageInput::ConnectFault("refused".into())),
+        };
+        let prefiller = under_way.placement.prefill.iter().map(|prefill| prefill.engine.clone());
+        let engines = prefiller.chain([under_way.ground.engine.clone()]).collect();
+        self.later(span, Happening::RunInput { to, input });
+        self.freeze_in_connect(node, &run.request.key_hash, &run.request.tenant, engines);
+    }
+
+    pub(crate) fn feed_caller(&mut self, run: &SimRun, news: CallerNews) {
+        if let Some((caller, _)) = run.caller.filter(|attached| self.is_attached(*attached)) {
+            self.caller_gets(caller, news);
+        }
+    }
+}
+
+/// The final answer a caller gets for a run that was given up.
+fn final_news(given_up: &GivenUp) -> CallerNews {
+    let outcome = match (given_up.kind, given_up.ran) {
+        (GivenUpKind::Claimed, _) => "claimed",
+        (_, Ran::Perhaps) => "unknown",
+        (_, Ran::No) => "not_run",
+    };
+    let status = match given_up.kind {
+        GivenUpKind::Claimed => 409,
+        GivenUpKind::KeyWithdrawn => 401,
+        GivenUpKind::LimitPassed => 504,
+        GivenUpKind::NoLease => 503,
+        GivenUpKind::NotServed if given_up.ran == Ran::No => 503,
+        GivenUpKind::NotServed => 502,
+    };
+    CallerNews::Final { status, outcome }
+}
--- /dev/null
+++ b/crates/simulator/src/engines.rs
@@ -0,0 +1,200 @@
+//! Engines in virtual time: their lives, the orders they take, and how they misbehave.
+
+use crate::prelude::*;
+
+/// How an engine misbehaves for a while; each shot begun then is served so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Manner {
+    Good,
+    /// The stream breaks after so many pieces.
+    Breaks(u64),
+    /// The stream ends cleanly after so many pieces, without its end mark.
+    EndsEarly(u64),
+    /// The whole answer is another shot's.
+    Foreign,
+    /// A piece of another shot comes in between.
+    ForeignPiece(u64),
+    /// A piece comes after the end mark.
+    GoesOn,
+    /// A whole answer that is not finished, a stream that stops half-way.
+    Partial,
+    /// An error after the work was begun.
+    Refuses,
+    /// Nothing ever comes.
+    Silent,
+    Late,
+}
+
+pub struct SimEngine {
+    pub name: EngineName,
+    pub zone: Zone,
+    pub role: Role,
+    pub weights: WeightsEdition,
+    pub listed: Option<Listed>,
+    pub up: bool,
+    pub accepting: bool,
+    pub highest_term: u64,
+    pub memory: SimMemory,
+    pub shots: BTreeMap<String, EngineShot>,
+    pub manner: Manner,
+    pub manner_until: Instant,
+    /// Polls for events answer nothing new until then.
+    pub hides_until: Instant,
+    /// It keeps its blocks over the next load of weights, as it must not.
+    pub keeps_on_load: bool,
+}
+
+impl SimEngine {
+    /// An engine listed open that has not started. In a split pool the first of every three prefills.
+    pub fn new(number: usize, is_split: bool) -> SimEngine {
+        SimEngine {
+            name: EngineName(format!("e{number}")),
+            zone: Zone(ZONES[number % 4].into()),
+            role: match (is_split, number % 3) {
+                (false, _) => Role::Whole,
+                (true, 0) => Role::Prefill,
+                (true, _) => Role::Decode,
+            },
+            weights: WeightsEdition(1),
+            listed: Some(Listed::Open),
+            up: false,
+            accepting: false,
+            highest_term: 0,
+            memory: SimMemory::default(),
+            shots: BTreeMap::new(),
+            manner: Manner::Good,
+            manner_until: Instant(0),
+            hides_until: Instant(0),
+            keeps_on_load: false,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct EngineShot {
+    pub to: ShotPlaceName,
+    pub tokens: u64,
+    pub(crate) place: u64,
+    pub(crate) streams: bool,
+    pub(crate) begins_at: Instant,
+    pub(crate) limit: Instant,
+    pub(crate) manner: Manner,
+    /// News to the router come in order.
+    pub(crate) told_until: Instant,
+    pub(crate) headed: bool,
+}
+
+/// Where a shot's news go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShotPlaceName {
+    pub node: usize,
+    pub router: NodeId,
+    pub run: u64,
+    pub shot: String,
+}
+
+/// A question on its way to an engine.
+#[derive(Clone, Debug)]
+pub struct EngineAsk {
+    pub to: ShotPlaceName,
+    pub tenant: TenantName,
+    pub weights: WeightsEdition,
+    pub salt: Salt,
+    pub names: Vec<BlockHash>,
+    pub fetches: Vec<FetchRun>,
+    pub tokens: u64,
+    pub streams: bool,
+    pub limit: Span,
+}
+
+impl World {
+    pub fn start_engine(&mut self, number: usize) {
+        let engine = &mut self.engines[number];
+        if !engine.up {
+            engine.up = true;
+            engine.accepting = true;
+            engine.highest_term = 0;
+            engine.memory.restart();
+        }
+    }
+
+    /// The engine ends; streams break at once, or with its machine stay silent.
+    pub fn crash_engine(&mut self, number: usize, with_machine: bool) {
+        let engine = &mut self.engines[number];
+        if !engine.up {
+            return;
+        }
+        engine.up = false;
+        let shots = std::mem::take(&mut engine.shots);
+        for shot in shots.into_values().filter(|_| !with_machine) {
+            let at = shot.told_until.max(self.now + Span::millis(2));
+            self.tell_run(&shot.to, at, CarriageInput::Broken("reset".into()));
+        }
+    }
+
+    /// An order that has reached an engine.
+    pub fn engine_ordered(&mut self, number: usize, order: SimOrder) {
+        let at = self.millis();
+        let engine = &mut self.engines[number];
+        if !engine.up {
+            return;
+        }
+        engine.highest_term = engine.highest_term.max(order.term.0);
+        let taken = order.term.0 >= engine.highest_term;
+        let named = if order.weights.is_some() { "load" } else { "open" };
+        self.record.engines.push(EngineLine::Order {
+            at,
+            engine: engine.name.0.clone(),
+            holder: order.holder,
+            term: order.term.0,
+            taken,
+            order: named.into(),
+        });
+        self.note(format!("e{number} ordered by {} term {}: {named}", self.record_holder(), order.term));
+        let engine = &mut self.engines[number];
+        match order.weights {
+            _ if !taken => {}
+            Some(weights) => {
+                engine.accepting = false;
+                let boot = engine.memory.boot;
+                let span = Span::millis(self.draw.between(100, 600));
+                self.later(span, Happening::EngineLoads { engine: number, boot, weights });
+            }
+            None => engine.accepting = true,
+        }
+    }
+
+    /// Who gave the latest order.
+    fn record_holder(&self) -> &str {
+        match self.record.engines.last() {
+            Some(EngineLine::Order { holder, .. }) => holder,
+            _ => "",
+        }
+    }
+
+    pub fn engine_loads(&mut self, number: usize, boot: u64, weights: WeightsEdition) {
+        let engine = &mut self.engines[number];
+        if engine.memory.boot != boot || !engine.up || !engine.shots.is_empty() {
+            return;
+        }
+        engine.weights = weights;
+        engine.accepting = true;
+        if !std::mem::take(&mut engine.keeps_on_load) {
+            engine.memory.clear();
+        }
+    }
+
+    pub fn engine_allows(&mut self, number: usize, shot_name: &str, span: Span) {
+        let until = self.now + span;
+        if let Some(shot) = self.engines[number].shots.get_mut(shot_name) {
+            shot.limit = shot.limit.max(until);
+        }
+    }
+
+    /// The router's end of a shot's stream is closed.
+    pub fn engine_loses_caller(&mut self, number: usize, shot_name: &str) {
+        if let Some(shot) = self.engines[number].shots.remove(shot_name) {
+            self.end_engine_shot(number, &shot, false);
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulator/src/founding.rs
@@ -0,0 +1,53 @@
+//! How a world begins: its core is founded with a first state, and every machine starts.
+
+use crate::prelude::*;
+
+impl World {
+    /// Founds the core, and starts every machine once.
+    pub(crate) fn start_all(&mut self) {
+        self.store.restart();
+        self.found();
+        for number in 0..KEEPERS {
+            self.start_keeper(number);
+        }
+        for number in 0..ENGINES {
+            self.start_engine(number);
+        }
+        for number in 0..NODES {
+            self.start_node(number);
+            self.later(Span::millis(number as u64), Happening::Traffic { node: number });
+        }
+        self.later(Span::millis(100), Happening::Sample);
+    }
+
+    fn found(&mut self) {
+        let mut state = FleetState::default();
+        let tenants: Vec<String> = self
+            .keys
+            .iter()
+            .map(|(key, tenant)| {
+                let walled = tenant == "t5";
+                format!(r#""{tenant}":{{"walled":{walled},"share":400,"keys":{{"main":"{key}"}}}}"#)
+            })
+            .collect();
+        let document = format!(
+            r#"{{"operators":{{"o":"{:064}"}},"models":{{"model":{{"weights":1}}}},"tenants":{{{}}},
+                "kinds":["k"],"store":"127.0.0.1:9","routing":{{"fetch":{{"setup_us":100}}}}}}"#,
+            0,
+            tenants.join(",")
+        );
+        let at = self.millis();
+        self.record.world.push(WorldLine::Walled { at, tenant: "t5".into() });
+        let command = Command::Replace { base: None, text: document };
+        state.apply(&Submission { request: RequestId(1), command });
+        let founder = self.member(0);
+        for stored in Warden::founding(&founder, FleetId(77), state) {
+            keep(&mut self.keepers[0].disk, stored);
+        }
+    }
+
+    pub fn member(&self, keeper: usize) -> Member {
+        let address = self.keepers[keeper].address.clone();
+        Member { id: self.keepers[keeper].id, door: address.clone(), address, zone: Zone(ZONES[keeper].into()) }
+    }
+}
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -6,16 +6,27 @@
 
 pub mod prelude;
 
+mod bounds;
 mod callers;
-mod carrying;
 mod cast;
+mod claims;
 mod disorder;
+mod effects;
+mod engine_work;
+mod engines;
+mod events;
 mod faults;
+mod founding;
 mod keepers;
+mod memory;
 mod net;
 mod nodes;
 mod operators;
-mod pool;
+mod placing;
+mod polling;
+mod resuming;
 mod run;
+mod runs;
+mod sampling;
 mod trouble;
 mod world;
--- /dev/null
+++ b/crates/simulator/src/placing.rs
@@ -0,0 +1,165 @@
+//! Attempts of a run: placed, written through the gate, prefilled elsewhere in a split pool, and ended.
+
+use crate::prelude::*;
+
+impl World {
+    pub(crate) fn pick(
+        &mut self,
+        node: usize,
+        run: &mut SimRun,
+        tried: Vec<EngineName>,
+        is_retry: bool,
+        local_now: Instant,
+    ) -> PickOutcome {
+        let Some(router) = self.nodes[node].router.as_mut() else { return PickOutcome::Overloaded };
+        let sight = &router.sight;
+        let model = ModelName(MODEL.into());
+        let wall = sight.state.wall_of(&run.request.tenant);
+        let salt_on = |weights| Salt::of(&model, weights, wall.id, wall.edition);
+        let names: BTreeMap<WeightsEdition, Vec<BlockHash>> = sight
+            .editions_in_use(&model, local_now)
+            .into_iter()
+            .map(|weights| (weights, cut(&salt_on(weights), run.request.text.as_bytes())))
+            .collect();
+        let prompt = Prompt {
+            tenant: run.request.tenant.clone(),
+            kind: "k".into(),
+            model: model.clone(),
+            names,
+            blocks: blocks_of(run.request.text.len()),
+            outcome_blocks: BlockCount(run.request.tokens.div_ceil(16)),
+            lot: 0,
+            tried,
+        };
+        let Some(placement) = router.picker.pick(sight, &prompt, local_now) else { return PickOutcome::NoEngine };
+        if is_retry {
+            if !router.budget.spend() {
+                return PickOutcome::NoBudget;
+            }
+            router.retries += 1;
+        } else {
+            router.budget.earn(sight.state.desired.routing.retry_percent);
+        }
+        router.shots += 1;
+        let weights = placement.chosen.weights;
+        let engine_name = placement.chosen.engine.clone();
+        let blocks = BlockCount(prompt.blocks.0 + prompt.outcome_blocks.0);
+        let ground = Ground {
+            key_hash: run.request.key_hash.clone(),
+            tenant: run.request.tenant.clone(),
+            model: model.clone(),
+            engine: engine_name.clone(),
+            weights,
+            salt: salt_on(weights),
+            limit: run.limit,
+        };
+        router.picker.begin_shot(&engine_name, blocks);
+        let names = prompt.names.get(&weights).cloned().unwrap_or_default();
+        let Some(engine) = self.engines.iter().position(|engine| engine.name == engine_name) else {
+            return PickOutcome::NoEngine;
+        };
+        run.shot = Some(SimShot {
+            name: String::new(),
+            engine,
+            blocks,
+            placement: Box::new(placement),
+            ground,
+            names,
+            arrives_at: None,
+            allowance: Allowance::under(router.lease_until, run.limit),
+            prefilled: Prefilled::Not,
+        });
+        PickOutcome::Placed(engine_name)
+    }
+
+    pub(crate) fn write(
+        &mut self,
+        node: usize,
+        router_id: NodeId,
+        run: &mut SimRun,
+        local_now: Instant,
+        inputs: &mut VecDeque<CarriageInput<SimPiece>>,
+    ) {
+        if self.ask_prefill(node, router_id, run, local_now) {
+            return;
+        }
+        let (Some(router), Some(shot)) = (&self.nodes[node].router, run.shot.as_mut()) else { return };
+        let to = ShotPlaceName { node, router: router_id, run: run.number, shot: shot.name.clone() };
+        shot.prefilled = Prefilled::Over;
+        if let Err(bar) = may_start(&router.sight, router.lease_until, &shot.ground, local_now) {
+            inputs.push_back(CarriageInput::Barred(bar));
+            return;
+        }
+        let arrives_at = self.now + self.net.delay(&mut self.draw);
+        shot.arrives_at = Some(arrives_at);
+        shot.allowance = Allowance::under(router.lease_until, run.limit);
+        let ask = EngineAsk {
+            to,
+            tenant: run.request.tenant.clone(),
+            weights: shot.ground.weights,
+            salt: shot.ground.salt.clone(),
+            names: shot.names.clone(),
+            fetches: shot.placement.fetches.clone(),
+            tokens: run.request.tokens,
+            streams: run.request.streams,
+            limit: shot.allowance.left(local_now),
+        };
+        let engine = shot.engine;
+        self.at(arrives_at, Happening::EngineGets { engine, ask: Box::new(ask) });
+    }
+
+    /// In a split pool, asks the prefilling engine once; whether that is to be waited for.
+    fn ask_prefill(&mut self, node: usize, router_id: NodeId, run: &mut SimRun, local_now: Instant) -> bool {
+        let (Some(router), Some(shot)) = (&self.nodes[node].router, run.shot.as_mut()) else { return false };
+        let Some(prefill) = shot.placement.prefill.as_ref().filter(|_| shot.prefilled == Prefilled::Not) else {
+            return false;
+        };
+        shot.prefilled = Prefilled::Asked;
+        let ground = Ground { engine: prefill.engine.clone(), ..shot.ground.clone() };
+        let place = self.engines.iter().position(|engine| engine.name == prefill.engine);
+        let may_prefill = may_start(&router.sight, router.lease_until, &ground, local_now).is_ok();
+        let Some(engine) = place.filter(|_| may_prefill) else { return false };
+        let to = ShotPlaceName { node, router: router_id, run: run.number, shot: shot.name.clone() };
+        let ask = EngineAsk {
+            to: to.clone(),
+            tenant: run.request.tenant.clone(),
+            weights: ground.weights,
+            salt: ground.salt.clone(),
+            names: shot.names.clone(),
+            fetches: Vec::new(),
+            tokens: 0,
+            streams: false,
+            limit: run.limit.since(local_now),
+        };
+        let patience = Span(run.limit.since(local_now).0 / 2);
+        let delay = self.net.delay(&mut self.draw);
+        self.later(delay, Happening::EnginePrefills { engine, ask: Box::new(ask) });
+        self.later(patience, Happening::Prefilled { to });
+        true
+    }
+
+    /// A prefill is over, or was waited for long enough: the decoding engine is asked.
+    pub fn hear_prefilled(&mut self, to: ShotPlaceName) {
+        let woken_at = self.nodes[to.node].frozen_until;
+        if woken_at > self.now {
+            return self.defer(woken_at, Happening::Prefilled { to });
+        }
+        let router = self.nodes[to.node].router.as_ref().filter(|router| router.id == to.router);
+        let shot = router.and_then(|router| router.runs.get(&to.run)?.shot.as_ref());
+        if shot.is_some_and(|shot| shot.name == to.shot && shot.prefilled == Prefilled::Asked) {
+            self.drive_on(to.node, to.router, to.run, None);
+        }
+    }
+
+    pub(crate) fn end_shot(&mut self, node: usize, run: &mut SimRun) {
+        let Some(shot) = run.shot.take() else { return };
+        if let Some(router) = self.nodes[node].router.as_mut() {
+            router.picker.end_shot(&shot.ground.engine, shot.blocks);
+        }
+        if let Some(arrives_at) = shot.arrives_at {
+            let closed_at = self.now + Span::millis(3) + self.net.delay(&mut self.draw);
+            let lost = Happening::EngineLosesCaller { engine: shot.engine, shot: shot.name };
+            self.at(closed_at.max(arrives_at), lost);
+        }
+    }
+}
--- a/crates/simulator/src/prelude.rs
+++ b/crates/simulator/src/prelude.rs
@@ -1,14 +1,16 @@
 //! The one import of this package's files.
 
 pub use crate::callers::*;
-pub use crate::carrying::*;
 pub use crate::cast::*;
 pub use crate::disorder::*;
+pub use crate::engines::*;
+pub use crate::events::*;
 pub use crate::faults::*;
 pub use crate::keepers::*;
+pub use crate::memory::*;
 pub use crate::net::*;
-pub use crate::pool::*;
 pub use crate::run::*;
+pub use crate::runs::*;
 pub use crate::world::*;
 pub(crate) use admission::prelude::RetryBudget;
 pub(crate) use attempts::prelude::*;
--- /dev/null
+++ b/crates/simulator/src/runs.rs
@@ -0,0 +1,165 @@
+//! Requests at routers in virtual time: each is driven by the same state machine, gate, picker and budget
+//! as in the router, and its effects reach the modelled engines and callers.
+
+use crate::prelude::*;
+
+/// A piece as an engine made it: of which shot, and which in order. A whole answer's place is how many
+/// pieces long it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SimPiece {
+    pub shot: String,
+    pub place: u64,
+}
+
+pub struct SimRun {
+    pub number: u64,
+    pub carriage: Carriage<SimPiece>,
+    pub request: SimRequest,
+    /// The caller whose stream this run feeds now, and which of its streams that is.
+    pub caller: Option<(usize, u64)>,
+    pub limit: Instant,
+    pub claim: Option<BlockHash>,
+    pub(crate) shot: Option<SimShot>,
+    pub held: Option<HeldEvents<SimPiece>>,
+    pub cut_kind: &'static str,
+}
+
+/// What a caller asks for.
+#[derive(Clone, Debug)]
+pub struct SimRequest {
+    pub tenant: TenantName,
+    pub key_hash: String,
+    pub text: String,
+    pub tokens: u64,
+    pub streams: bool,
+    pub repeatable: bool,
+    pub resumes: bool,
+    pub idempotency_key: Option<u64>,
+    pub limit: Span,
+}
+
+pub(crate) struct SimShot {
+    pub(crate) name: String,
+    pub(crate) engine: usize,
+    pub(crate) blocks: BlockCount,
+    pub(crate) placement: Box<Placement>,
+    pub(crate) ground: Ground,
+    pub(crate) names: Vec<BlockHash>,
+    /// When its question reaches the engine; a close of the stream comes after that.
+    pub(crate) arrives_at: Option<Instant>,
+    /// How long the engine may work on it, as the router last told it.
+    pub(crate) allowance: Allowance,
+    pub(crate) prefilled: Prefilled,
+}
+
+/// In a split pool, how far the prefill elsewhere has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Prefilled {
+    Not,
+    Asked,
+    Over,
+}
+
+impl World {
+    /// A request has reached a router: it is turned away or becomes a run.
+    pub fn enter(&mut self, node: usize, caller: usize, request: SimRequest) {
+        let now = self.now;
+        let woken_at = self.nodes[node].frozen_until;
+        if woken_at > now {
+            return self.defer(woken_at, Happening::Enters { node, caller, request });
+        }
+        let local_now = self.nodes[node].clock.read(now);
+        let Some(router) = self.nodes[node].router.as_mut() else {
+            return self.caller_gets(caller, CallerNews::NoAnswer);
+        };
+        self.callers[caller].line.router = format!("n{node}");
+        if !is_leased(router.lease_until, local_now) {
+            return self.caller_gets(caller, CallerNews::Final { status: 503, outcome: "not_run" });
+        }
+        let Some(tenant) = router.sight.tenants_by_key.get(&request.key_hash).cloned() else {
+            return self.caller_gets(caller, CallerNews::Final { status: 401, outcome: "not_run" });
+        };
+        router.next_run += 1;
+        let number = router.next_run;
+        let run_name = format!("{}.{number}", router.id);
+        let router_id = router.id;
+        self.callers[caller].line.run = run_name.clone();
+        let claim = request
+            .idempotency_key
+            .filter(|_| !request.repeatable)
+            .map(|key| BlockHash::over(&[b"claim", tenant.as_str().as_bytes(), &key.to_le_bytes()]));
+        let terms = Terms {
+            run: run_name,
+            repeatable: request.repeatable,
+            streams: request.streams,
+            claims: claim.is_some(),
+            resumes: request.resumes,
+        };
+        let run = SimRun {
+            number,
+            carriage: Carriage::new(terms),
+            limit: local_now + request.limit,
+            request: SimRequest { tenant, ..request },
+            caller: Some((caller, 0)),
+            claim,
+            shot: None,
+            held: None,
+            cut_kind: "",
+        };
+        router.runs.insert(number, run);
+        self.drive(node, router_id, number, CarriageInput::Begin);
+    }
+
+    /// News from an engine for a shot; void if that shot is over.
+    pub fn hear_engine(&mut self, to: ShotPlaceName, input: CarriageInput<SimPiece>) {
+        let woken_at = self.nodes[to.node].frozen_until;
+        if woken_at > self.now {
+            return self.defer(woken_at, Happening::RunInput { to, input });
+        }
+        let router = self.nodes[to.node].router.as_ref().filter(|router| router.id == to.router);
+        let Some((router, run)) = router.and_then(|router| Some((router, router.runs.get(&to.run)?))) else { return };
+        if run.shot.as_ref().is_none_or(|shot| shot.name != to.shot) {
+            return;
+        }
+        // A router woken looks at its key and lease before it reads what has come meanwhile.
+        let local_now = self.nodes[to.node].clock.read(self.now);
+        let (key_hash, tenant) = (&run.request.key_hash, &run.request.tenant);
+        let input = match may_go_on(&router.sight, router.lease_until, key_hash, tenant, local_now) {
+            Err(bar) => CarriageInput::WorkBarred(bar),
+            Ok(()) => input,
+        };
+        self.drive(to.node, to.router, to.run, input);
+    }
+
+    /// Steps a run's carriage, and whatever follows from its effects at once.
+    pub fn drive(&mut self, node: usize, router_id: NodeId, number: u64, input: CarriageInput<SimPiece>) {
+        self.drive_on(node, router_id, number, Some(input));
+    }
+
+    /// With no input, a shot whose prefill is over goes on to its engine.
+    pub(crate) fn drive_on(
+        &mut self,
+        node: usize,
+        router_id: NodeId,
+        number: u64,
+        input: Option<CarriageInput<SimPiece>>,
+    ) {
+        let Some(router) = self.nodes[node].router.as_mut().filter(|router| router.id == router_id) else { return };
+        let Some(mut run) = router.runs.remove(&number) else { return };
+        let writes = input.is_none();
+        let mut inputs: VecDeque<CarriageInput<SimPiece>> = input.into_iter().collect();
+        if writes {
+            let local_now = self.nodes[node].clock.read(self.now);
+            self.write(node, router_id, &mut run, local_now, &mut inputs);
+        }
+        while let Some(input) = inputs.pop_front() {
+            for effect in run.carriage.step(input) {
+                self.carry(node, router_id, &mut run, effect, &mut inputs);
+            }
+        }
+        let stays = !run.carriage.is_done() || run.held.is_some();
+        if let Some(router) = self.nodes[node].router.as_mut().filter(|_| stays) {
+            router.runs.insert(number, run);
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulator/src/sampling.rs
@@ -0,0 +1,41 @@
+//! Looks at every router and tail for the record.
+
+use crate::prelude::*;
+
+impl World {
+    pub fn sample(&mut self) {
+        let at = self.millis();
+        for node in &self.nodes {
+            let Some(router) = node.router.as_ref().filter(|_| node.frozen_until <= self.now) else { continue };
+            let leased = node.clock.read(self.now) < router.lease_until;
+            let edition = router.sight.state.edition.0;
+            self.record.world.push(WorldLine::Sample {
+                at,
+                router: router.id.to_string(),
+                edition,
+                leased,
+                shots: router.shots,
+                retries: router.retries,
+            });
+        }
+        let active_tails: Vec<usize> = (0..self.keepers.len())
+            .filter(|number| {
+                let keeper = &self.keepers[*number];
+                let is_awake = keeper.frozen_until <= self.now;
+                let local_now = keeper.clock.read(self.now);
+                is_awake && keeper.warden.as_ref().is_some_and(|warden| warden.tail_is_active(local_now))
+            })
+            .collect();
+        if active_tails.len() > 1 {
+            self.extra.push(format!("rule 8: two active tails at {at}: {active_tails:?}"));
+        }
+        if let Some(tail) = active_tails.first()
+            && let Some(warden) = &self.keepers[*tail].warden
+        {
+            let (edition, last_settled) = (warden.state().edition, warden.state().settled.back().cloned());
+            if let Some((request, _)) = last_settled {
+                self.see_committed(edition, request, &format!("tail k{tail}"));
+            }
+        }
+    }
+}
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -9,51 +9,6 @@
 pub const MODEL: &str = "model";
 pub const TENANTS: usize = 8;
 
-#[derive(Clone, Debug)]
-pub enum Happening {
-    KeeperPulse { keeper: usize, life: u64 },
-    KeeperInput { keeper: usize, life: Option<u64>, input: Input },
-    CarryOut { keeper: usize, life: u64, plan: Vec<Effect> },
-    NodePulse { node: usize, life: u64 },
-    NodeInput { node: usize, life: u64, input: CourierInput },
-    RouterDials { node: usize, life: u64, router: NodeId },
-    RouterInput { node: usize, router: NodeId, message: RouterDown },
-    Dialled { node: usize, life: u64, address: String },
-    PumpUp { link: usize },
-    PumpDown { link: usize },
-    LinkEnds { link: usize },
-    Traffic { node: usize },
-    Enters { node: usize, caller: usize, request: SimRequest },
-    RunInput { to: ShotPlaceName, input: CarriageInput<SimPiece> },
-    EngineGets { engine: usize, ask: Box<EngineAsk> },
-    EngineWorks { engine: usize, boot: u64, shot: String },
-    EnginePrefills { engine: usize, ask: Box<EngineAsk> },
-    Prefilled { to: ShotPlaceName },
-    EngineAllows { engine: usize, shot: String, span: Span },
-    EngineLosesCaller { engine: usize, shot: String },
-    OrderLeaves { keeper: usize, life: u64, engine: usize, order: SimOrder },
-    Ordered { engine: usize, order: SimOrder },
-    EngineLoads { engine: usize, boot: u64, weights: WeightsEdition },
-    Polls { node: usize, life: u64 },
-    WorkLook { node: usize, life: u64 },
-    ClaimAgain { node: usize, router: NodeId, ticket: u64, submission: Submission, until: Instant },
-    PatienceEnds { caller: usize },
-    CallerLeft(CallerLeft),
-    ComesBack { node: usize, caller: usize },
-    Resumes { node: usize, caller: usize, carried: bool },
-    AsksAgain { node: usize, request: SimRequest },
-    Loses { keeper: usize },
-    IsolatesHolder { again: u64 },
-    Revives,
-    Heals,
-    WithdrawsBehind { node: usize, key_hash: String },
-    Operator,
-    Platform,
-    Fault(Fault),
-    StopKeeper { keeper: usize, life: u64 },
-    Sample,
-}
-
 pub struct World {
     pub draw: Draw,
     pub now: Instant,
@@ -136,65 +91,13 @@
     Plain,
 }
 
-fn draw_clock(draw: &mut Draw) -> Clock {
-    Clock { offset: draw.between(1_000, 1_000_000) * 1_000_000_000, rate: draw.between(99_500, 100_500) }
-}
-
 impl World {
     pub fn new(seed: u64) -> World {
         let mut draw = Draw::new(seed);
-        let keepers = (0..KEEPERS)
-            .map(|number| SimKeeper {
-                warden: None,
-                id: NodeId(number as u64 + 1),
-                address: format!("k{number}"),
-                disk: Kept::default(),
-                clock: draw_clock(&mut draw),
-                life: 0,
-                frozen_until: Instant(0),
-                busy_until: Instant(0),
-                sync_span: Span::millis(2),
-                census_since: None,
-                census_read: Instant(0),
-                conductor: Conductor::default(),
-                submitted: BTreeMap::new(),
-            })
-            .collect();
-        let nodes = (0..NODES)
-            .map(|number| SimNode {
-                courier: None,
-                id: NodeId(1000 + number as u64),
-                clock: draw_clock(&mut draw),
-                life: 0,
-                frozen_until: Instant(0),
-                router: None,
-                fed_router: None,
-                link: None,
-            })
-            .collect();
+        let keepers = (0..KEEPERS).map(|number| SimKeeper::new(number, Clock::drawn(&mut draw))).collect();
+        let nodes = (0..NODES).map(|number| SimNode::new(number, Clock::drawn(&mut draw))).collect();
         let is_split = Draw::new(seed ^ 0x0511_7000).chance(25);
-        let engines = (0..ENGINES)
-            .map(|number| SimEngine {
-                name: EngineName(format!("e{number}")),
-                zone: Zone(ZONES[number % 4].into()),
-                role: match (is_split, number % 3) {
-                    (false, _) => Role::Whole,
-                    (true, 0) => Role::Prefill,
-                    (true, _) => Role::Decode,
-                },
-                weights: WeightsEdition(1),
-                listed: Some(Listed::Open),
-                up: false,
-                accepting: false,
-                highest_term: 0,
-                memory: SimMemory::default(),
-                shots: BTreeMap::new(),
-                manner: Manner::Good,
-                manner_until: Instant(0),
-                hides_until: Instant(0),
-                keeps_on_load: false,
-            })
-            .collect();
+        let engines = (0..ENGINES).map(|number| SimEngine::new(number, is_split)).collect();
         let keys = (0..TENANTS).map(|tenant| (format!("{:064x}", tenant + 1), format!("t{tenant}"))).collect();
         let caller_distance = if draw.chance(50) { Span::millis(25) } else { Span::millis(2) };
         let mut world = World {
@@ -236,55 +139,10 @@
             notes: Vec::new(),
             keeps_notes: false,
         };
-        world.store.restart();
-        world.found();
-        for number in 0..KEEPERS {
-            world.start_keeper(number);
-        }
-        for number in 0..ENGINES {
-            world.start_engine(number);
-        }
-        for number in 0..NODES {
-            world.start_node(number);
-            world.later(Span::millis(number as u64), Happening::Traffic { node: number });
-        }
-        world.later(Span::millis(100), Happening::Sample);
+        world.start_all();
         world
     }
 
-    fn found(&mut self) {
-        let mut state = FleetState::default();
-        let tenants: Vec<String> = self
-            .keys
-            .iter()
-            .map(|(key, tenant)| {
-                let walled = tenant == "t5";
-                format!(r#""{tenant}":{{"walled":{walled},"share":400,"keys":{{"main":"{key}"}}}}"#)
-            })
-            .collect();
-        let document = format!(
-            r#"{{"operators":{{"o":"{:064}"}},"models":{{"model":{{"weights":1}}}},"tenants":{{{}}},
-                "kinds":["k"],"store":"127.0.0.1:9","routing":{{"fetch":{{"setup_us":100}}}}}}"#,
-            0,
-            tenants.join(",")
-        );
-        let at = self.millis();
-        self.record.world.push(WorldLine::Walled { at, tenant: "t5".into() });
-        let command = Command::Replace { base: None, text: document };
-        state.apply(&Submission { request: RequestId(1), command });
-        let founder = self.member(0);
-        for stored in Warden::founding(&founder, FleetId(77), state) {
-            keep(&mut self.keepers[0].disk, stored);
-        }
-    }
-
-    pub fn member(&self, keeper: usize) -> Member {
-        let address = self.keepers[keeper].address.clone();
-        Member { id: self.keepers[keeper].id, door: address.clone(), address, zone: Zone(ZONES[keeper].into()) }
-    }
-
-    // Time.
-
     pub fn later(&mut self, span: Span, happening: Happening) {
         self.at(self.now + span, happening);
     }
@@ -326,113 +184,4 @@
             self.notes.push(format!("{:>7} {text}", self.millis()));
         }
     }
-
-    // What happens.
-
-    fn happen(&mut self, happening: Happening) {
-        match happening {
-            Happening::KeeperPulse { keeper, life } => {
-                if self.keepers[keeper].life != life || self.keepers[keeper].warden.is_none() {
-                    return;
-                }
-                self.step_keeper(keeper, Some(life), Input::Pulse);
-                self.tend_keeper(keeper);
-                self.later(Span::millis(50), Happening::KeeperPulse { keeper, life });
-            }
-            Happening::KeeperInput { keeper, life, input } => self.step_keeper(keeper, life, input),
-            Happening::CarryOut { keeper, life, plan } => self.carry_out(keeper, life, plan),
-            Happening::NodePulse { node, life } => {
-                if self.nodes[node].life == life && self.nodes[node].courier.is_some() {
-                    self.step_node(node, life, CourierInput::Pulse);
-                    self.later(Span::millis(50), Happening::NodePulse { node, life });
-                }
-            }
-            Happening::NodeInput { node, life, input } => self.step_node(node, life, input),
-            Happening::RouterDials { node, life, router } => self.feed_router(node, life, router),
-            Happening::RouterInput { node, router, message } => self.step_router(node, router, message),
-            Happening::Dialled { node, life, address } => self.connect(node, life, &address),
-            Happening::PumpUp { link } => self.pump(link, true),
-            Happening::PumpDown { link } => self.pump(link, false),
-            Happening::LinkEnds { link } => self.finish_link(link),
-            Happening::Traffic { node } => {
-                self.call(node);
-                let pause = Span::millis(self.draw.between(40, 260));
-                self.later(pause, Happening::Traffic { node });
-            }
-            Happening::Enters { node, caller, request } => self.enter(node, caller, request),
-            Happening::RunInput { to, input } => self.hear_engine(to, input),
-            Happening::EngineGets { engine, ask } => self.engine_gets(engine, *ask),
-            Happening::EngineWorks { engine, boot, shot } => self.engine_works(engine, boot, shot),
-            Happening::EnginePrefills { engine, ask } => self.engine_prefills(engine, *ask),
-            Happening::Prefilled { to } => self.hear_prefilled(to),
-            Happening::EngineAllows { engine, shot, span } => self.engine_allows(engine, &shot, span),
-            Happening::EngineLosesCaller { engine, shot } => self.engine_loses_caller(engine, &shot),
-            Happening::OrderLeaves { keeper, life, engine, order } => self.order_leaves(keeper, life, engine, order),
-            Happening::Ordered { engine, order } => self.engine_ordered(engine, order),
-            Happening::EngineLoads { engine, boot, weights } => self.engine_loads(engine, boot, weights),
-            Happening::Polls { node, life } => self.poll_sources(node, life),
-            Happening::WorkLook { node, life } => self.work_pulse(node, life),
-            Happening::ClaimAgain { node, router, ticket, submission, until } => {
-                self.say_submission(node, router, ticket, submission, until);
-            }
-            Happening::PatienceEnds { caller } => self.lose_patience(caller),
-            Happening::CallerLeft(left) => self.hear_caller_left(left),
-            Happening::ComesBack { node, caller } => self.hear_comes_back(node, caller),
-            Happening::Resumes { node, caller, carried } => self.resume(node, caller, carried),
-            Happening::AsksAgain { node, request } => self.ask_again(node, request),
-            Happening::IsolatesHolder { again } => self.isolate_holder(again),
-            Happening::Loses { keeper } => self.kill_keeper(keeper),
-            Happening::Revives => self.revive(),
-            Happening::Heals => self.heal_but_held(true),
-            Happening::WithdrawsBehind { node, key_hash } => self.hear_withdraws_behind(node, &key_hash),
-            Happening::Operator => self.operate(),
-            Happening::Platform => self.change_listing(),
-            Happening::StopKeeper { keeper, life } => {
-                if self.keepers[keeper].life == life {
-                    self.kill_keeper(keeper);
-                }
-            }
-            Happening::Fault(fault) => self.cause(fault),
-            Happening::Sample => {
-                self.sample();
-                self.later(Span::millis(100), Happening::Sample);
-            }
-        }
-    }
-
-    pub fn sample(&mut self) {
-        let at = self.millis();
-        for node in &self.nodes {
-            let Some(router) = node.router.as_ref().filter(|_| node.frozen_until <= self.now) else { continue };
-            let leased = node.clock.read(self.now) < router.lease_until;
-            let edition = router.sight.state.edition.0;
-            self.record.world.push(WorldLine::Sample {
-                at,
-                router: router.id.to_string(),
-                edition,
-                leased,
-                shots: router.shots,
-                retries: router.retries,
-            });
-        }
-        let active_tails: Vec<usize> = (0..self.keepers.len())
-            .filter(|number| {
-                let keeper = &self.keepers[*number];
-                let is_awake = keeper.frozen_until <= self.now;
-                let local_now = keeper.clock.read(self.now);
-                is_awake && keeper.warden.as_ref().is_some_and(|warden| warden.tail_is_active(local_now))
-            })
-            .collect();
-        if active_tails.len() > 1 {
-            self.extra.push(format!("rule 8: two active tails at {at}: {active_tails:?}"));
-        }
-        if let Some(tail) = active_tails.first()
-            && let Some(warden) = &self.keepers[*tail].warden
-        {
-            let (edition, last_settled) = (warden.state().edition, warden.state().settled.back().cloned());
-            if let Some((request, _)) = last_settled {
-                self.see_committed(edition, request, &format!("tail k{tail}"));
-            }
-        }
-    }
 }
