placement: prompts and placements, known engines, the pick, each in a file of its own

Cause: picker.rs held what a pick is asked, what is known of each engine, the pick and its tests in 644 lines, with a pick and a scoring of 50 lines each. Now `placement` (prompt, scores, outcome), `known_engine`, `picker` (what a router learns) and `pick` (scores, cheapest engine, split pool); tests/picker.rs holds the tests as they were, with their imports.

Before/after: 8 tests before and after.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,5 +6,8 @@
 pub mod prelude;
 
 mod fetch;
+mod known_engine;
+mod pick;
 mod picker;
+mod placement;
 mod sight;
--- a/crates/placement/src/prelude.rs
+++ b/crates/placement/src/prelude.rs
@@ -1,11 +1,14 @@
 //! The one import of this package's files.
 
 pub use crate::fetch::*;
+pub(crate) use crate::known_engine::*;
+pub use crate::pick::*;
 pub use crate::picker::*;
+pub use crate::placement::*;
 pub use crate::sight::*;
 pub use blocks::prelude::{KeptEvent, PrefixTree, SentHistory, SourceIndex, SourcePlace};
 pub use desired::prelude::Role;
-pub(crate) use desired::prelude::{FleetState, Listed, Policy, Sight};
+pub(crate) use desired::prelude::{FleetState, Listed, ListedEngine, Policy, Sight};
 pub(crate) use policy::prelude::{Band, Table, cost};
 pub use routes::prelude::RouteTable;
 pub(crate) use std::collections::{BTreeMap, HashMap};
