measure: recovery in a file of its own, what stood twice folded

Ruled out: one loop for the two indexes of kept blocks and of kept parts, which share a shape, not types. Before/after: the 6 tests of `measure` pass.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,6 +3,7 @@
 mod fleets;
 mod picks;
 mod prelude;
+mod recovery;
 mod scale;
 mod trials;
 
--- a/crates/measure/src/prelude.rs
+++ b/crates/measure/src/prelude.rs
@@ -2,6 +2,7 @@
 
 pub(crate) use crate::fleets::*;
 pub(crate) use crate::picks::*;
+pub(crate) use crate::recovery::*;
 pub(crate) use crate::scale::measure_scale;
 pub(crate) use crate::trials::*;
 pub(crate) use blocks::prelude::{KeptEvent, Salt, cut};
--- a/crates/measure/src/scale/changes.rs
+++ b/crates/measure/src/scale/changes.rs
@@ -41,6 +41,26 @@
     Ok(())
 }
 
+/// Small changes one after the other, until all nodes have applied them: how long each took, in milliseconds.
+pub fn change_in_turn(
+    run: &Run,
+    fleet: &Fleet,
+    hollow: &HollowNodes,
+    count: u64,
+    cap: Duration,
+) -> Result<Vec<f64>, ScaleFault> {
+    let mut took = Vec::new();
+    let mut last_edition = 0;
+    for number in 0..count {
+        run.check()?;
+        let began = boot_now();
+        last_edition = fleet.patch_document(&json!({"routing": {"events_late_ms": 2000 + number}}))?;
+        took.push(boot_now().since(began).0 as f64 / 1e6);
+    }
+    run.wait("changes applied", cap, || hollow.standing().applied_by_all >= last_edition)?;
+    Ok(took)
+}
+
 /// How long each change took, and how many were answered as not known to be in force.
 #[derive(Debug, Default)]
 struct Written {
--- a/crates/measure/src/scale/documents.rs
+++ b/crates/measure/src/scale/documents.rs
@@ -1,6 +1,7 @@
 //! The operators' document by tenants and by routes: its size, what a small change of it costs, what is
 //! pushed to a node, and what a node that joins is sent.
 
+use super::changes::change_in_turn;
 use super::fleet_use::{FleetUse, KeeperPlaces, median, start_fleet};
 use super::hollow_nodes::HollowNodes;
 use super::plan::Driver;
@@ -70,15 +71,7 @@
     let places = KeeperPlaces::read(fleet)?;
     let tally_before = hollow.tally();
     let use_before = FleetUse::read(fleet);
-    let mut took = Vec::new();
-    let mut last_edition = 0;
-    for number in 0..CHANGES {
-        run.check()?;
-        let began = boot_now();
-        last_edition = fleet.patch_document(&json!({"routing": {"events_late_ms": 2000 + number}}))?;
-        took.push(boot_now().since(began).0 as f64 / 1e6);
-    }
-    run.wait("changes applied", CAP, || hollow.standing().applied_by_all >= last_edition)?;
+    let mut took = change_in_turn(run, fleet, hollow, CHANGES, CAP)?;
     let use_after = FleetUse::read(fleet);
     use_after.add_processor_time(&use_before, &places, (CHANGES as f64, "per_change"), sample);
     use_after.add_memory(&places, sample);
--- a/crates/measure/src/scale/nodes.rs
+++ b/crates/measure/src/scale/nodes.rs
@@ -1,5 +1,6 @@
 //! Nodes: renewals and pushes by number of nodes, what joining costs, and the loss of the tail.
 
+use super::changes::change_in_turn;
 use super::fleet_use::{FleetUse, KeeperPlaces, median, start_fleet, watch};
 use super::hollow_nodes::HollowNodes;
 use super::run::{Run, ScaleFault};
@@ -95,15 +96,7 @@
 /// Changes one after the other: each is pushed to every node and counted from every node.
 fn change(run: &Run, fleet: &Fleet, hollow: &HollowNodes, sample: &mut Sample) -> Result<(), ScaleFault> {
     let before = hollow.tally();
-    let mut took = Vec::new();
-    let mut last_edition = 0;
-    for number in 0..CHANGES {
-        run.check()?;
-        let began = boot_now();
-        last_edition = fleet.patch_document(&json!({"routing": {"events_late_ms": 2000 + number}}))?;
-        took.push(boot_now().since(began).0 as f64 / 1e6);
-    }
-    run.wait("changes applied", JOIN_CAP, || hollow.standing().applied_by_all >= last_edition)?;
+    let mut took = change_in_turn(run, fleet, hollow, CHANGES, JOIN_CAP)?;
     let after = hollow.tally();
     let pushes = after.received_since(&before, "push");
     let applied = after.sent_since(&before, "applied");
