--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -43,8 +43,8 @@
     });
     begun(AgentHandle { queue: queue.clone(), identity: node })?;
     event!(info, "started", id = node);
-    let courier = Courier::new(plan.seeds, node.0 as usize % 64);
-    let mut agent = Agent { courier, node, queue, core: None, router: None, dial_number: 0, fleet };
+    let subscription = Subscription::new(plan.seeds, node.0 as usize % 64);
+    let mut agent = Agent { subscription, node, queue, core: None, router: None, dial_number: 0, fleet };
     agent.work(&commands, plan.parting);
     event!(info, "stopped");
     Ok(())
@@ -59,7 +59,7 @@
 }
 
 struct Agent {
-    courier: Courier,
+    subscription: Subscription,
     node: NodeId,
     queue: Sender<AgentCommand>,
     core: Option<Link>,
@@ -89,15 +89,15 @@
                 return;
             }
             if now >= next_pulse {
-                self.step(CourierInput::Pulse);
+                self.step(SubscriptionInput::Pulse);
             }
-            next_pulse = self.courier.next_pulse(now);
+            next_pulse = self.subscription.next_pulse(now);
         }
     }
 
-    fn step(&mut self, input: CourierInput) {
-        let plan = self.courier.step(input, boot_now());
-        self.fleet.store(self.courier.fleet().0, Ordering::SeqCst);
+    fn step(&mut self, input: SubscriptionInput) {
+        let plan = self.subscription.step(input, boot_now());
+        self.fleet.store(self.subscription.fleet().0, Ordering::SeqCst);
         for effect in plan {
             self.carry_out(effect);
         }
@@ -115,20 +115,20 @@
                 match link_event {
                     LinkEvent::Up(link, _) => {
                         self.core = Some(link);
-                        self.step(CourierInput::CoreUp);
+                        self.step(SubscriptionInput::CoreUp);
                     }
-                    LinkEvent::Said(_, message) => self.step(CourierInput::Core(message)),
+                    LinkEvent::Said(_, message) => self.step(SubscriptionInput::Core(message)),
                     LinkEvent::Down(..) => {}
                 }
             }
             AgentCommand::CoreEnded { dial_number } => {
                 if dial_number == self.dial_number {
                     self.core = None;
-                    self.step(CourierInput::CoreDown);
+                    self.step(SubscriptionInput::CoreDown);
                 }
             }
             AgentCommand::Router(link_event) => self.take_router(link_event),
-            AgentCommand::Seeds(seeds) => self.step(CourierInput::Seeds(seeds)),
+            AgentCommand::Seeds(seeds) => self.step(SubscriptionInput::Seeds(seeds)),
             AgentCommand::Stop => {}
         }
     }
@@ -149,37 +149,37 @@
                     earlier.close();
                 }
                 event!(info, "router_up", router = hello.speaker);
-                self.step(CourierInput::RouterUp);
+                self.step(SubscriptionInput::RouterUp);
             }
             LinkEvent::Said(id, message) => {
                 if self.is_router(id) {
-                    self.step(CourierInput::Router(message));
+                    self.step(SubscriptionInput::Router(message));
                 }
             }
             LinkEvent::Down(id, reason) => {
                 if self.is_router(id) {
                     self.router = None;
                     event!(warn, "router_down", reason = reason);
-                    self.step(CourierInput::RouterDown);
+                    self.step(SubscriptionInput::RouterDown);
                 }
             }
         }
     }
 
-    fn carry_out(&mut self, effect: CourierEffect) {
+    fn carry_out(&mut self, effect: SubscriptionEffect) {
         match effect {
-            CourierEffect::Dial(address) => self.dial(address),
-            CourierEffect::SayCore(message) => {
+            SubscriptionEffect::Dial(address) => self.dial(address),
+            SubscriptionEffect::SayCore(message) => {
                 if let Some(core) = &self.core {
                     core.say(&wire::prelude::Inbound::Node(message));
                 }
             }
-            CourierEffect::SayRouter(message) => {
+            SubscriptionEffect::SayRouter(message) => {
                 if let Some(router) = &self.router {
                     router.say(&message);
                 }
             }
-            CourierEffect::Note { event, detail } => log::warn!(target: "haremount", "event={event} {detail}"),
+            SubscriptionEffect::Note { event, detail } => log::warn!(target: "haremount", "event={event} {detail}"),
         }
     }
 
@@ -189,7 +189,7 @@
         }
         self.dial_number += 1;
         let dial_number = self.dial_number;
-        let own_hello = Hello::new(self.courier.fleet(), self.node, Purpose::Agent);
+        let own_hello = Hello::new(self.subscription.fleet(), self.node, Purpose::Agent);
         let queue = self.queue.clone();
         event!(debug, "dials", address = address);
         duty("core-link", move || {
--- a/crates/measure/src/scale/documents.rs
+++ b/crates/measure/src/scale/documents.rs
@@ -47,7 +47,7 @@
     let mut document = fleet.first_document();
     if driver == Driver::Tenants {
         for number in 0..size {
-            document["tenants"][format!("tenant-{number:05}")] = tenant_wish(number);
+            document["tenants"][format!("tenant-{number:05}")] = tenant_document(number);
         }
         return document;
     }
@@ -63,7 +63,7 @@
 }
 
 /// What an operator writes for one tenant.
-pub fn tenant_wish(number: u64) -> Value {
+pub fn tenant_document(number: u64) -> Value {
     json!({"walled": number.is_multiple_of(4), "share": 64, "keys": {"main": format!("{number:064x}")}})
 }
 
--- a/crates/measure/src/scale/hollow_nodes.rs
+++ b/crates/measure/src/scale/hollow_nodes.rs
@@ -9,7 +9,7 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
-use subscription::prelude::{Courier, CourierEffect, CourierInput, RouterDown, RouterUp};
+use subscription::prelude::{RouterDown, RouterUp, Subscription, SubscriptionEffect, SubscriptionInput};
 use wire::prelude::{Hello, Inbound, NodeDown, NodeUp, Purpose, RouterDoor, encode, read_frame, write_frame};
 
 const DIAL_LIMIT: Duration = Duration::from_millis(500);
@@ -144,7 +144,7 @@
 }
 
 struct HollowNode {
-    courier: Courier,
+    subscription: Subscription,
     id: NodeId,
     router: NodeId,
     stream: Option<TcpStream>,
@@ -175,7 +175,7 @@
             for place in 0..self.nodes.len() {
                 if now >= self.nodes[place].next_pulse {
                     self.nodes[place].next_pulse = now + PULSE_EVERY;
-                    self.step(place, CourierInput::Pulse);
+                    self.step(place, SubscriptionInput::Pulse);
                 }
             }
             self.publish(now);
@@ -202,7 +202,7 @@
             HollowEvent::Up { node, dial, stream } => {
                 if dial == self.nodes[node].dial {
                     self.nodes[node].stream = Some(stream);
-                    self.step(node, CourierInput::CoreUp);
+                    self.step(node, SubscriptionInput::CoreUp);
                 } else {
                     let _ = stream.shutdown(Shutdown::Both);
                 }
@@ -210,14 +210,14 @@
             HollowEvent::Said { node, dial, message, bytes } => {
                 count(&mut self.board.tally().received, kind_down(&message), bytes);
                 if dial == self.nodes[node].dial {
-                    self.step(node, CourierInput::Core(*message));
+                    self.step(node, SubscriptionInput::Core(*message));
                 }
             }
             HollowEvent::Ended { node, dial } => {
                 if dial == self.nodes[node].dial {
                     self.nodes[node].stream = None;
                     self.board.standing().ended_streams += 1;
-                    self.step(node, CourierInput::CoreDown);
+                    self.step(node, SubscriptionInput::CoreDown);
                 }
             }
         }
@@ -229,7 +229,7 @@
             let offset = Span(PULSE_EVERY.0 * number as u64 / count as u64);
             let id = NodeId::random();
             self.nodes.push(HollowNode {
-                courier: Courier::new(seeds.to_vec(), id.0 as usize % 64),
+                subscription: Subscription::new(seeds.to_vec(), id.0 as usize % 64),
                 id,
                 router: NodeId::random(),
                 stream: None,
@@ -246,21 +246,21 @@
     fn router_comes_up(&mut self, place: usize) {
         let router = self.nodes[place].router;
         let address = format!("10.0.{}.{}:8080", place / 250, place % 250);
-        self.step(place, CourierInput::RouterUp);
+        self.step(place, SubscriptionInput::RouterUp);
         let relay = Some(format!("10.0.{}.{}:8081", place / 250, place % 250));
         let zone = Zone(format!("zone-{}", place % 9));
         let door = RouterDoor { router, address, zone, relay };
-        self.step(place, CourierInput::Router(RouterUp::Here(door)));
+        self.step(place, SubscriptionInput::Router(RouterUp::Here(door)));
     }
 
-    fn step(&mut self, place: usize, input: CourierInput) {
-        let effects = self.nodes[place].courier.step(input, boot_now());
+    fn step(&mut self, place: usize, input: SubscriptionInput) {
+        let effects = self.nodes[place].subscription.step(input, boot_now());
         for effect in effects {
             match effect {
-                CourierEffect::Dial(address) => self.dial(place, address),
-                CourierEffect::SayCore(message) => self.say(place, message),
-                CourierEffect::SayRouter(message) => self.hear_as_router(place, message),
-                CourierEffect::Note { .. } => {}
+                SubscriptionEffect::Dial(address) => self.dial(place, address),
+                SubscriptionEffect::SayCore(message) => self.say(place, message),
+                SubscriptionEffect::SayRouter(message) => self.hear_as_router(place, message),
+                SubscriptionEffect::Note { .. } => {}
             }
         }
     }
@@ -281,7 +281,7 @@
             RouterDown::Snapshot { state, .. } if state.edition > node.applied => node.applied = state.edition,
             RouterDown::Push { number, .. } if number == node.applied.next() => node.applied = number,
             RouterDown::Push { number, .. } if number > node.applied => {
-                self.step(place, CourierInput::RouterDown);
+                self.step(place, SubscriptionInput::RouterDown);
                 self.router_comes_up(place);
                 return;
             }
@@ -296,7 +296,7 @@
             _ => return,
         }
         let edition = node.applied;
-        self.step(place, CourierInput::Router(RouterUp::Applied { edition }));
+        self.step(place, SubscriptionInput::Router(RouterUp::Applied { edition }));
     }
 
     fn dial(&mut self, place: usize, address: String) {
@@ -306,7 +306,7 @@
         }
         node.dial += 1;
         let dial = node.dial;
-        let hello = Hello::new(node.courier.fleet(), node.id, Purpose::Agent);
+        let hello = Hello::new(node.subscription.fleet(), node.id, Purpose::Agent);
         let events = self.events.clone();
         let reading = move || {
             let _ = hold_stream(&address, &hello, place, dial, &events);
--- a/crates/measure/src/scale/local.rs
+++ b/crates/measure/src/scale/local.rs
@@ -1,6 +1,6 @@
 //! What needs no other process: the state of many tenants, the index of kept blocks, and a pick.
 
-use super::documents::tenant_wish;
+use super::documents::tenant_document;
 use super::fleet_use::{ProcessUse, median};
 use super::plan::Driver;
 use super::run::Run;
@@ -65,7 +65,7 @@
 fn measure_state(tenants: u64, sample: &mut Sample) {
     let mut document = json!({"models": {"model": {"weights": 1}}, "kinds": ["one", "two", "three"], "tenants": {}});
     for number in 0..tenants {
-        document["tenants"][format!("tenant-{number:05}")] = tenant_wish(number);
+        document["tenants"][format!("tenant-{number:05}")] = tenant_document(number);
     }
     let text = document.to_string();
     drop(document);
--- a/crates/placement/src/sight.rs
+++ b/crates/placement/src/sight.rs
@@ -35,11 +35,11 @@
     /// known, old weights are given up at once.
     pub fn following(&self, state: FleetState, committed: Option<Instant>, now: Instant) -> FleetSight {
         let mut old_until = self.old_until.clone();
-        for (model, wish) in &state.desired.models {
-            let Some(known_wish) = self.state.desired.models.get(model) else { continue };
-            if known_wish.weights < wish.weights {
+        for (model, wanted) in &state.desired.models {
+            let Some(known_model) = self.state.desired.models.get(model) else { continue };
+            if known_model.weights < wanted.weights {
                 let until = committed.map_or(now, |committed| committed + self.old_weights_span.0);
-                old_until.insert((model.clone(), known_wish.weights), until);
+                old_until.insert((model.clone(), known_model.weights), until);
             }
         }
         old_until.retain(|_, until| now < *until);
@@ -60,8 +60,8 @@
             .map(|(tenant, policy)| (tenant.clone(), (policy.clone(), compile(policy))))
             .collect();
         let mut tenants_by_key = HashMap::new();
-        for (tenant, wish) in &state.desired.tenants {
-            for key_hash in wish.keys.values() {
+        for (tenant, wanted) in &state.desired.tenants {
+            for key_hash in wanted.keys.values() {
                 tenants_by_key.insert(key_hash.clone(), tenant.clone());
             }
         }
--- a/crates/platform/src/main.rs
+++ b/crates/platform/src/main.rs
@@ -66,6 +66,6 @@
 fn main() -> std::process::ExitCode {
     run_trade(&TRADE, |settings| {
         let listing = PlatformListing { boot: Incarnation::random().to_string(), number: 1, engines: Vec::new() };
-        serve_booth(&TRADE, &settings, Arc::new(PlatformSite { listing: Mutex::new(listing) }))
+        serve_standin(&TRADE, &settings, Arc::new(PlatformSite { listing: Mutex::new(listing) }))
     })
 }
--- a/crates/queues/src/lib.rs
+++ b/crates/queues/src/lib.rs
@@ -1,4 +1,4 @@
-//! Bounded rings and duty threads. A duty is a named thread; one that panics has met a broken
+//! Bounded queues and duty threads. A duty is a named thread; one that panics has met a broken
 //! invariant, and takes the process with it.
 
 pub mod prelude;
--- a/crates/simulator/src/bounds.rs
+++ b/crates/simulator/src/bounds.rs
@@ -15,7 +15,7 @@
         let router_id = router.id;
         router.runs.retain(|_, run| !run.held.as_ref().is_some_and(|held| held.is_over(local_now)));
         let mut ended = Vec::new();
-        for (number, run) in router.runs.iter().filter(|(_, run)| !run.carriage.is_done()) {
+        for (number, run) in router.runs.iter().filter(|(_, run)| !run.attempts.is_done()) {
             let (key_hash, tenant) = (&run.request.key_hash, &run.request.tenant);
             if let Err(bar) = may_go_on(&router.sight, router.lease_until, key_hash, tenant, local_now) {
                 ended.push((*number, CarriageInput::WorkBarred(bar)));
@@ -42,14 +42,14 @@
         }
         for (engine, shot, span) in allowed {
             let delay = self.net.delay(&mut self.draw);
-            self.later(delay, Happening::EngineAllows { engine, shot, span });
+            self.later(delay, SimEvent::EngineAllows { engine, shot, span });
         }
     }
 
     pub fn work_pulse(&mut self, node: usize, life: u64) {
         if self.nodes[node].life == life {
             self.look_at_work(node);
-            self.later(WORK_LOOK, Happening::WorkLook { node, life });
+            self.later(WORK_LOOK, SimEvent::WorkLook { node, life });
         }
     }
 
@@ -57,12 +57,12 @@
     pub fn lose_runs(&mut self, node: usize, with_machine: bool) {
         let Some(router) = self.nodes[node].router.take() else { return };
         for run in router.runs.into_values() {
-            if !run.carriage.is_done() {
+            if !run.attempts.is_done() {
                 self.feed_caller(&run, CallerNews::Lost);
             }
             let Some(shot) = run.shot.filter(|_| !with_machine) else { continue };
             if let Some(arrives_at) = shot.arrives_at {
-                let lost = Happening::EngineLosesCaller { engine: shot.engine, shot: shot.name };
+                let lost = SimEvent::EngineLosesCaller { engine: shot.engine, shot: shot.name };
                 self.at(arrives_at.max(self.now + Span::millis(3)), lost);
             }
         }
--- a/crates/simulator/src/callers.rs
+++ b/crates/simulator/src/callers.rs
@@ -137,8 +137,8 @@
             asked_again: false,
         });
         let delay = self.net.delay(&mut self.draw) + self.caller_distance;
-        self.later(delay, Happening::Enters { node, caller, request });
-        self.later(PATIENCE, Happening::PatienceEnds { caller });
+        self.later(delay, SimEvent::Enters { node, caller, request });
+        self.later(PATIENCE, SimEvent::PatienceEnds { caller });
     }
 
     pub fn lose_patience(&mut self, caller: usize) {
@@ -156,13 +156,13 @@
         let delay = self.net.delay(&mut self.draw);
         let stream = self.callers[caller].stream;
         let left = CallerLeft { node, router: named.router, run: named.run, caller, stream };
-        self.later(delay, Happening::CallerLeft(left));
+        self.later(delay, SimEvent::CallerLeft(left));
     }
 
     pub fn hear_caller_left(&mut self, left: CallerLeft) {
         let woken_at = self.nodes[left.node].frozen_until;
         if woken_at > self.now {
-            return self.defer(woken_at, Happening::CallerLeft(left));
+            return self.defer(woken_at, SimEvent::CallerLeft(left));
         }
         let known = self.nodes[left.node].router.as_mut().filter(|known| known.id == left.router);
         let Some(left_run) = known.and_then(|known| known.runs.get_mut(&left.run)) else { return };
@@ -250,7 +250,7 @@
         caller.is_away = true;
         caller.resumes += 1;
         let pause = Span::millis(self.draw.between(20, 1500));
-        self.later(pause, Happening::ComesBack { node, caller: number });
+        self.later(pause, SimEvent::ComesBack { node, caller: number });
     }
 
     pub fn hear_comes_back(&mut self, node: usize, number: usize) {
@@ -278,7 +278,7 @@
             let request = caller.request.clone();
             let node = self.draw.below(self.nodes.len() as u64) as usize;
             let pause = Span::millis(self.draw.between(1, 800));
-            self.later(pause, Happening::AsksAgain { node, request });
+            self.later(pause, SimEvent::AsksAgain { node, request });
         }
     }
 
--- a/crates/simulator/src/claims.rs
+++ b/crates/simulator/src/claims.rs
@@ -27,7 +27,7 @@
         until: Instant,
     ) {
         let woken_at = self.nodes[node].frozen_until;
-        let again = |submission| Happening::ClaimAgain { node, router, ticket, submission, until };
+        let again = |submission| SimEvent::ClaimAgain { node, router, ticket, submission, until };
         if woken_at > self.now {
             return self.defer(woken_at, again(submission));
         }
@@ -42,7 +42,7 @@
             return;
         }
         if self.nodes[node].fed_router == Some(router) {
-            let input = CourierInput::Router(RouterUp::Submit { ticket, submission: submission.clone() });
+            let input = SubscriptionInput::Router(RouterUp::Submit { ticket, submission: submission.clone() });
             self.tell_node(node, input);
         }
         self.later(CLAIM_AGAIN, again(submission));
--- a/crates/simulator/src/disorder.rs
+++ b/crates/simulator/src/disorder.rs
@@ -13,7 +13,7 @@
 
 #[derive(Default)]
 struct CoreKeeper {
-    warden: Option<Warden>,
+    coordinator: Option<Warden>,
     disk: Kept,
     life: u64,
 }
@@ -85,18 +85,18 @@
 
     fn start(&mut self, number: usize) {
         let keeper = &mut self.keepers[number];
-        if keeper.warden.is_some() {
+        if keeper.coordinator.is_some() {
             return;
         }
         keeper.life += 1;
         let seeds = (0..3).map(|seed| format!("k{seed}")).collect();
         let wishes = Wishes { has_census: false, core_size: KEEPERS, seeds, ..Wishes::default() };
         let life = keeper.life * 1_000_003 + number as u64;
-        keeper.warden = Some(Warden::restore(member(number), keeper.disk.clone(), wishes, life, self.now));
+        keeper.coordinator = Some(Warden::restore(member(number), keeper.disk.clone(), wishes, life, self.now));
     }
 
     fn end(&mut self, number: usize) {
-        self.keepers[number].warden = None;
+        self.keepers[number].coordinator = None;
         self.ways.retain(|(_, to), _| *to != number);
     }
 
@@ -179,8 +179,8 @@
     /// Steps a keeper and carries its plan out; if it ends here, only a part of it.
     fn feed(&mut self, number: usize, input: Input, ends: bool) {
         let now = self.now;
-        let Some(warden) = self.keepers[number].warden.as_mut() else { return };
-        let plan = warden.step(input, now);
+        let Some(coordinator) = self.keepers[number].coordinator.as_mut() else { return };
+        let plan = coordinator.step(input, now);
         // What is stored is stored as a whole, before anything is said, or not at all.
         let (stores, said): (Vec<Effect>, Vec<Effect>) =
             plan.into_iter().partition(|effect| matches!(effect, Effect::Store(_)));
@@ -196,7 +196,7 @@
             match effect {
                 Effect::Send { address, message, .. } | Effect::Knock { address, message } => {
                     let Some(to) = (0..KEEPERS).find(|to| format!("k{to}") == address) else { continue };
-                    if self.keepers[to].warden.is_some() {
+                    if self.keepers[to].coordinator.is_some() {
                         self.ways.entry((number, to)).or_default().push_back(message);
                     }
                 }
@@ -210,28 +210,28 @@
 
     fn acting_tails(&self) -> Vec<usize> {
         let acts = |number: &usize| {
-            self.keepers[*number].warden.as_ref().is_some_and(|warden| warden.tail_is_active(self.now))
+            self.keepers[*number].coordinator.as_ref().is_some_and(|coordinator| coordinator.tail_is_active(self.now))
         };
         (0..KEEPERS).filter(acts).collect()
     }
 
     fn hold_to_rules(&mut self, number: usize) {
-        let Some(warden) = &self.keepers[number].warden else { return };
-        let view = warden.view();
+        let Some(coordinator) = &self.keepers[number].coordinator else { return };
+        let view = coordinator.view();
         let known_view = self.views.entry(view.number).or_insert_with(|| view.clone());
         if (&known_view.chain, &known_view.voters) != (&view.chain, &view.voters) {
             self.found.push(format!("rule 8: two views have number {}", view.number));
         }
-        if !warden.tail_is_active(self.now) {
+        if !coordinator.tail_is_active(self.now) {
             return;
         }
-        let last = warden.last();
+        let last = coordinator.last();
         if last.edition < self.last_committed {
             self.found
                 .push(format!("rule 8: the tail stands at {}, {} was committed", last.edition, self.last_committed));
         }
         self.last_committed = self.last_committed.max(last.edition);
-        for (request, settled) in &warden.state().settled {
+        for (request, settled) in &coordinator.state().settled {
             let Settled::Taken(edition) = settled else { continue };
             let known = *self.committed.entry(*edition).or_insert(*request);
             if known != *request {
--- a/crates/simulator/src/effects.rs
+++ b/crates/simulator/src/effects.rs
@@ -87,7 +87,7 @@
         };
         let prefiller = under_way.placement.prefill.iter().map(|prefill| prefill.engine.clone());
         let engines = prefiller.chain([under_way.ground.engine.clone()]).collect();
-        self.later(span, Happening::RunInput { to, input });
+        self.later(span, SimEvent::RunInput { to, input });
         self.freeze_in_connect(node, &run.request.key_hash, &run.request.tenant, engines);
     }
 
--- a/crates/simulator/src/engine_work.rs
+++ b/crates/simulator/src/engine_work.rs
@@ -44,7 +44,7 @@
         let engine = &mut self.engines[number];
         let boot = engine.memory.boot;
         engine.shots.insert(ask.to.shot.clone(), shot);
-        self.at(looks_at, Happening::EngineWorks { engine: number, boot, shot: ask.to.shot });
+        self.at(looks_at, SimEvent::EngineWorks { engine: number, boot, shot: ask.to.shot });
     }
 
     /// In a split pool: prefills and keeps a prompt that another engine is to decode.
@@ -52,7 +52,7 @@
         let delay = self.net.delay(&mut self.draw);
         let at = self.millis();
         let engine = &self.engines[number];
-        let told = Happening::Prefilled { to: ask.to.clone() };
+        let told = SimEvent::Prefilled { to: ask.to.clone() };
         if !engine.up || !engine.accepting || engine.weights != ask.weights {
             return self.later(delay, told);
         }
@@ -135,7 +135,7 @@
             let begins_at = if now < shot.begins_at { shot.begins_at } else { shot.limit };
             let looks_at = begins_at.min(shot.limit);
             engine.shots.insert(shot_name.clone(), shot);
-            return self.at(looks_at, Happening::EngineWorks { engine: number, boot, shot: shot_name });
+            return self.at(looks_at, SimEvent::EngineWorks { engine: number, boot, shot: shot_name });
         }
         shot.told_until = told_at;
         if self.breaks_off(&mut shot, told_at) {
@@ -151,7 +151,7 @@
         }
         shot.place += 1;
         self.engines[number].shots.insert(shot_name.clone(), shot);
-        self.later(pause, Happening::EngineWorks { engine: number, boot, shot: shot_name });
+        self.later(pause, SimEvent::EngineWorks { engine: number, boot, shot: shot_name });
     }
 
     /// Answers with an error, or with a head and then a stream that ends too early, if that is its manner.
@@ -206,7 +206,7 @@
     }
 
     pub(crate) fn tell_run(&mut self, to: &ShotPlaceName, at: Instant, input: CarriageInput<SimPiece>) {
-        self.at(at, Happening::RunInput { to: to.clone(), input });
+        self.at(at, SimEvent::RunInput { to: to.clone(), input });
     }
 }
 
--- a/crates/simulator/src/engines.rs
+++ b/crates/simulator/src/engines.rs
@@ -158,7 +158,7 @@
                 engine.accepting = false;
                 let boot = engine.memory.boot;
                 let span = Span::millis(self.draw.between(100, 600));
-                self.later(span, Happening::EngineLoads { engine: number, boot, weights });
+                self.later(span, SimEvent::EngineLoads { engine: number, boot, weights });
             }
             None => engine.accepting = true,
         }
--- a/crates/simulator/src/founding.rs
+++ b/crates/simulator/src/founding.rs
@@ -15,9 +15,9 @@
         }
         for number in 0..NODES {
             self.start_node(number);
-            self.later(Span::millis(number as u64), Happening::Traffic { node: number });
+            self.later(Span::millis(number as u64), SimEvent::Traffic { node: number });
         }
-        self.later(Span::millis(100), Happening::Sample);
+        self.later(Span::millis(100), SimEvent::Sample);
     }
 
     fn found(&mut self) {
--- a/crates/simulator/src/keepers.rs
+++ b/crates/simulator/src/keepers.rs
@@ -8,7 +8,7 @@
         let seeds = (0..3).map(|seed| format!("k{seed}")).collect();
         let now = self.now;
         let keeper = &mut self.keepers[number];
-        if keeper.warden.is_some() {
+        if keeper.coordinator.is_some() {
             return;
         }
         keeper.life += 1;
@@ -19,13 +19,13 @@
         keeper.census_since = None;
         let wishes = Wishes { has_census: true, core_size: KEEPERS, seeds, ..Wishes::default() };
         let life = keeper.life.wrapping_mul(1_000_003).wrapping_add(keeper.id.0.wrapping_mul(7919));
-        keeper.warden = Some(Warden::restore(member, keeper.disk.clone(), wishes, life, keeper.clock.read(now)));
+        keeper.coordinator = Some(Warden::restore(member, keeper.disk.clone(), wishes, life, keeper.clock.read(now)));
         let life = keeper.life;
-        self.later(Span::millis(1), Happening::KeeperPulse { keeper: number, life });
+        self.later(Span::millis(1), SimEvent::KeeperPulse { keeper: number, life });
     }
 
     pub fn kill_keeper(&mut self, number: usize) {
-        self.keepers[number].warden = None;
+        self.keepers[number].coordinator = None;
         self.keepers[number].life += 1;
         for link in 0..self.links.len() {
             if self.links[link].open && self.links[link].keeper == number {
@@ -56,11 +56,11 @@
         let free_at = keeper.frozen_until.max(keeper.busy_until);
         if free_at > now {
             let life = Some(keeper.life);
-            self.defer(free_at, Happening::KeeperInput { keeper: number, life, input });
+            self.defer(free_at, SimEvent::KeeperInput { keeper: number, life, input });
             return;
         }
-        let Some(warden) = keeper.warden.as_mut() else { return };
-        let plan = warden.step(input, keeper.clock.read(now));
+        let Some(coordinator) = keeper.coordinator.as_mut() else { return };
+        let plan = coordinator.step(input, keeper.clock.read(now));
         if plan.is_empty() {
             return;
         }
@@ -69,7 +69,7 @@
         if syncs {
             keeper.busy_until = now + keeper.sync_span;
             let synced_at = keeper.busy_until;
-            self.at(synced_at, Happening::CarryOut { keeper: number, life, plan });
+            self.at(synced_at, SimEvent::CarryOut { keeper: number, life, plan });
         } else {
             self.carry_out(number, life, plan);
         }
@@ -81,7 +81,7 @@
         }
         if self.keepers[number].frozen_until > self.now {
             let woken_at = self.keepers[number].frozen_until;
-            self.defer(woken_at, Happening::CarryOut { keeper: number, life, plan });
+            self.defer(woken_at, SimEvent::CarryOut { keeper: number, life, plan });
             return;
         }
         let local_now = self.keepers[number].clock.read(self.now);
@@ -115,10 +115,10 @@
         for _ in 0..2 {
             let keeper = self.draw.below(KEEPERS as u64) as usize;
             let span = Span::micros(self.draw.between(100, 25_000));
-            self.later(span, Happening::Loses { keeper });
+            self.later(span, SimEvent::Loses { keeper });
         }
         let span = Span::millis(self.draw.between(30, 900));
-        self.later(span, Happening::Revives);
+        self.later(span, SimEvent::Revives);
     }
 
     pub fn post(&mut self, from: usize, address: &str, message: CoreMessage) {
@@ -128,7 +128,7 @@
         }
         let delay = self.net.delay(&mut self.draw);
         let input = Input::Peer { from: self.keepers[from].id, message };
-        self.later(delay, Happening::KeeperInput { keeper: to, life: None, input });
+        self.later(delay, SimEvent::KeeperInput { keeper: to, life: None, input });
     }
 
     pub fn tell(&mut self, keeper: usize, node_id: NodeId, message: NodeDown) {
@@ -139,7 +139,7 @@
         let Some(link) = found else { return };
         self.links[link].down.push_back(message);
         let delay = self.net.delay(&mut self.draw);
-        self.later(delay, Happening::PumpDown { link });
+        self.later(delay, SimEvent::PumpDown { link });
     }
 
     /// Census and conductor of one keeper, as the daemon's duties do them.
@@ -150,8 +150,8 @@
             return;
         }
         let local_now = keeper.clock.read(now);
-        let Some(warden) = keeper.warden.as_ref() else { return };
-        if !warden.has_view() {
+        let Some(coordinator) = keeper.coordinator.as_ref() else { return };
+        if !coordinator.has_view() {
             return;
         }
         let reading =
@@ -161,11 +161,11 @@
         if reads_now {
             keeper.census_read = now;
         }
-        let state = warden.state().clone();
-        let census = warden.holds_duty(DutyKind::Census, local_now);
-        let conductor_term = warden.holds_duty(DutyKind::Conductor, local_now);
+        let state = coordinator.state().clone();
+        let census = coordinator.holds_duty(DutyKind::Census, local_now);
+        let conductor_term = coordinator.holds_duty(DutyKind::Conductor, local_now);
         if reads_now {
-            self.later(Span::millis(3), Happening::KeeperInput { keeper: number, life: Some(life), input: reading });
+            self.later(Span::millis(3), SimEvent::KeeperInput { keeper: number, life: Some(life), input: reading });
         }
         let keeper = &mut self.keepers[number];
         if state.listing.number.0 < self.listing_number {
@@ -259,7 +259,7 @@
         let order = SimOrder { holder: self.keepers[number].id.to_string(), term, weights };
         let life = self.keepers[number].life;
         let delay = self.net.delay(&mut self.draw);
-        self.later(delay, Happening::OrderLeaves { keeper: number, life, engine, order });
+        self.later(delay, SimEvent::OrderLeaves { keeper: number, life, engine, order });
     }
 
     /// The duty is looked at once more in the write that would give the order.
@@ -270,13 +270,13 @@
         }
         if keeper.frozen_until > self.now {
             let woken_at = keeper.frozen_until;
-            return self.defer(woken_at, Happening::OrderLeaves { keeper: number, life, engine, order });
+            return self.defer(woken_at, SimEvent::OrderLeaves { keeper: number, life, engine, order });
         }
-        let Some(warden) = &keeper.warden else { return };
-        let held = warden.holds_duty(DutyKind::Conductor, keeper.clock.read(self.now));
+        let Some(coordinator) = &keeper.coordinator else { return };
+        let held = coordinator.holds_duty(DutyKind::Conductor, keeper.clock.read(self.now));
         if held.is_some_and(|(term, _)| term == order.term) {
             let delay = self.net.delay(&mut self.draw);
-            self.later(delay, Happening::Ordered { engine, order });
+            self.later(delay, SimEvent::Ordered { engine, order });
         }
     }
 
@@ -298,7 +298,7 @@
         let limit = self.keepers[keeper].clock.read(self.now) + Span::seconds(8);
         let input = Input::Ask { ticket, question: Question::Submit(submission), limit };
         let life = self.keepers[keeper].life;
-        self.later(Span::millis(1), Happening::KeeperInput { keeper, life: Some(life), input });
+        self.later(Span::millis(1), SimEvent::KeeperInput { keeper, life: Some(life), input });
     }
 
     /// A disk may be lost if the promise made for it holds: one at a time, the others whole.
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -1,14 +1,13 @@
-//! The fleet in virtual time, at the size of an office. The same machines that the daemons drive
-//! (warden, courier, conductor, the router's sight, picker, carriage) run here on simulated machines with
-//! clocks of their own, disks that take time, a network that delays, reorders and is cut, engines that
-//! crash and misbehave, callers that leave and come back, and a seeded schedule of faults; the oracles
-//! judge what came out. The same seed gives the same run.
+//! The fleet in virtual time, at the size of an office. The same state machines that the daemons drive
+//! (coordinator, subscription, conductor, the router's view of the fleet, picker, attempts) run here on
+//! simulated machines with clocks of their own, disks that take time, a network that delays, reorders and is
+//! cut, engines that crash and misbehave, callers that leave and come back, and a seeded schedule of faults;
+//! the oracles judge what came out. The same seed gives the same run.
 
 pub mod prelude;
 
 mod bounds;
 mod callers;
-mod cast;
 mod claims;
 mod disorder;
 mod effects;
@@ -18,6 +17,7 @@
 mod faults;
 mod founding;
 mod keepers;
+mod machines;
 mod memory;
 mod net;
 mod nodes;
--- a/crates/simulator/src/cast.rs
+++ b/crates/simulator/src/machines.rs
@@ -1,4 +1,4 @@
-//! Who plays: keepers with disks, nodes of courier and router, engines, the platform's list.
+//! Who plays: keepers with disks, nodes of subscription and router, engines, the platform's list.
 
 use crate::prelude::*;
 
@@ -21,7 +21,7 @@
 }
 
 pub struct SimKeeper {
-    pub warden: Option<Warden>,
+    pub coordinator: Option<Warden>,
     pub id: NodeId,
     pub address: String,
     /// What a crash leaves behind.
@@ -44,7 +44,7 @@
     /// A keeper that has not started, with an empty disk.
     pub fn new(number: usize, clock: Clock) -> SimKeeper {
         SimKeeper {
-            warden: None,
+            coordinator: None,
             id: NodeId(number as u64 + 1),
             address: format!("k{number}"),
             disk: Kept::default(),
@@ -62,7 +62,7 @@
 }
 
 pub struct SimNode {
-    pub courier: Option<Courier>,
+    pub subscription: Option<Subscription>,
     pub id: NodeId,
     pub clock: Clock,
     pub life: u64,
@@ -77,7 +77,7 @@
     /// A node on which nothing has started.
     pub fn new(number: usize, clock: Clock) -> SimNode {
         SimNode {
-            courier: None,
+            subscription: None,
             id: NodeId(1000 + number as u64),
             clock,
             life: 0,
--- a/crates/simulator/src/nodes.rs
+++ b/crates/simulator/src/nodes.rs
@@ -6,14 +6,14 @@
     pub fn start_node(&mut self, number: usize) {
         let spread = self.draw.below(64) as usize;
         let node = &mut self.nodes[number];
-        if node.courier.is_none() {
+        if node.subscription.is_none() {
             node.life += 1;
             node.id = NodeId(1000 + number as u64 + 10_000 * node.life);
-            node.courier = Some(Courier::new((0..3).map(|seed| format!("k{seed}")).collect(), spread));
+            node.subscription = Some(Subscription::new((0..3).map(|seed| format!("k{seed}")).collect(), spread));
             let life = node.life;
-            self.later(Span::millis(1), Happening::NodePulse { node: number, life });
-            self.later(Span::millis(1), Happening::Polls { node: number, life });
-            self.later(Span::millis(1), Happening::WorkLook { node: number, life });
+            self.later(Span::millis(1), SimEvent::NodePulse { node: number, life });
+            self.later(Span::millis(1), SimEvent::Polls { node: number, life });
+            self.later(Span::millis(1), SimEvent::WorkLook { node: number, life });
         }
         self.start_router(number);
     }
@@ -26,16 +26,16 @@
         let zone = Zone(ZONES[number % 4].into());
         self.nodes[number].router = Some(SimRouter::new(router, zone));
         let life = self.nodes[number].life;
-        self.later(Span::millis(1), Happening::RouterDials { node: number, life, router });
+        self.later(Span::millis(1), SimEvent::RouterDials { node: number, life, router });
     }
 
     pub fn kill_router(&mut self, number: usize) {
         self.lose_runs(number, false);
-        self.tell_node(number, CourierInput::RouterDown);
+        self.tell_node(number, SubscriptionInput::RouterDown);
     }
 
     pub fn kill_node(&mut self, number: usize) {
-        self.nodes[number].courier = None;
+        self.nodes[number].subscription = None;
         let with_machine = self.draw.chance(50);
         self.lose_runs(number, with_machine);
         self.nodes[number].life += 1;
@@ -44,17 +44,17 @@
         }
     }
 
-    pub fn tell_node(&mut self, node: usize, input: CourierInput) {
+    pub fn tell_node(&mut self, node: usize, input: SubscriptionInput) {
         let life = self.nodes[node].life;
-        self.later(Span::millis(1), Happening::NodeInput { node, life, input });
+        self.later(Span::millis(1), SimEvent::NodeInput { node, life, input });
     }
 
     pub fn end_link(&mut self, link: usize) {
         self.links[link].open = false;
-        self.later(Span::millis(2), Happening::LinkEnds { link });
+        self.later(Span::millis(2), SimEvent::LinkEnds { link });
     }
 
-    pub fn step_node(&mut self, number: usize, life: u64, input: CourierInput) {
+    pub fn step_node(&mut self, number: usize, life: u64, input: SubscriptionInput) {
         let now = self.now;
         let node = &mut self.nodes[number];
         if node.life != life {
@@ -62,31 +62,31 @@
         }
         if node.frozen_until > now {
             let woken_at = node.frozen_until;
-            self.defer(woken_at, Happening::NodeInput { node: number, life, input });
+            self.defer(woken_at, SimEvent::NodeInput { node: number, life, input });
             return;
         }
-        let Some(courier) = node.courier.as_mut() else { return };
-        let plan = courier.step(input, node.clock.read(now));
+        let Some(subscription) = node.subscription.as_mut() else { return };
+        let plan = subscription.step(input, node.clock.read(now));
         for effect in plan {
             match effect {
-                CourierEffect::Dial(address) => {
+                SubscriptionEffect::Dial(address) => {
                     if let Some(link) = self.nodes[number].link.take() {
                         self.end_link(link);
                     }
                     let delay = self.net.delay(&mut self.draw);
-                    self.later(delay, Happening::Dialled { node: number, life, address });
+                    self.later(delay, SimEvent::Dialled { node: number, life, address });
                 }
-                CourierEffect::SayCore(message) => {
+                SubscriptionEffect::SayCore(message) => {
                     let Some(link) = self.nodes[number].link else { continue };
                     self.links[link].up.push_back(message);
                     let delay = self.net.delay(&mut self.draw);
-                    self.later(delay, Happening::PumpUp { link });
+                    self.later(delay, SimEvent::PumpUp { link });
                 }
-                CourierEffect::SayRouter(message) => {
+                SubscriptionEffect::SayRouter(message) => {
                     let Some(router) = self.nodes[number].fed_router else { continue };
-                    self.later(Span::millis(1), Happening::RouterInput { node: number, router, message });
+                    self.later(Span::millis(1), SimEvent::RouterInput { node: number, router, message });
                 }
-                CourierEffect::Note { event, detail } => self.note(format!("n{number} {event} {detail}")),
+                SubscriptionEffect::Note { event, detail } => self.note(format!("n{number} {event} {detail}")),
             }
         }
     }
@@ -96,27 +96,27 @@
         let node = &mut self.nodes[number];
         if node.frozen_until > self.now {
             let woken_at = node.frozen_until;
-            self.defer(woken_at, Happening::RouterDials { node: number, life, router });
+            self.defer(woken_at, SimEvent::RouterDials { node: number, life, router });
             return;
         }
         if node.life == life && node.router.as_ref().is_some_and(|known| known.id == router) {
             node.fed_router = Some(router);
-            self.step_node(number, life, CourierInput::RouterUp);
+            self.step_node(number, life, SubscriptionInput::RouterUp);
         }
     }
 
     pub fn connect(&mut self, number: usize, life: u64, address: &str) {
-        if self.nodes[number].life != life || self.nodes[number].courier.is_none() {
+        if self.nodes[number].life != life || self.nodes[number].subscription.is_none() {
             return;
         }
         let found = self.keepers.iter().position(|keeper| keeper.address == address);
         let machine = NODE_BASE + number;
         let reached = found.filter(|keeper| {
-            let is_up = self.keepers[*keeper].warden.is_some();
+            let is_up = self.keepers[*keeper].coordinator.is_some();
             is_up && !self.net.is_cut(machine, *keeper) && !self.net.is_cut(*keeper, machine)
         });
         let Some(keeper) = reached else {
-            self.tell_node(number, CourierInput::CoreDown);
+            self.tell_node(number, SubscriptionInput::CoreDown);
             return;
         };
         let keeper_life = self.keepers[keeper].life;
@@ -130,8 +130,8 @@
         });
         self.nodes[number].link = Some(self.links.len() - 1);
         let input = Input::NodeGone { node: self.nodes[number].id };
-        self.later(Span(0), Happening::KeeperInput { keeper, life: Some(keeper_life), input });
-        self.tell_node(number, CourierInput::CoreUp);
+        self.later(Span(0), SimEvent::KeeperInput { keeper, life: Some(keeper_life), input });
+        self.tell_node(number, SubscriptionInput::CoreUp);
     }
 
     /// Moves one message along a stream; while the way is cut, or the receiver frozen, it waits.
@@ -143,7 +143,7 @@
         let (node_machine, keeper) = (NODE_BASE + link.node, link.keeper);
         let way = if is_up { (node_machine, keeper) } else { (keeper, node_machine) };
         if self.net.is_cut(way.0, way.1) {
-            let again = if is_up { Happening::PumpUp { link: number } } else { Happening::PumpDown { link: number } };
+            let again = if is_up { SimEvent::PumpUp { link: number } } else { SimEvent::PumpDown { link: number } };
             self.later(Span::millis(40), again);
             return;
         }
@@ -155,7 +155,7 @@
         } else if let Some(message) = self.links[number].down.pop_front() {
             let life = self.nodes[node].life;
             if self.nodes[node].link == Some(number) {
-                self.step_node(node, life, CourierInput::Core(message));
+                self.step_node(node, life, SubscriptionInput::Core(message));
             }
         }
     }
@@ -171,7 +171,7 @@
         }
         if self.nodes[node].link == Some(number) && !self.net.is_cut(keeper, machine) {
             self.nodes[node].link = None;
-            self.tell_node(node, CourierInput::CoreDown);
+            self.tell_node(node, SubscriptionInput::CoreDown);
         }
         self.links[number].up.clear();
         self.links[number].down.clear();
@@ -182,7 +182,7 @@
         let node = &mut self.nodes[number];
         if node.frozen_until > now {
             let woken_at = node.frozen_until;
-            self.defer(woken_at, Happening::RouterInput { node: number, router: router_id, message });
+            self.defer(woken_at, SimEvent::RouterInput { node: number, router: router_id, message });
             return;
         }
         let local_now = node.clock.read(now);
@@ -219,7 +219,7 @@
         if let Some(request) = last_settled {
             self.see_committed(edition, request, &format!("n{number}"));
         }
-        self.tell_node(number, CourierInput::Router(RouterUp::Applied { edition }));
+        self.tell_node(number, SubscriptionInput::Router(RouterUp::Applied { edition }));
         self.look_at_work(number);
     }
 
--- a/crates/simulator/src/operators.rs
+++ b/crates/simulator/src/operators.rs
@@ -49,7 +49,7 @@
         if std::mem::take(&mut self.power_fails) {
             self.note("power fails in the whole core".into());
             (0..KEEPERS).for_each(|keeper| self.kill_keeper(keeper));
-            self.later(Span::millis(600), Happening::Revives);
+            self.later(Span::millis(600), SimEvent::Revives);
         }
     }
 
@@ -134,7 +134,7 @@
 
     /// Two operators change the same edition at once, through two keepers: one of them at most is taken.
     fn race(&mut self) {
-        let newest = self.keepers.iter().filter_map(|keeper| keeper.warden.as_ref()).map(Warden::state);
+        let newest = self.keepers.iter().filter_map(|keeper| keeper.coordinator.as_ref()).map(Warden::state);
         let Some(base) = newest.map(|state| state.desired_edition).max() else { return };
         let race = self.draw.number();
         for operator in 0..2 {
--- a/crates/simulator/src/placing.rs
+++ b/crates/simulator/src/placing.rs
@@ -105,7 +105,7 @@
             limit: shot.allowance.left(local_now),
         };
         let engine = shot.engine;
-        self.at(arrives_at, Happening::EngineGets { engine, ask: Box::new(ask) });
+        self.at(arrives_at, SimEvent::EngineGets { engine, ask: Box::new(ask) });
     }
 
     /// In a split pool, asks the prefilling engine once; whether that is to be waited for.
@@ -133,8 +133,8 @@
         };
         let patience = Span(run.limit.since(local_now).0 / 2);
         let delay = self.net.delay(&mut self.draw);
-        self.later(delay, Happening::EnginePrefills { engine, ask: Box::new(ask) });
-        self.later(patience, Happening::Prefilled { to });
+        self.later(delay, SimEvent::EnginePrefills { engine, ask: Box::new(ask) });
+        self.later(patience, SimEvent::Prefilled { to });
         true
     }
 
@@ -142,7 +142,7 @@
     pub fn hear_prefilled(&mut self, to: ShotPlaceName) {
         let woken_at = self.nodes[to.node].frozen_until;
         if woken_at > self.now {
-            return self.defer(woken_at, Happening::Prefilled { to });
+            return self.defer(woken_at, SimEvent::Prefilled { to });
         }
         let router = self.nodes[to.node].router.as_ref().filter(|router| router.id == to.router);
         let shot = router.and_then(|router| router.runs.get(&to.run)?.shot.as_ref());
@@ -158,7 +158,7 @@
         }
         if let Some(arrives_at) = shot.arrives_at {
             let closed_at = self.now + Span::millis(3) + self.net.delay(&mut self.draw);
-            let lost = Happening::EngineLosesCaller { engine: shot.engine, shot: shot.name };
+            let lost = SimEvent::EngineLosesCaller { engine: shot.engine, shot: shot.name };
             self.at(closed_at.max(arrives_at), lost);
         }
     }
--- a/crates/simulator/src/polling.rs
+++ b/crates/simulator/src/polling.rs
@@ -24,7 +24,7 @@
             }
         }
         let pause = Span::millis(self.draw.between(300, 600));
-        self.later(pause, Happening::Polls { node, life });
+        self.later(pause, SimEvent::Polls { node, life });
     }
 }
 
--- a/crates/simulator/src/prelude.rs
+++ b/crates/simulator/src/prelude.rs
@@ -1,12 +1,12 @@
 //! The one import of this package's files.
 
 pub use crate::callers::*;
-pub use crate::cast::*;
 pub use crate::disorder::*;
 pub use crate::engines::*;
 pub use crate::events::*;
 pub use crate::faults::*;
 pub use crate::keepers::*;
+pub use crate::machines::*;
 pub use crate::memory::*;
 pub use crate::net::*;
 pub use crate::run::*;
@@ -24,6 +24,6 @@
 };
 pub(crate) use std::cmp::Reverse;
 pub(crate) use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
-pub(crate) use subscription::prelude::{Courier, CourierEffect, CourierInput, RouterDown, RouterUp};
+pub(crate) use subscription::prelude::{RouterDown, RouterUp, Subscription, SubscriptionEffect, SubscriptionInput};
 pub(crate) use units::prelude::*;
 pub(crate) use verdict::prelude::{CallerLine, Record, Violation, WorldLine, judge};
--- a/crates/simulator/src/resuming.rs
+++ b/crates/simulator/src/resuming.rs
@@ -7,7 +7,7 @@
     pub fn resume(&mut self, node: usize, caller: usize, carried: bool) {
         let woken_at = self.nodes[node].frozen_until;
         if woken_at > self.now {
-            return self.defer(woken_at, Happening::Resumes { node, caller, carried });
+            return self.defer(woken_at, SimEvent::Resumes { node, caller, carried });
         }
         let local_now = self.nodes[node].clock.read(self.now);
         let Some(router) = self.nodes[node].router.as_mut() else {
@@ -27,7 +27,7 @@
             let found = self.nodes.iter().position(holds).filter(|_| has_door);
             let delay = self.net.delay(&mut self.draw);
             return match found {
-                Some(holder) => self.later(delay, Happening::Resumes { node: holder, caller, carried: true }),
+                Some(holder) => self.later(delay, SimEvent::Resumes { node: holder, caller, carried: true }),
                 None => self.caller_gets(caller, CallerNews::Gone),
             };
         }
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -105,7 +105,7 @@
         if fault_at + Span::millis(400) >= trouble_end {
             break;
         }
-        world.at(fault_at, Happening::Fault(Fault::draw(&mut draw, KEEPERS, NODES, ENGINES)));
+        world.at(fault_at, SimEvent::Fault(Fault::draw(&mut draw, KEEPERS, NODES, ENGINES)));
     }
     schedule_changes(&mut world, &mut draw, trouble_end, plan.lasting);
     world.run_until(trouble_end);
@@ -134,12 +134,12 @@
     let mut change_at = world.now;
     while change_at < calm_end {
         change_at = change_at + Span::millis(draw.between(50, 1500));
-        world.at(change_at, Happening::Operator);
+        world.at(change_at, SimEvent::Operator);
     }
     let mut listing_at = world.now;
     while listing_at < calm_end {
         listing_at = listing_at + Span::millis(draw.between(500, 6000));
-        world.at(listing_at, Happening::Platform);
+        world.at(listing_at, SimEvent::Platform);
     }
 }
 
@@ -183,8 +183,8 @@
         unserved.into_iter().for_each(|told| world.note(told));
     }
     for number in 0..world.nodes.len() {
-        let courier = format!("n{number} at the end: {:?}", world.nodes[number].courier);
-        world.note(courier);
+        let subscription = format!("n{number} at the end: {:?}", world.nodes[number].subscription);
+        world.note(subscription);
     }
     let mut violations: Vec<String> =
         judge(&world.record).into_iter().map(|Violation { rule, what }| format!("rule {rule}: {what}")).collect();
@@ -224,8 +224,8 @@
 /// Every acknowledged change must be in the state of the tail that acts at the end, as it was acked.
 fn lost_acks(world: &World) -> Vec<String> {
     let tail = world.keepers.iter().find_map(|keeper| {
-        let warden = keeper.warden.as_ref()?;
-        warden.tail_is_active(keeper.clock.read(world.now)).then_some(warden)
+        let coordinator = keeper.coordinator.as_ref()?;
+        coordinator.tail_is_active(keeper.clock.read(world.now)).then_some(coordinator)
     });
     let Some(tail) = tail else { return vec!["rule 12: no tail acts at the end".into()] };
     if world.net.cuts.is_empty() && tail.view().chain.len() != KEEPERS {
--- a/crates/simulator/src/runs.rs
+++ b/crates/simulator/src/runs.rs
@@ -13,7 +13,7 @@
 
 pub struct SimRun {
     pub number: u64,
-    pub carriage: Carriage<SimPiece>,
+    pub attempts: Carriage<SimPiece>,
     pub request: SimRequest,
     /// The caller whose stream this run feeds now, and which of its streams that is.
     pub caller: Option<(usize, u64)>,
@@ -66,7 +66,7 @@
         let now = self.now;
         let woken_at = self.nodes[node].frozen_until;
         if woken_at > now {
-            return self.defer(woken_at, Happening::Enters { node, caller, request });
+            return self.defer(woken_at, SimEvent::Enters { node, caller, request });
         }
         let local_now = self.nodes[node].clock.read(now);
         let Some(router) = self.nodes[node].router.as_mut() else {
@@ -97,7 +97,7 @@
         };
         let run = SimRun {
             number,
-            carriage: Carriage::new(terms),
+            attempts: Carriage::new(terms),
             limit: local_now + request.limit,
             request: SimRequest { tenant, ..request },
             caller: Some((caller, 0)),
@@ -114,7 +114,7 @@
     pub fn hear_engine(&mut self, to: ShotPlaceName, input: CarriageInput<SimPiece>) {
         let woken_at = self.nodes[to.node].frozen_until;
         if woken_at > self.now {
-            return self.defer(woken_at, Happening::RunInput { to, input });
+            return self.defer(woken_at, SimEvent::RunInput { to, input });
         }
         let router = self.nodes[to.node].router.as_ref().filter(|router| router.id == to.router);
         let Some((router, run)) = router.and_then(|router| Some((router, router.runs.get(&to.run)?))) else { return };
@@ -131,7 +131,7 @@
         self.drive(to.node, to.router, to.run, input);
     }
 
-    /// Steps a run's carriage, and whatever follows from its effects at once.
+    /// Steps a run's attempts, and whatever follows from its effects at once.
     pub fn drive(&mut self, node: usize, router_id: NodeId, number: u64, input: CarriageInput<SimPiece>) {
         self.drive_on(node, router_id, number, Some(input));
     }
@@ -153,11 +153,11 @@
             self.write(node, router_id, &mut run, local_now, &mut inputs);
         }
         while let Some(input) = inputs.pop_front() {
-            for effect in run.carriage.step(input) {
+            for effect in run.attempts.step(input) {
                 self.carry(node, router_id, &mut run, effect, &mut inputs);
             }
         }
-        let stays = !run.carriage.is_done() || run.held.is_some();
+        let stays = !run.attempts.is_done() || run.held.is_some();
         if let Some(router) = self.nodes[node].router.as_mut().filter(|_| stays) {
             router.runs.insert(number, run);
         }
--- a/crates/simulator/src/sampling.rs
+++ b/crates/simulator/src/sampling.rs
@@ -23,16 +23,17 @@
                 let keeper = &self.keepers[*number];
                 let is_awake = keeper.frozen_until <= self.now;
                 let local_now = keeper.clock.read(self.now);
-                is_awake && keeper.warden.as_ref().is_some_and(|warden| warden.tail_is_active(local_now))
+                is_awake
+                    && keeper.coordinator.as_ref().is_some_and(|coordinator| coordinator.tail_is_active(local_now))
             })
             .collect();
         if active_tails.len() > 1 {
             self.extra.push(format!("rule 8: two active tails at {at}: {active_tails:?}"));
         }
         if let Some(tail) = active_tails.first()
-            && let Some(warden) = &self.keepers[*tail].warden
+            && let Some(coordinator) = &self.keepers[*tail].coordinator
         {
-            let (edition, last_settled) = (warden.state().edition, warden.state().settled.back().cloned());
+            let (edition, last_settled) = (coordinator.state().edition, coordinator.state().settled.back().cloned());
             if let Some((request, _)) = last_settled {
                 self.see_committed(edition, request, &format!("tail k{tail}"));
             }
--- a/crates/simulator/src/trouble.rs
+++ b/crates/simulator/src/trouble.rs
@@ -12,8 +12,8 @@
         // Most faults are undone after a while, so that later ones meet a fleet at work.
         let span = Span::millis(self.draw.between(500, 6_000));
         match self.draw.below(10) {
-            0..=3 => self.later(span, Happening::Revives),
-            4..=6 => self.later(span, Happening::Heals),
+            0..=3 => self.later(span, SimEvent::Revives),
+            4..=6 => self.later(span, SimEvent::Heals),
             _ => {}
         }
         let all_keepers: Vec<usize> = (0..KEEPERS).collect();
@@ -24,7 +24,7 @@
             Fault::StopKeeper(keeper) => {
                 let life = self.keepers[keeper].life;
                 self.step_keeper(keeper, Some(life), Input::Retire);
-                self.later(Span::millis(300), Happening::StopKeeper { keeper, life });
+                self.later(Span::millis(300), SimEvent::StopKeeper { keeper, life });
             }
             Fault::KillKeepers(keepers) => keepers.into_iter().for_each(|keeper| self.kill_keeper(keeper)),
             Fault::StartKeepers => all_keepers.into_iter().for_each(|keeper| self.start_keeper(keeper)),
@@ -107,7 +107,7 @@
         if self.faults_over {
             return;
         }
-        let states = self.keepers.iter().filter_map(|keeper| keeper.warden.as_ref()).map(Warden::state);
+        let states = self.keepers.iter().filter_map(|keeper| keeper.coordinator.as_ref()).map(Warden::state);
         let newest = states.max_by_key(|state| state.edition);
         let Some(duty) = newest.and_then(|state| state.duties.get(&DutyKind::Conductor).copied()) else { return };
         let Some(holder) = self.keepers.iter().position(|keeper| keeper.id == duty.holder) else { return };
@@ -117,8 +117,8 @@
         self.net.cut_between(&[holder], &nodes, true);
         if self.draw.chance(60) && again > 0 {
             let span = Span::millis(self.draw.between(5_000, 8_000));
-            self.later(Span(span.0 - 1_000_000_000), Happening::Heals);
-            self.later(span, Happening::IsolatesHolder { again: again - 1 });
+            self.later(Span(span.0 - 1_000_000_000), SimEvent::Heals);
+            self.later(span, SimEvent::IsolatesHolder { again: again - 1 });
         }
         if again < 2 {
             return;
@@ -138,7 +138,7 @@
     fn withdraw_behind(&mut self, node: usize) {
         let Some((key_hash, tenant, _)) = self.live_keys.last().cloned() else { return };
         self.call_long(node, TenantName(tenant), key_hash.clone());
-        self.later(Span::millis(400), Happening::WithdrawsBehind { node, key_hash });
+        self.later(Span::millis(400), SimEvent::WithdrawsBehind { node, key_hash });
     }
 
     pub fn hear_withdraws_behind(&mut self, node: usize, key_hash: &str) {
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -13,8 +13,8 @@
     pub draw: Draw,
     pub now: Instant,
     queue: BinaryHeap<Reverse<(Instant, u64)>>,
-    happenings: HashMap<u64, Happening>,
-    next_happening: u64,
+    events: HashMap<u64, SimEvent>,
+    next_event: u64,
     /// The number of what happens now.
     present: u64,
     pub net: Net,
@@ -104,8 +104,8 @@
             draw,
             now: Instant(1_000_000_000),
             queue: BinaryHeap::new(),
-            happenings: HashMap::new(),
-            next_happening: 0,
+            events: HashMap::new(),
+            next_event: 0,
             present: 0,
             net: Net::default(),
             keepers,
@@ -143,19 +143,19 @@
         world
     }
 
-    pub fn later(&mut self, span: Span, happening: Happening) {
-        self.at(self.now + span, happening);
+    pub fn later(&mut self, span: Span, event: SimEvent) {
+        self.at(self.now + span, event);
     }
 
-    pub fn at(&mut self, instant: Instant, happening: Happening) {
-        self.next_happening += 1;
-        self.happenings.insert(self.next_happening, happening);
-        self.queue.push(Reverse((instant, self.next_happening)));
+    pub fn at(&mut self, instant: Instant, event: SimEvent) {
+        self.next_event += 1;
+        self.events.insert(self.next_event, event);
+        self.queue.push(Reverse((instant, self.next_event)));
     }
 
     /// Puts off what happens now until a machine is awake again, in the order in which it came first.
-    pub fn defer(&mut self, instant: Instant, happening: Happening) {
-        self.happenings.insert(self.present, happening);
+    pub fn defer(&mut self, instant: Instant, event: SimEvent) {
+        self.events.insert(self.present, event);
         self.queue.push(Reverse((instant, self.present)));
     }
 
@@ -167,9 +167,9 @@
             }
             self.queue.pop();
             self.now = self.now.max(instant);
-            if let Some(happening) = self.happenings.remove(&number) {
+            if let Some(event) = self.events.remove(&number) {
                 self.present = number;
-                self.happen(happening);
+                self.handle(event);
             }
         }
         self.now = end;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,4 +3,4 @@
 
 pub mod prelude;
 
-mod booth;
+mod serving;
--- a/crates/standin/src/prelude.rs
+++ b/crates/standin/src/prelude.rs
@@ -1,6 +1,6 @@
 //! The one import of this package's files, and of the stand-ins for it.
 
-pub use crate::booth::*;
+pub use crate::serving::*;
 pub(crate) use process::prelude::*;
 pub(crate) use std::sync::Arc;
 pub(crate) use web::prelude::{Site, bind, serve, small_runtime};
--- a/crates/store/src/main.rs
+++ b/crates/store/src/main.rs
@@ -68,6 +68,6 @@
     run_trade(&TRADE, |settings| {
         let memory = Memory::new(Incarnation::random().to_string(), settings.whole("blocks")? as usize);
         let site = StoreSite { memory: Mutex::new(memory), news: tokio::sync::watch::channel(0).0 };
-        serve_booth(&TRADE, &settings, Arc::new(site))
+        serve_standin(&TRADE, &settings, Arc::new(site))
     })
 }
--- a/crates/subscription/src/lib.rs
+++ b/crates/subscription/src/lib.rs
@@ -4,4 +4,4 @@
 
 pub mod prelude;
 
-mod mind;
+mod machine;
--- a/crates/subscription/src/mind.rs
+++ b/crates/subscription/src/machine.rs
@@ -58,7 +58,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub enum CourierInput {
+pub enum SubscriptionInput {
     Pulse,
     CoreUp,
     CoreDown,
@@ -70,7 +70,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub enum CourierEffect {
+pub enum SubscriptionEffect {
     /// Drop the stream to the core, if there is one, and dial this address.
     Dial(String),
     SayCore(NodeUp),
@@ -96,7 +96,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub struct Courier {
+pub struct Subscription {
     seeds: Vec<String>,
     view: View,
     core: CoreStream,
@@ -115,12 +115,12 @@
     router: Option<RouterPlace>,
     lives: u64,
     lease_until: Instant,
-    plan: Vec<CourierEffect>,
+    plan: Vec<SubscriptionEffect>,
 }
 
-impl Courier {
-    pub fn new(seeds: Vec<String>, spread: usize) -> Courier {
-        Courier {
+impl Subscription {
+    pub fn new(seeds: Vec<String>, spread: usize) -> Subscription {
+        Subscription {
             seeds,
             view: View::default(),
             core: CoreStream::Down,
@@ -148,10 +148,10 @@
         self.lease_until
     }
 
-    pub fn step(&mut self, input: CourierInput, now: Instant) -> Vec<CourierEffect> {
+    pub fn step(&mut self, input: SubscriptionInput, now: Instant) -> Vec<SubscriptionEffect> {
         match input {
-            CourierInput::Pulse => self.pulse(now),
-            CourierInput::CoreUp => {
+            SubscriptionInput::Pulse => self.pulse(now),
+            SubscriptionInput::CoreUp => {
                 self.core = CoreStream::Up;
                 self.last_heard = now;
                 self.last_granted = now;
@@ -159,28 +159,28 @@
                 self.behind_since = None;
                 self.renew(now);
             }
-            CourierInput::CoreDown => self.core = CoreStream::Down,
-            CourierInput::Core(message) => {
+            SubscriptionInput::CoreDown => self.core = CoreStream::Down,
+            SubscriptionInput::Core(message) => {
                 if self.core == CoreStream::Up {
                     self.last_heard = now;
                     self.hear_core(message, now);
                 }
             }
-            CourierInput::RouterUp => {
+            SubscriptionInput::RouterUp => {
                 self.lives += 1;
                 self.router = Some(RouterPlace { life: self.lives, applied: None, door: None });
                 self.renew(now);
             }
-            CourierInput::RouterDown => self.router = None,
-            CourierInput::Router(RouterUp::Here(door)) => {
+            SubscriptionInput::RouterDown => self.router = None,
+            SubscriptionInput::Router(RouterUp::Here(door)) => {
                 if let Some(router) = self.router.as_mut() {
                     router.door = Some(door);
                 }
             }
-            CourierInput::Router(RouterUp::Submit { ticket, submission }) => {
+            SubscriptionInput::Router(RouterUp::Submit { ticket, submission }) => {
                 self.say_core(NodeUp::Submit { ticket, submission });
             }
-            CourierInput::Router(RouterUp::Applied { edition }) => {
+            SubscriptionInput::Router(RouterUp::Applied { edition }) => {
                 let Some(router) = self.router.as_mut() else { return Vec::new() };
                 let is_first = router.applied.is_none();
                 router.applied = Some(edition);
@@ -189,14 +189,14 @@
                     self.renew(now);
                 }
             }
-            CourierInput::Seeds(seeds) => self.seeds = seeds,
+            SubscriptionInput::Seeds(seeds) => self.seeds = seeds,
         }
         std::mem::take(&mut self.plan)
     }
 
     fn say_core(&mut self, message: NodeUp) {
         if self.core == CoreStream::Up {
-            self.plan.push(CourierEffect::SayCore(message));
+            self.plan.push(SubscriptionEffect::SayCore(message));
         }
     }
 
@@ -272,7 +272,7 @@
         self.core = CoreStream::Dialling { since: now };
         self.behind_since = None;
         self.target = address.clone();
-        self.plan.push(CourierEffect::Dial(address));
+        self.plan.push(SubscriptionEffect::Dial(address));
     }
 
     fn hear_core(&mut self, message: NodeDown, now: Instant) {
@@ -287,14 +287,15 @@
                 if asked_for_this_life {
                     self.lease_until = self.lease_until.max(sent + span);
                     let disturbed = self.when(undisturbed);
-                    self.plan.push(CourierEffect::SayRouter(RouterDown::Lease { until: sent + span, disturbed }));
+                    self.plan
+                        .push(SubscriptionEffect::SayRouter(RouterDown::Lease { until: sent + span, disturbed }));
                 }
             }
             NodeDown::NotNow => {}
             NodeDown::Settled { ticket, outcome } => {
-                self.plan.push(CourierEffect::SayRouter(RouterDown::Settled { ticket, outcome }));
+                self.plan.push(SubscriptionEffect::SayRouter(RouterDown::Settled { ticket, outcome }));
             }
-            NodeDown::Doors(doors) => self.plan.push(CourierEffect::SayRouter(RouterDown::Doors(doors))),
+            NodeDown::Doors(doors) => self.plan.push(SubscriptionEffect::SayRouter(RouterDown::Doors(doors))),
             NodeDown::Behind => {
                 let has_applied = self.router.as_ref().is_some_and(|router| router.applied.is_some());
                 if has_applied {
@@ -304,11 +305,11 @@
             NodeDown::Snapshot { state, gave_way } => {
                 let gave_way = gave_way.into_iter().map(|(model, weights, age)| (model, weights, self.when(age)));
                 let message = RouterDown::Snapshot { state, gave_way: gave_way.collect() };
-                self.plan.push(CourierEffect::SayRouter(message));
+                self.plan.push(SubscriptionEffect::SayRouter(message));
             }
             NodeDown::Push { number, submission, age } => {
                 let committed = age.map(|age| self.when(age));
-                self.plan.push(CourierEffect::SayRouter(RouterDown::Push { number, submission, committed }));
+                self.plan.push(SubscriptionEffect::SayRouter(RouterDown::Push { number, submission, committed }));
             }
         }
     }
@@ -322,7 +323,7 @@
         let other_fleet = self.view.fleet != FleetId(0) && view.fleet != FleetId(0) && view.fleet != self.view.fleet;
         if other_fleet {
             let detail = format!("theirs={} ours={}", view.fleet, self.view.fleet);
-            self.plan.push(CourierEffect::Note { event: "wrong_fleet", detail });
+            self.plan.push(SubscriptionEffect::Note { event: "wrong_fleet", detail });
             self.dial_another(now);
             return;
         }
@@ -353,35 +354,35 @@
     }
 
     /// What the router is told of a push that says "just now", heard at an instant.
-    fn committed(courier: &mut Courier, now: Instant) -> Option<Instant> {
+    fn committed(subscription: &mut Subscription, now: Instant) -> Option<Instant> {
         let submission =
             Submission { request: RequestId(1), command: Command::Merge { base: None, patch: "{}".into() } };
         let push = NodeDown::Push { number: Edition(1), submission, age: Some(Span(0)) };
-        let plan = courier.step(CourierInput::Core(push), now);
+        let plan = subscription.step(SubscriptionInput::Core(push), now);
         plan.into_iter().find_map(|effect| match effect {
-            CourierEffect::SayRouter(RouterDown::Push { committed, .. }) => committed,
+            SubscriptionEffect::SayRouter(RouterDown::Push { committed, .. }) => committed,
             _ => None,
         })
     }
 
     #[test]
     fn what_waited_for_a_sleeping_machine_is_not_new() {
-        let mut courier = Courier::new(vec!["k".into()], 0);
-        courier.step(CourierInput::Pulse, at(1));
-        courier.step(CourierInput::CoreUp, at(1));
-        courier.step(CourierInput::RouterUp, at(1));
+        let mut subscription = Subscription::new(vec!["k".into()], 0);
+        subscription.step(SubscriptionInput::Pulse, at(1));
+        subscription.step(SubscriptionInput::CoreUp, at(1));
+        subscription.step(SubscriptionInput::RouterUp, at(1));
         let granted = |sent| {
-            CourierInput::Core(NodeDown::Granted {
+            SubscriptionInput::Core(NodeDown::Granted {
                 sent,
                 span: Span::seconds(2),
                 life: 1,
                 undisturbed: Span::seconds(60),
             })
         };
-        courier.step(granted(at(2)), at(2));
-        assert_eq!(committed(&mut courier, at(2)), Some(at(2)));
-        assert_eq!(committed(&mut courier, at(14)), Some(at(2)), "it slept for twelve seconds");
-        courier.step(granted(at(14)), at(14));
-        assert_eq!(committed(&mut courier, at(14)), Some(at(14)));
+        subscription.step(granted(at(2)), at(2));
+        assert_eq!(committed(&mut subscription, at(2)), Some(at(2)));
+        assert_eq!(committed(&mut subscription, at(14)), Some(at(2)), "it slept for twelve seconds");
+        subscription.step(granted(at(14)), at(14));
+        assert_eq!(committed(&mut subscription, at(14)), Some(at(14)));
     }
 }
--- a/crates/subscription/src/prelude.rs
+++ b/crates/subscription/src/prelude.rs
@@ -1,6 +1,6 @@
 //! The one import of this package's files.
 
-pub use crate::mind::*;
+pub use crate::machine::*;
 pub(crate) use coordinator::prelude::{FleetState, NodeDown, NodeUp, RouterDoor, Settled, Submission, View};
 pub(crate) use serde::{Deserialize, Serialize};
 pub(crate) use units::prelude::*;
--- a/crates/testbed/src/documents.rs
+++ b/crates/testbed/src/documents.rs
@@ -63,13 +63,13 @@
         json!({
             "models": {"model": {"weights": 1}}, "tenants": tenants, "kinds": kinds,
             "policies": {"default": {"weight": self.plan.weight}},
-            "routing": {"sight": self.plan.sight, "fetch": self.fetch_wish()}, "store": self.store_address,
+            "routing": {"sight": self.plan.sight, "fetch": self.fetch_costs()}, "store": self.store_address,
             "operators": {"founder": sha256_hex(&self.operator_key)},
         })
     }
 
     /// What the desired state says of links: those between Namibian engines are clearly slower.
-    fn fetch_wish(&self) -> Value {
+    fn fetch_costs(&self) -> Value {
         match self.plan.office.as_str() {
             "sms" => json!({"same_zone_block_us": SLOW_LINK_US, "other_zone_block_us": SLOW_LINK_US,
                             "store_block_us": SLOW_LINK_US}),
--- a/crates/testbed/src/trouble.rs
+++ b/crates/testbed/src/faults.rs
@@ -5,7 +5,7 @@
 use crate::prelude::*;
 
 #[derive(Clone, Debug, PartialEq)]
-pub enum Deed {
+pub enum Fault {
     LoseKeeper(usize),
     LoseKeepers(usize, usize),
     LoseRouter(usize),
@@ -36,27 +36,27 @@
     Over,
 }
 
-pub struct Trouble {
-    moments: Vec<(u64, Deed)>,
+pub struct FaultSchedule {
+    moments: Vec<(u64, Fault)>,
     withdrawn: bool,
     awaited_weights: Option<u64>,
     filled: Vec<usize>,
 }
 
-impl Trouble {
-    pub fn of(moments: Vec<(u64, Deed)>) -> Trouble {
-        Trouble { moments, withdrawn: false, awaited_weights: None, filled: Vec::new() }
+impl FaultSchedule {
+    pub fn of(moments: Vec<(u64, Fault)>) -> FaultSchedule {
+        FaultSchedule { moments, withdrawn: false, awaited_weights: None, filled: Vec::new() }
     }
 
     /// A schedule over the first part of a day; the last twenty seconds stay calm.
-    pub fn draw(seed: u64, seconds: u64, plan: &FleetPlan) -> Trouble {
+    pub fn draw(seed: u64, seconds: u64, plan: &FleetPlan) -> FaultSchedule {
         let mut draw = Draw::new(seed);
         let calm_at = (seconds * 1000).saturating_sub(20_000).max(3_000);
         let mut moments = vec![
-            (2_000, Deed::Trial),
-            (calm_at / 3, Deed::MoveWeights),
-            (calm_at / 2, Deed::WithdrawKey),
-            (calm_at * 2 / 3, Deed::LoseDisk(seed as usize % plan.keepers)),
+            (2_000, Fault::Trial),
+            (calm_at / 3, Fault::MoveWeights),
+            (calm_at / 2, Fault::WithdrawKey),
+            (calm_at * 2 / 3, Fault::LoseDisk(seed as usize % plan.keepers)),
         ];
         let mut moment = 1_500;
         while moment + 2_000 < calm_at {
@@ -65,44 +65,44 @@
                 draw.below(plan.nodes as u64) as usize,
                 draw.below(plan.engines as u64) as usize,
             );
-            let deed = match draw.below(20) {
-                0 => Deed::LoseKeeper(keeper),
-                1 => Deed::LoseKeepers(keeper, (keeper + 1) % plan.keepers),
-                2 => Deed::LoseRouter(node),
-                3 => Deed::LoseAgent(node),
-                4 => Deed::LoseNode(node),
-                5 => Deed::LoseEngine(engine),
-                6 => Deed::LoseStore,
-                7 => Deed::FreezeKeeper(keeper),
-                8 => Deed::FreezeNode(node),
-                9 => Deed::FreezeEngine(engine),
-                10 => Deed::ListAway(engine),
-                11 => Deed::FillDisk(keeper),
-                12 => Deed::StallKeeper(keeper),
-                13 => Deed::CutKeeper(keeper),
-                14 => Deed::CutCore,
-                15 => Deed::HideEvents(engine),
-                16 => Deed::SlowLinks(engine),
-                _ => Deed::ChangeDesiredState(draw.below(1000)),
+            let fault = match draw.below(20) {
+                0 => Fault::LoseKeeper(keeper),
+                1 => Fault::LoseKeepers(keeper, (keeper + 1) % plan.keepers),
+                2 => Fault::LoseRouter(node),
+                3 => Fault::LoseAgent(node),
+                4 => Fault::LoseNode(node),
+                5 => Fault::LoseEngine(engine),
+                6 => Fault::LoseStore,
+                7 => Fault::FreezeKeeper(keeper),
+                8 => Fault::FreezeNode(node),
+                9 => Fault::FreezeEngine(engine),
+                10 => Fault::ListAway(engine),
+                11 => Fault::FillDisk(keeper),
+                12 => Fault::StallKeeper(keeper),
+                13 => Fault::CutKeeper(keeper),
+                14 => Fault::CutCore,
+                15 => Fault::HideEvents(engine),
+                16 => Fault::SlowLinks(engine),
+                _ => Fault::ChangeDesiredState(draw.below(1000)),
             };
-            moments.push((moment, deed));
-            moments.push((moment + draw.between(300, 3_000), Deed::PutBack));
+            moments.push((moment, fault));
+            moments.push((moment + draw.between(300, 3_000), Fault::PutBack));
             moment += draw.between(1_000, 3_500);
         }
-        moments.push((calm_at, Deed::Over));
+        moments.push((calm_at, Fault::Over));
         moments.sort_by_key(|(moment, _)| *moment);
-        Trouble::of(moments)
+        FaultSchedule::of(moments)
     }
 
     /// Does what is due by now.
     pub fn tend(&mut self, fleet: &mut Fleet, elapsed: u64) -> Result<(), String> {
-        while let Some((moment, deed)) = self.moments.first().cloned() {
+        while let Some((moment, fault)) = self.moments.first().cloned() {
             if elapsed < moment {
                 break;
             }
             self.moments.remove(0);
-            fleet.note(WorldLine::Fault { at: boot_millis(), what: format!("{deed:?}") });
-            self.act(fleet, deed)?;
+            fleet.note(WorldLine::Fault { at: boot_millis(), what: format!("{fault:?}") });
+            self.act(fleet, fault)?;
         }
         if let Some(plan) = self.awaited_weights {
             let page = fleet.operate(Method::GET, &format!("/v1/plans/{plan}"), None, None);
@@ -121,49 +121,49 @@
         put_back(fleet)
     }
 
-    fn act(&mut self, fleet: &mut Fleet, deed: Deed) -> Result<(), String> {
-        match deed {
-            Deed::LoseKeeper(keeper) => fleet.keepers[keeper].process = None,
-            Deed::LoseKeepers(one, other) => {
+    fn act(&mut self, fleet: &mut Fleet, fault: Fault) -> Result<(), String> {
+        match fault {
+            Fault::LoseKeeper(keeper) => fleet.keepers[keeper].process = None,
+            Fault::LoseKeepers(one, other) => {
                 fleet.keepers[one].process = None;
                 fleet.keepers[other].process = None;
             }
-            Deed::LoseRouter(node) => fleet.nodes[node].router = None,
-            Deed::LoseAgent(node) => fleet.nodes[node].agent = None,
-            Deed::LoseNode(node) => {
+            Fault::LoseRouter(node) => fleet.nodes[node].router = None,
+            Fault::LoseAgent(node) => fleet.nodes[node].agent = None,
+            Fault::LoseNode(node) => {
                 fleet.nodes[node].router = None;
                 fleet.nodes[node].agent = None;
             }
-            Deed::LoseEngine(engine) => fleet.engines[engine].process = None,
-            Deed::LoseStore => fleet.store = None,
-            Deed::FreezeKeeper(keeper) => fleet.keepers[keeper].process.iter().for_each(Process::freeze),
-            Deed::FreezeNode(node) => {
+            Fault::LoseEngine(engine) => fleet.engines[engine].process = None,
+            Fault::LoseStore => fleet.store = None,
+            Fault::FreezeKeeper(keeper) => fleet.keepers[keeper].process.iter().for_each(Process::freeze),
+            Fault::FreezeNode(node) => {
                 fleet.nodes[node].agent.iter().for_each(Process::freeze);
                 fleet.nodes[node].router.iter().for_each(Process::freeze);
             }
-            Deed::FreezeEngine(engine) => fleet.engines[engine].process.iter().for_each(Process::freeze),
-            Deed::ListAway(engine) => {
+            Fault::FreezeEngine(engine) => fleet.engines[engine].process.iter().for_each(Process::freeze),
+            Fault::ListAway(engine) => {
                 fleet.engines[engine].away = true;
                 fleet.list_engine(engine, "leaving")?;
             }
-            Deed::FillDisk(keeper) => {
+            Fault::FillDisk(keeper) => {
                 self.filled.push(keeper);
                 fleet.keepers[keeper].process.iter().for_each(|process| process.limit_file_size(Some(4096)));
             }
-            Deed::LoseDisk(keeper) => {
+            Fault::LoseDisk(keeper) => {
                 fleet.keepers[keeper].process = None;
                 let _ = std::fs::remove_dir_all(&fleet.keepers[keeper].data);
                 fleet.start_keeper(keeper, false)?;
             }
-            Deed::StallKeeper(keeper) => set_passage(fleet, keeper, Passage::Stalled),
-            Deed::CutKeeper(keeper) => set_passage(fleet, keeper, Passage::Cut),
-            Deed::CutCore => (0..fleet.keepers.len()).for_each(|keeper| set_passage(fleet, keeper, Passage::Cut)),
-            Deed::HideEvents(engine) => set_engine_faults(fleet, engine, &json!({"hide_events": true})),
-            Deed::SlowLinks(engine) => set_engine_faults(fleet, engine, &json!({"link_us": 50_000})),
-            Deed::ChangeDesiredState(number) => {
+            Fault::StallKeeper(keeper) => set_passage(fleet, keeper, Passage::Stalled),
+            Fault::CutKeeper(keeper) => set_passage(fleet, keeper, Passage::Cut),
+            Fault::CutCore => (0..fleet.keepers.len()).for_each(|keeper| set_passage(fleet, keeper, Passage::Cut)),
+            Fault::HideEvents(engine) => set_engine_faults(fleet, engine, &json!({"hide_events": true})),
+            Fault::SlowLinks(engine) => set_engine_faults(fleet, engine, &json!({"link_us": 50_000})),
+            Fault::ChangeDesiredState(number) => {
                 let _ = fleet.patch_document(&json!({"routing": {"events_late_ms": 1500 + number}}));
             }
-            Deed::WithdrawKey => {
+            Fault::WithdrawKey => {
                 let (tenant, key) = fleet.tenants[7].clone();
                 let path = format!("/v1/tenants/{tenant}/keys/main");
                 let answer = fleet.operate(Method::DELETE, &path, None, None);
@@ -172,16 +172,16 @@
                     fleet.note(WorldLine::KeyWithdrawn { at: boot_millis(), key });
                 }
             }
-            Deed::Trial => {
+            Fault::Trial => {
                 let _ = fleet.patch_document(&json!({"policies": {"trial": {"weight": 3}}}));
                 carry_intent(fleet, &json!({"intent": "trial", "policy": "trial", "tenants": ["tenant0"]}));
             }
-            Deed::MoveWeights => {
+            Fault::MoveWeights => {
                 let intent = json!({"intent": "move_weights", "model": "model", "weights": 2});
                 self.awaited_weights = carry_intent(fleet, &intent);
             }
-            Deed::PutBack => self.put_back(fleet)?,
-            Deed::Over => {
+            Fault::PutBack => self.put_back(fleet)?,
+            Fault::Over => {
                 self.put_back(fleet)?;
                 fleet.note(WorldLine::LastFaultOver { at: boot_millis() });
             }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod asking;
 mod documents;
+mod faults;
 mod fleet;
 mod plan;
 mod process;
@@ -13,5 +14,4 @@
 mod relay;
 mod report;
 mod starting;
-mod trouble;
 mod watching;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,4 +1,4 @@
-//! The yard's program: starts a whole office on this machine, plays its day, and reports.
+//! The program: starts a whole office on this machine, plays its day, and reports.
 
 use process::prelude::*;
 use testbed::prelude::*;
@@ -73,8 +73,8 @@
     let (calling, calls) = fleet.start_caller("day", seconds, whole("rate")?, whole("seed")?)?;
     let began = boot_millis();
     let mut trouble = match settings.maybe("trouble") {
-        Some(_) => Some(Trouble::draw(whole("trouble")?, seconds, &fleet.plan)),
-        None => settings.flag("kills").then(|| Trouble::of(kills(seconds))),
+        Some(_) => Some(FaultSchedule::draw(whole("trouble")?, seconds, &fleet.plan)),
+        None => settings.flag("kills").then(|| FaultSchedule::of(kills(seconds))),
     };
     while boot_millis() < began + seconds * 1000 {
         fleet.sample();
@@ -91,15 +91,15 @@
 }
 
 /// A keeper, a router, an agent and an engine lost one after the other, each put back before the next.
-fn kills(seconds: u64) -> Vec<(u64, Deed)> {
+fn kills(seconds: u64) -> Vec<(u64, Fault)> {
     let span = seconds * 1000;
-    let losses = [Deed::LoseKeeper(0), Deed::LoseRouter(0), Deed::LoseAgent(1), Deed::LoseEngine(0)];
+    let losses = [Fault::LoseKeeper(0), Fault::LoseRouter(0), Fault::LoseAgent(1), Fault::LoseEngine(0)];
     let mut moments = Vec::new();
     for (place, loss) in losses.into_iter().enumerate() {
         let moment = span * (2 * place as u64 + 1) / 16;
         moments.push((moment, loss));
-        moments.push((moment + span / 16, Deed::PutBack));
+        moments.push((moment + span / 16, Fault::PutBack));
     }
-    moments.push((span * 9 / 16, Deed::Over));
+    moments.push((span * 9 / 16, Fault::Over));
     moments
 }
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -47,9 +47,9 @@
         }
     }
 
-    pub fn set(&self, wished: Passage) {
-        if let Ok(mut passage) = self.passage.lock() {
-            *passage = wished;
+    pub fn set(&self, passage: Passage) {
+        if let Ok(mut current) = self.passage.lock() {
+            *current = passage;
         }
     }
 }
--- a/crates/testbed/src/starting.rs
+++ b/crates/testbed/src/starting.rs
@@ -86,8 +86,8 @@
     }
 
     /// Makes a frail keeper's disk `slow MILLIS`, `stall`, `full`, `fail`, or well again with nothing.
-    pub fn trouble_disk(&self, number: usize, wish: &str) -> Result<(), String> {
-        std::fs::write(self.disk_control(number), wish).map_err(|fault| fault.to_string())
+    pub fn trouble_disk(&self, number: usize, state: &str) -> Result<(), String> {
+        std::fs::write(self.disk_control(number), state).map_err(|fault| fault.to_string())
     }
 
     pub fn add_engine(&mut self) -> Result<usize, String> {
