A doc comment on every public item of nine packages; missing ones warn from now on

Cause: half of what attempts, placement, verdict, subscription, process, standin, queues, simulator and testbed show had no word of what it is. Now each has, and `#![warn(missing_docs)]` keeps it so. What the simulator's modules share among themselves is no longer public; its tests and its program need the runs alone.

Ruled out: the same for packages that others change now (router, gateway, selection, engine, conductor, desired, contract, coordinator, keeper).

--- a/crates/attempts/src/allowance.rs
+++ b/crates/attempts/src/allowance.rs
@@ -9,16 +9,19 @@
 /// A router that lives ends its shots first, so that it can say why.
 const ENGINE_SLACK: Span = Span::millis(300);
 
+/// The time an engine is allowed on an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Allowance {
     until: Instant,
 }
 
 impl Allowance {
+    /// What a lease and the request's own limit allow.
     pub fn under(lease_until: Instant, limit: Instant) -> Allowance {
         Allowance { until: limit.min(lease_until + LEASE_GRACE + ENGINE_SLACK) }
     }
 
+    /// What is left of it.
     pub fn left(&self, now: Instant) -> Span {
         self.until.since(now)
     }
--- a/crates/attempts/src/gate.rs
+++ b/crates/attempts/src/gate.rs
@@ -10,29 +10,43 @@
 /// Why a shot may not start now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartBar {
+    /// The router holds no lease.
     NoLease,
+    /// The key is not, or no longer, the tenant's.
     KeyWithdrawn,
+    /// The engine may not be used now, or not with these weights.
     EngineMoved,
+    /// The tenant's wall has changed, and with it the salt.
     WallMoved,
+    /// The request's own limit has passed.
     LimitPassed,
 }
 
 /// Why work that is under way must end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WorkBar {
+    /// The router has held no lease for longer than the grace.
     NoLease,
+    /// The key is no longer the tenant's.
     KeyWithdrawn,
 }
 
 /// What a shot was chosen on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ground {
+    /// The hash of the key the request came with.
     pub key_hash: String,
+    /// Whose key that was.
     pub tenant: TenantName,
+    /// The model asked for.
     pub model: ModelName,
+    /// The engine chosen.
     pub engine: EngineName,
+    /// The weights it confirmed.
     pub weights: WeightsEdition,
+    /// The salt of the prompt's block names.
     pub salt: Salt,
+    /// When the request's own limit passes.
     pub limit: Instant,
 }
 
--- a/crates/attempts/src/held.rs
+++ b/crates/attempts/src/held.rs
@@ -3,16 +3,23 @@
 
 use crate::prelude::*;
 
+/// Events of one run that are held at the most.
 pub const MOST_EVENTS: usize = 8192;
+/// Bytes of one run that are held at the most.
 pub const MOST_BYTES: usize = 4 << 20;
+/// How long a run is held after its end.
 pub const HELD_AFTER_END: Span = Span::seconds(30);
 
+/// How a held run ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HeldEnd {
+    /// With its end mark.
     Whole,
+    /// Before its end mark.
     Cut(Reason),
 }
 
+/// The events of a held run.
 #[derive(Clone, Debug)]
 pub struct HeldEvents<E> {
     events: Vec<E>,
@@ -37,10 +44,12 @@
         true
     }
 
+    /// Notes the end; the first one stands.
     pub fn end(&mut self, end: HeldEnd, now: Instant) {
         self.end.get_or_insert((end, now));
     }
 
+    /// How many events are held.
     pub fn count(&self) -> usize {
         self.events.len()
     }
@@ -51,6 +60,7 @@
         (rest, self.end.as_ref().map(|(end, _)| end.clone()))
     }
 
+    /// Whether the run need not be held any longer.
     pub fn is_over(&self, now: Instant) -> bool {
         self.end.as_ref().is_some_and(|(_, ended)| now.since(*ended) >= HELD_AFTER_END)
     }
@@ -65,8 +75,11 @@
 /// An event id, taken apart: router, run, piece.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EventName {
+    /// The router that holds the run.
     pub router: NodeId,
+    /// The run's number there.
     pub run: u64,
+    /// The last piece seen; none if the run alone is named.
     pub piece: Option<u64>,
 }
 
--- a/crates/attempts/src/lib.rs
+++ b/crates/attempts/src/lib.rs
@@ -2,6 +2,8 @@
 //! to the caller and with which final word. A pure machine; the router carries its effects out, the
 //! simulator drives it against engines that answer whole, partial, foreign, late, broken or not at all.
 
+#![warn(missing_docs)]
+
 pub mod prelude;
 
 mod allowance;
--- a/crates/attempts/src/machine.rs
+++ b/crates/attempts/src/machine.rs
@@ -4,6 +4,7 @@
 
 use crate::prelude::*;
 
+/// Attempts of one request at the most.
 pub const MOST_SHOTS: u64 = 3;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +20,7 @@
     Done,
 }
 
+/// A request's attempts, as a pure state machine.
 #[derive(Clone, Debug)]
 pub struct Carriage<P> {
     terms: Terms,
@@ -34,6 +36,7 @@
 }
 
 impl<P> Carriage<P> {
+    /// A request of which nothing has been tried yet.
     pub fn new(terms: Terms) -> Carriage<P> {
         Carriage {
             terms,
@@ -49,6 +52,7 @@
         }
     }
 
+    /// Whether the final word has gone out, or the caller is gone.
     pub fn is_done(&self) -> bool {
         self.stage == Stage::Done
     }
@@ -63,10 +67,12 @@
         self.stage == Stage::Marked
     }
 
+    /// The name of the current attempt.
     pub fn shot(&self) -> String {
         format!("{}.{}", self.terms.run, self.shot_number)
     }
 
+    /// Takes an input; what is to be done about it, in order.
     pub fn step(&mut self, input: CarriageInput<P>) -> Vec<CarriageEffect<P>> {
         if !self.is_done() {
             self.take(input);
--- a/crates/placement/src/fetch.rs
+++ b/crates/placement/src/fetch.rs
@@ -7,16 +7,23 @@
 
 const MOST_RUNS: usize = 4;
 
+/// Where kept blocks can be fetched.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FetchFrom {
+    /// From another engine.
     Peer(EngineName),
+    /// From the prompt store.
     Store,
 }
 
+/// A row of blocks to be fetched from one source.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FetchRun {
+    /// The source.
     pub from: FetchFrom,
+    /// Its address.
     pub address: String,
+    /// The blocks, first to last.
     pub names: Vec<BlockHash>,
 }
 
@@ -29,6 +36,7 @@
 }
 
 impl Picker {
+    /// Plans where the chosen engine gets the blocks it lacks.
     pub fn plan_fetch(&self, sight: &FleetSight, names: &[BlockHash], chosen: &Score) -> Vec<FetchRun> {
         let routing = &sight.state.desired.routing;
         let mut place = names.len().saturating_sub(chosen.prefill_blocks.0 as usize);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -3,6 +3,8 @@
 //! among the engines that pass admission, liveness and drain; walls, editions, leases and drain are
 //! judged outside the policy, so that no policy can weaken them.
 
+#![warn(missing_docs)]
+
 pub mod prelude;
 
 mod fetch;
--- a/crates/placement/src/picker.rs
+++ b/crates/placement/src/picker.rs
@@ -21,6 +21,7 @@
 }
 
 impl Picker {
+    /// A picker that knows of no engine yet.
     pub fn new(router: NodeId, zone: Zone) -> Picker {
         Picker {
             router,
@@ -65,6 +66,7 @@
         self.engine(engine).place.clone()
     }
 
+    /// Takes the whole list of an engine's kept blocks, and where its events go on.
     pub fn take_snapshot(
         &mut self,
         engine: &EngineName,
@@ -119,6 +121,7 @@
         true
     }
 
+    /// Takes an engine's own count of running requests.
     pub fn take_count(&mut self, engine: &EngineName, running: u64, asked: Instant) {
         self.engine(engine).counted = Some((running, asked));
     }
@@ -136,6 +139,7 @@
         self.engine(engine).awaited.entry(last_name).or_insert(now);
     }
 
+    /// An attempt has been given to an engine.
     pub fn begin_shot(&mut self, engine: &EngineName, blocks: BlockCount) {
         self.usual_blocks += (blocks.0 as f64 - self.usual_blocks) * 0.05;
         let known = self.engine(engine);
@@ -143,12 +147,14 @@
         known.own_shots += 1;
     }
 
+    /// An attempt is over.
     pub fn end_shot(&mut self, engine: &EngineName, blocks: BlockCount) {
         let Some(known) = self.engines.get_mut(engine) else { return };
         known.own_blocks = known.own_blocks.saturating_sub(blocks.0);
         known.own_shots = known.own_shots.saturating_sub(1);
     }
 
+    /// Blocks known of, each counted once for a source.
     pub fn tree_blocks(&self) -> usize {
         self.tree.block_count()
     }
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -5,12 +5,17 @@
 /// A prompt to be placed.
 #[derive(Clone, Debug)]
 pub struct Prompt {
+    /// Whose prompt it is.
     pub tenant: TenantName,
+    /// The kind of request, which policies tell apart.
     pub kind: String,
+    /// The model asked for.
     pub model: ModelName,
     /// Its block names, under the salt of each edition in use.
     pub names: BTreeMap<WeightsEdition, Vec<BlockHash>>,
+    /// How many blocks it has.
     pub blocks: BlockCount,
+    /// How many blocks its answer may add.
     pub outcome_blocks: BlockCount,
     /// From 0 to 99, by which requests of a tenant on trial are told apart.
     pub lot: u64,
@@ -21,12 +26,19 @@
 /// One candidate's score, with all that went into it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Score {
+    /// The candidate.
     pub engine: EngineName,
+    /// What it does in its pool.
     pub role: Role,
+    /// The weights it would serve with.
     pub weights: WeightsEdition,
+    /// Blocks of the prompt that it lacks.
     pub prefill_blocks: BlockCount,
+    /// Blocks it works on already.
     pub decode_blocks: BlockCount,
+    /// The policy's weight of prefill against occupancy.
     pub weight: f64,
+    /// The cost by the formula; the lowest is chosen.
     pub cost: f64,
     /// Whether the overlap came from events (or else from our own history).
     pub by_events: bool,
@@ -36,15 +48,20 @@
     pub is_far: bool,
 }
 
+/// Where a prompt goes, and why.
 #[derive(Clone, Debug)]
 pub struct Placement {
+    /// The engine chosen, with its score.
     pub chosen: Score,
+    /// Its address.
     pub address: String,
+    /// All that passed, cheapest first.
     pub candidates: Vec<Score>,
     /// What the default policy would have chosen.
     pub default_engine: EngineName,
     /// What the chosen engine costs more than that one, by the default's weights.
     pub default_excess: f64,
+    /// The policy that decided.
     pub policy: String,
     /// Where the chosen engine gets blocks it lacks; the rest it prefills.
     pub fetches: Vec<FetchRun>,
@@ -57,6 +74,8 @@
 /// Where a prompt is prefilled in a split pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PrefillPlace {
+    /// The engine that prefills.
     pub engine: EngineName,
+    /// Its address.
     pub address: String,
 }
--- a/crates/placement/src/sight.rs
+++ b/crates/placement/src/sight.rs
@@ -12,18 +12,27 @@
         OldWeightsSpan(Span::seconds(15))
     }
 }
+
+/// The policy of every tenant that is not on trial.
 pub const DEFAULT_POLICY: &str = "default";
 
+/// The fleet as a router knows it.
 #[derive(Clone, Debug, Default)]
 pub struct FleetSight {
+    /// The state in force here.
     pub state: Arc<FleetState>,
+    /// The default policy, compiled.
     pub default_table: Table,
+    /// For each tenant on trial, its policy's name and that policy compiled.
     pub trial_tables: BTreeMap<TenantName, (String, Table)>,
+    /// Tenants by the hashes of their keys.
     pub tenants_by_key: HashMap<String, TenantName>,
     /// Until when an edition that is no longer wanted may still be used: from when the first newer one
     /// was wanted, whatever came after that.
     pub old_until: BTreeMap<(ModelName, WeightsEdition), Instant>,
+    /// The routes, compiled.
     pub routes: Arc<RouteTable>,
+    /// How long weights may be used after newer ones were committed.
     pub old_weights_span: OldWeightsSpan,
     /// When the core was last seen disturbed, where the bound on old weights is counted in undisturbed time
     /// alone; shared with whoever hears of it, and 0 where every moment counts.
--- a/crates/process/src/logs.rs
+++ b/crates/process/src/logs.rs
@@ -40,9 +40,11 @@
     }
 }
 
+/// Holds the logger; the level can be changed while it runs.
 pub struct LogsHandle(flexi_logger::LoggerHandle);
 
 impl LogsHandle {
+    /// Changes what is logged.
     pub fn set_level(&self, level: &str) -> Result<(), Report> {
         self.0.set_new_spec(specification(level)?);
         Ok(())
--- a/crates/process/src/settings.rs
+++ b/crates/process/src/settings.rs
@@ -3,8 +3,10 @@
 
 use crate::prelude::*;
 
+/// What values a setting takes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Kind {
+    /// Any text but an empty one.
     Text,
     /// A whole number within bounds.
     Whole(u64, u64),
@@ -12,38 +14,53 @@
     Address,
     /// Addresses, in the file an array, on the command line separated by commas.
     Addresses,
+    /// A path.
     Path,
+    /// True or false.
     Flag,
+    /// One of these words.
     Choice(&'static [&'static str]),
 }
 
+/// One setting of a program.
 pub struct Setting {
+    /// Its name in the file; as a flag with hyphens.
     pub key: &'static str,
+    /// What values it takes.
     pub kind: Kind,
+    /// What it is if nothing is given; without one it may be missing.
     pub default: Option<&'static str>,
+    /// What it is for, as the help says it.
     pub help: &'static str,
 }
 
+/// A setting as a row of a table.
 pub const fn setting(key: &'static str, kind: Kind, default: Option<&'static str>, help: &'static str) -> Setting {
     Setting { key, kind, default, help }
 }
 
+/// The setting that most programs have.
 pub const LOG_LEVEL: Setting =
     setting("log_level", Kind::Choice(&["error", "warn", "info", "debug"]), Some("info"), "how much is logged");
 
 /// A program and its settings table.
 pub struct Trade {
+    /// The program's name.
     pub program: &'static str,
+    /// What it is, as the help says it.
     pub about: &'static str,
+    /// All its settings.
     pub settings: &'static [Setting],
 }
 
 const SETTINGS_BOUNDS: Bounds = Bounds { bytes: 256 << 10, depth: 8 };
 
-/// Exit codes of every program.
+/// The command line or the settings are wrong.
 pub const EXIT_USAGE: u8 = 2;
+/// The program could not do its work.
 pub const EXIT_FAULT: u8 = 1;
 
+/// The values of a program's settings.
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
     values: BTreeMap<&'static str, String>,
@@ -53,6 +70,7 @@
 
 /// What the command line asked for.
 pub enum Wanted {
+    /// The program is to run with these settings.
     Run(Settings),
     /// Help or version was printed.
     Printed,
@@ -217,6 +235,7 @@
 }
 
 impl Settings {
+    /// A setting's text, if there is one.
     pub fn maybe(&self, key: &str) -> Option<&str> {
         self.values.get(key).map(String::as_str)
     }
@@ -227,22 +246,27 @@
         self.maybe(key).ok_or_else(|| miette!("{key} is missing: give it in the settings file or as --{flag_name}"))
     }
 
+    /// A setting as a whole number.
     pub fn whole(&self, key: &str) -> Result<u64, Report> {
         self.text(key)?.parse().map_err(|_| miette!("{key} is no number"))
     }
 
+    /// A setting in milliseconds.
     pub fn millis(&self, key: &str) -> Result<Span, Report> {
         Ok(Span::millis(self.whole(key)?))
     }
 
+    /// A setting as an address.
     pub fn address(&self, key: &str) -> Result<SocketAddr, Report> {
         self.text(key)?.parse().map_err(|_| miette!("{key} is no address"))
     }
 
+    /// A setting as a list of addresses; empty if it is missing.
     pub fn addresses(&self, key: &str) -> Vec<String> {
         self.maybe(key).map(|value| split(value).map(str::to_owned).collect()).unwrap_or_default()
     }
 
+    /// Whether a flag is set.
     pub fn flag(&self, key: &str) -> bool {
         self.maybe(key) == Some("true")
     }
--- a/crates/process/src/signals.rs
+++ b/crates/process/src/signals.rs
@@ -2,6 +2,7 @@
 
 use crate::prelude::*;
 
+/// What a signal asks of a program.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
     /// Drain and stop.
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -4,6 +4,8 @@
 //! cut, engines that crash and misbehave, callers that leave and come back, and a seeded schedule of faults;
 //! the oracles judge what came out. The same seed gives the same run.
 
+#![warn(missing_docs)]
+
 pub mod prelude;
 
 mod bounds;
--- a/crates/simulator/src/prelude.rs
+++ b/crates/simulator/src/prelude.rs
@@ -1,17 +1,18 @@
 //! The one import of this package's files.
 
-pub use crate::callers::*;
-pub use crate::disorder::*;
-pub use crate::engines::*;
-pub use crate::events::*;
-pub use crate::faults::*;
-pub use crate::keepers::*;
-pub use crate::machines::*;
-pub use crate::memory::*;
-pub use crate::net::*;
+pub(crate) use crate::callers::*;
+pub(crate) use crate::disorder::*;
+pub(crate) use crate::engines::*;
+pub(crate) use crate::events::*;
+pub use crate::faults::fault_kinds;
+pub(crate) use crate::faults::*;
+pub(crate) use crate::keepers::*;
+pub(crate) use crate::machines::*;
+pub(crate) use crate::memory::*;
+pub(crate) use crate::net::*;
 pub use crate::run::*;
-pub use crate::runs::*;
-pub use crate::world::*;
+pub(crate) use crate::runs::*;
+pub(crate) use crate::world::*;
 pub(crate) use admission::prelude::RetryBudget;
 pub(crate) use attempts::prelude::*;
 pub(crate) use blocks::prelude::{Salt, blocks_of, cut};
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -5,13 +5,16 @@
 const FORM_SPAN: Span = Span::seconds(12);
 const CALM_SPAN: Span = Span::seconds(20);
 
+/// What is to be played.
 #[derive(Clone, Debug)]
 pub struct RunPlan {
+    /// Everything drawn follows from it.
     pub seed: u64,
     /// How long faults go on.
     pub trouble: Span,
     /// Mean pause between faults.
     pub fault_pause_ms: u64,
+    /// Whether what happens is noted down.
     pub keeps_notes: bool,
     /// A cut that stays after the other faults are over; service must return all the same.
     pub lasting: Lasting,
@@ -22,6 +25,7 @@
 /// What stays cut.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lasting {
+    /// All cuts heal.
     Nothing,
     /// One keeper hears none of the others, but is heard.
     DeafKeeper,
@@ -30,6 +34,7 @@
 }
 
 impl RunPlan {
+    /// The usual run of a seed.
     pub fn of(seed: u64) -> RunPlan {
         RunPlan {
             seed,
@@ -50,16 +55,22 @@
     }
 }
 
+/// What came of a run.
 #[derive(Debug, Default)]
 pub struct RunOutcome {
+    /// What broke a rule, as `rule N: what`.
     pub violations: Vec<String>,
+    /// Attempts that engines began.
     pub starts: usize,
+    /// Changes that were acknowledged.
     pub acks: usize,
+    /// Faults that were caused.
     pub faults: usize,
     /// The kinds of the faults caused, in order.
     pub fault_kinds: Vec<&'static str>,
     /// How requests ended, by outcome.
     pub outcomes: BTreeMap<String, usize>,
+    /// What happened, if notes were kept.
     pub notes: Vec<String>,
     /// From the end of the last fault until every node served again.
     pub recovery: Option<Span>,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,8 @@
 //! What the stand-ins share: logs, a listener, the ready line, and a site served until the process is
 //! told to stop.
 
+#![warn(missing_docs)]
+
 pub mod prelude;
 
 mod serving;
--- a/crates/subscription/src/lib.rs
+++ b/crates/subscription/src/lib.rs
@@ -2,6 +2,8 @@
 //! it is told, renews the node's lease while its router lives, and passes pushes and the lease on. A
 //! lease is passed only to the router life it was asked for.
 
+#![warn(missing_docs)]
+
 pub mod prelude;
 
 mod machine;
--- a/crates/testbed/src/asking.rs
+++ b/crates/testbed/src/asking.rs
@@ -5,6 +5,7 @@
 pub(crate) const ASK_LIMIT: Span = Span::seconds(12);
 
 impl Fleet {
+    /// Asks a process for a page; the status and the answer.
     pub fn ask(
         &self,
         address: &str,
@@ -19,6 +20,7 @@
         self.ask_question(address, question)
     }
 
+    /// Asks a process; the status and the answer.
     pub fn ask_question(&self, address: &str, question: Question) -> Result<(u16, Value), String> {
         let (status, value) = self.runtime.block_on(ask_json(address, question, ASK_LIMIT))?;
         Ok((status.as_u16(), value))
@@ -45,6 +47,7 @@
         last_outcome
     }
 
+    /// Asks one keeper as the operator.
     pub fn operate_at(
         &self,
         door: &str,
--- a/crates/testbed/src/documents.rs
+++ b/crates/testbed/src/documents.rs
@@ -3,6 +3,7 @@
 use crate::prelude::*;
 
 impl Fleet {
+    /// The number of the document in force.
     pub fn desired_edition(&self) -> Result<u64, String> {
         for keeper in self.keepers.iter().filter(|keeper| keeper.process.is_some()) {
             let question =
@@ -22,10 +23,12 @@
         Err("no keeper tells the edition".into())
     }
 
+    /// Replaces the document; the number of the new one.
     pub fn put_document(&self, document: &Value) -> Result<u64, String> {
         self.change(Method::PUT, document)
     }
 
+    /// Changes the document; the number of the new one.
     pub fn patch_document(&self, patch: &Value) -> Result<u64, String> {
         self.change(Method::PATCH, patch)
     }
--- a/crates/testbed/src/faults.rs
+++ b/crates/testbed/src/faults.rs
@@ -4,18 +4,30 @@
 
 use crate::prelude::*;
 
+/// What can be done to a fleet.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
+    /// A keeper is killed.
     LoseKeeper(usize),
+    /// Two keepers are killed at once.
     LoseKeepers(usize, usize),
+    /// A router is killed.
     LoseRouter(usize),
+    /// An agent is killed.
     LoseAgent(usize),
+    /// A node's agent and router are killed.
     LoseNode(usize),
+    /// An engine is killed.
     LoseEngine(usize),
+    /// The prompt store is killed.
     LoseStore,
+    /// A keeper is frozen until it is put back.
     FreezeKeeper(usize),
+    /// A node's agent and router are frozen until they are put back.
     FreezeNode(usize),
+    /// An engine is frozen until it is put back.
     FreezeEngine(usize),
+    /// An engine is listed as leaving.
     ListAway(usize),
     /// The keeper's disk is full until it is put back.
     FillDisk(usize),
@@ -23,19 +35,29 @@
     LoseDisk(usize),
     /// Nothing gets through to the keeper, and nothing is closed.
     StallKeeper(usize),
+    /// Streams to the keeper are closed and new ones refused.
     CutKeeper(usize),
     /// No stream to any keeper holds.
     CutCore,
+    /// An engine tells no events.
     HideEvents(usize),
+    /// Fetches of an engine are slow.
     SlowLinks(usize),
+    /// The operator makes a small change.
     ChangeDesiredState(u64),
+    /// The operator withdraws a tenant's key.
     WithdrawKey,
+    /// A tenant goes on trial of another policy.
     Trial,
+    /// The operator moves the model to newer weights.
     MoveWeights,
+    /// What is lost, frozen, cut or listed away is put back.
     PutBack,
+    /// Everything is put back, and nothing is disturbed any more.
     Over,
 }
 
+/// Faults, and when each is due.
 pub struct FaultSchedule {
     moments: Vec<(u64, Fault)>,
     withdrawn: bool,
@@ -44,6 +66,7 @@
 }
 
 impl FaultSchedule {
+    /// A schedule of faults by their moments in milliseconds, in order.
     pub fn of(moments: Vec<(u64, Fault)>) -> FaultSchedule {
         FaultSchedule { moments, withdrawn: false, awaited_weights: None, filled: Vec::new() }
     }
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -2,52 +2,79 @@
 
 use crate::prelude::*;
 
+/// The zones of an office.
 pub const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 
+/// An edge machine.
 pub struct Node {
+    /// Its agent, if it runs.
     pub agent: Option<Process>,
+    /// Its router, if it runs.
     pub router: Option<Process>,
     pub(crate) agent_address: String,
     pub(crate) router_address: String,
 }
 
+/// A core machine.
 pub struct Keeper {
+    /// Its keeper, if it runs.
     pub process: Option<Process>,
+    /// Where keepers and agents reach it: the relay, if there is one.
     pub address: String,
+    /// Where operators reach it.
     pub door: String,
+    /// Its id, as it told.
     pub id: String,
+    /// Its data folder.
     pub data: PathBuf,
+    /// The relay before it, if the fleet has such.
     pub relay: Option<Relay>,
     pub(crate) bound: String,
     pub(crate) zone: String,
 }
 
+/// An engine of the pool.
 pub struct Engine {
+    /// The engine, if it runs.
     pub process: Option<Process>,
+    /// Its name in the listing.
     pub name: String,
+    /// Where it is reached.
     pub address: String,
     /// Listed as leaving for now.
     pub away: bool,
     pub(crate) zone: String,
 }
 
+/// A running fleet; its processes end with it.
 pub struct Fleet {
+    /// What it is made of.
     pub plan: FleetPlan,
+    /// Where its data and logs are.
     pub folder: PathBuf,
+    /// The stand-in for the platform.
     pub platform: Process,
+    /// The prompt store, if it runs.
     pub store: Option<Process>,
+    /// Where the store is reached.
     pub store_address: String,
+    /// The core machines.
     pub keepers: Vec<Keeper>,
+    /// The edge machines.
     pub nodes: Vec<Node>,
+    /// The engines.
     pub engines: Vec<Engine>,
+    /// The key of the operator.
     pub operator_key: String,
     /// Tenant and key, eight of them.
     pub tenants: Vec<(String, String)>,
+    /// What operators, the platform and the test did so far.
     pub world: Mutex<Vec<WorldLine>>,
     pub(crate) runtime: tokio::runtime::Runtime,
     keeps_folder: bool,
 }
 
+/// Milliseconds since the machine started.
 pub fn boot_millis() -> u64 {
     boot_now().0 / 1_000_000
 }
@@ -59,6 +86,7 @@
         Fleet::start_in(plan, folder, false)
     }
 
+    /// Starts everything in a folder, which may be kept.
     pub fn start_in(plan: FleetPlan, folder: PathBuf, keeps_folder: bool) -> Result<Fleet, String> {
         std::fs::create_dir_all(&folder).map_err(|fault| format!("{}: {fault}", folder.display()))?;
         let runtime = small_runtime(2).map_err(|fault| fault.to_string())?;
@@ -99,6 +127,7 @@
         Ok(fleet)
     }
 
+    /// Adds a line to the record.
     pub fn note(&self, line: WorldLine) {
         if let Ok(mut world) = self.world.lock() {
             world.push(line);
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -2,6 +2,8 @@
 //! for the platform: it starts, stops, freezes and kills processes (only those it started), and keeps
 //! a record of what it did for the oracles. Tests and the `testbed` program both build on it.
 
+#![warn(missing_docs)]
+
 pub mod prelude;
 
 mod asking;
--- a/crates/testbed/src/plan.rs
+++ b/crates/testbed/src/plan.rs
@@ -1,15 +1,23 @@
 //! What a fleet is made of.
 
+/// What a fleet is made of.
 #[derive(Clone, Debug)]
 pub struct FleetPlan {
+    /// Whose day is played.
     pub office: String,
+    /// Core machines.
     pub keepers: usize,
+    /// Edge machines.
     pub nodes: usize,
+    /// Engines.
     pub engines: usize,
     /// Flags for every engine besides the usual ones.
     pub engine_flags: Vec<String>,
+    /// Where routers take overlap from: `events`, `history` or `occupancy`.
     pub sight: String,
+    /// The default policy's weight.
     pub weight: f64,
+    /// How much agents, routers and keepers log.
     pub log_level: String,
     /// Routers record the day under the fleet's folder.
     pub records: bool,
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -4,8 +4,11 @@
 
 const READY_CAP: Duration = Duration::from_secs(30);
 
+/// A process that said it is ready; it is killed when this is dropped.
 pub struct Process {
+    /// Its name in this fleet, by which its log goes.
     pub name: String,
+    /// What its ready line told.
     pub ready: BTreeMap<String, String>,
     child: Child,
 }
@@ -38,6 +41,7 @@
         Process::start_within(program, name, arguments, folder, READY_CAP)
     }
 
+    /// The same, waiting no longer than the cap.
     pub fn start_within(
         program: &str,
         name: &str,
@@ -95,10 +99,12 @@
         Ok((child, std::io::BufReader::new(stdout)))
     }
 
+    /// Its id in the system.
     pub fn id(&self) -> u32 {
         self.child.id()
     }
 
+    /// The address its ready line told.
     pub fn address(&self) -> String {
         self.ready.get("address").cloned().unwrap_or_default()
     }
@@ -126,22 +132,27 @@
         }
     }
 
+    /// Stops it from running, without ending it.
     pub fn freeze(&self) {
         self.signal(libc::SIGSTOP);
     }
 
+    /// Lets it run again.
     pub fn wake(&self) {
         self.signal(libc::SIGCONT);
     }
 
+    /// Tells it to read its settings again.
     pub fn reload(&self) {
         self.signal(libc::SIGHUP);
     }
 
+    /// Tells it to stop in good order.
     pub fn ask_to_stop(&self) {
         self.signal(libc::SIGTERM);
     }
 
+    /// Whether it has not ended yet.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
--- a/crates/testbed/src/recording.rs
+++ b/crates/testbed/src/recording.rs
@@ -3,6 +3,7 @@
 use crate::prelude::*;
 
 impl Fleet {
+    /// What the engines wrote down.
     pub fn engine_lines(&self) -> Vec<EngineLine> {
         let mut lines = Vec::new();
         for engine in &self.engines {
@@ -13,6 +14,7 @@
         lines
     }
 
+    /// The record so far, with what the callers wrote to these files.
     pub fn record(&self, caller_files: &[PathBuf]) -> Record {
         let mut record = Record {
             engines: self.engine_lines(),
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -3,8 +3,10 @@
 
 use crate::prelude::*;
 
+/// What a relay lets through.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Passage {
+    /// Everything.
     Open,
     /// Nothing gets through, nothing is closed.
     Stalled,
@@ -12,13 +14,16 @@
     Cut,
 }
 
+/// A relay before one process.
 pub struct Relay {
+    /// Where it is reached.
     pub address: String,
     passage: Arc<Mutex<Passage>>,
     target: Arc<Mutex<String>>,
 }
 
 impl Relay {
+    /// Starts a relay that leads nowhere yet.
     pub fn start() -> Result<Relay, String> {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").map_err(|fault| fault.to_string())?;
         let address = listener.local_addr().map_err(|fault| fault.to_string())?.to_string();
@@ -41,12 +46,14 @@
         Ok(relay)
     }
 
+    /// Sets where new streams are led.
     pub fn lead_to(&self, address: &str) {
         if let Ok(mut target) = self.target.lock() {
             address.clone_into(&mut target);
         }
     }
 
+    /// Sets what is let through.
     pub fn set(&self, passage: Passage) {
         if let Ok(mut current) = self.passage.lock() {
             *current = passage;
--- a/crates/testbed/src/report.rs
+++ b/crates/testbed/src/report.rs
@@ -2,13 +2,20 @@
 
 use crate::prelude::*;
 
+/// What a played day came to.
 #[derive(Clone, Debug, Default)]
 pub struct DayReport {
+    /// Requests by how they ended.
     pub outcomes: BTreeMap<String, u64>,
+    /// Milliseconds to the first piece by kind: half, nine tenths and 99 of a hundred came within.
     pub first_ms: BTreeMap<String, [u64; 3]>,
+    /// The share of prompts' blocks that engines had kept.
     pub reused_share: f64,
+    /// Attempts begun by engine.
     pub engine_starts: BTreeMap<String, u64>,
+    /// Second attempts by all attempts.
     pub retry_share: f64,
+    /// What broke a rule.
     pub violations: Vec<Violation>,
 }
 
@@ -18,6 +25,7 @@
 }
 
 impl DayReport {
+    /// The report of a record.
     pub fn of(record: &Record) -> DayReport {
         let mut report = DayReport { violations: judge(record), ..DayReport::default() };
         let mut firsts: BTreeMap<String, Vec<u64>> = BTreeMap::new();
@@ -43,6 +51,7 @@
         report
     }
 
+    /// The report as it is printed.
     pub fn text(&self) -> String {
         let mut text = String::from("requests by outcome:");
         for (outcome, count) in &self.outcomes {
--- a/crates/testbed/src/starting.rs
+++ b/crates/testbed/src/starting.rs
@@ -7,6 +7,7 @@
 pub(crate) const SLOW_LINK_US: u64 = 900;
 
 impl Fleet {
+    /// Addresses of up to three keepers, those that run if any does.
     pub fn seeds(&self) -> String {
         let running = self.keepers.iter().filter(|keeper| keeper.process.is_some());
         let mut addresses: Vec<&str> = running.map(|keeper| keeper.address.as_str()).collect();
@@ -17,6 +18,7 @@
         addresses.join(",")
     }
 
+    /// Adds and starts a keeper; its number.
     pub fn add_keeper(&mut self, founds: bool) -> Result<usize, String> {
         let number = self.keepers.len();
         let data = self.folder.join(format!("keeper{number}.data"));
@@ -81,6 +83,7 @@
         Ok(())
     }
 
+    /// The file that says how a frail keeper's disk misbehaves.
     pub fn disk_control(&self, number: usize) -> PathBuf {
         self.folder.join(format!("keeper{number}.disk"))
     }
@@ -90,6 +93,7 @@
         std::fs::write(self.disk_control(number), state).map_err(|fault| fault.to_string())
     }
 
+    /// Adds, starts and lists an engine; its number.
     pub fn add_engine(&mut self) -> Result<usize, String> {
         let number = self.engines.len();
         let engine = Engine {
@@ -105,6 +109,7 @@
         Ok(number)
     }
 
+    /// Starts an engine on these weights, at the address it had before.
     pub fn start_engine(&mut self, number: usize, weights: u64) -> Result<(), String> {
         let engine = &self.engines[number];
         let mut arguments = vec![
@@ -148,6 +153,7 @@
         Ok(())
     }
 
+    /// Adds a node and starts its agent and router; its number.
     pub fn add_node(&mut self) -> Result<usize, String> {
         let number = self.nodes.len();
         self.nodes.push(Node {
@@ -161,6 +167,7 @@
         Ok(number)
     }
 
+    /// Starts a node's agent, at the address it had before.
     pub fn start_agent(&mut self, number: usize) -> Result<(), String> {
         let arguments = vec![
             format!("--listen={}", self.nodes[number].agent_address),
@@ -174,6 +181,7 @@
         Ok(())
     }
 
+    /// Starts a node's router, at the address it had before.
     pub fn start_router(&mut self, number: usize) -> Result<(), String> {
         let node = &self.nodes[number];
         let arguments = vec![
@@ -192,6 +200,7 @@
         Ok(())
     }
 
+    /// Where a node's router is reached.
     pub fn router_address(&self, number: usize) -> String {
         self.nodes[number].router_address.clone()
     }
--- a/crates/testbed/src/watching.rs
+++ b/crates/testbed/src/watching.rs
@@ -3,11 +3,13 @@
 use crate::prelude::*;
 
 impl Fleet {
+    /// The operators' page of the whole fleet.
     pub fn fleet_page(&self) -> Result<Value, String> {
         let (status, page) = self.operate(Method::GET, "/v1/fleet", None, None)?;
         if status == 200 { Ok(page) } else { Err(format!("fleet page answered {status}")) }
     }
 
+    /// Waits until the chain has so many keepers.
     pub fn wait_core(&self, chain_length: usize) -> Result<(), String> {
         let formed = wait_until(Duration::from_secs(40), || {
             self.fleet_page().is_ok_and(|page| page["view"]["chain"].as_array().map(Vec::len) == Some(chain_length))
@@ -28,6 +30,7 @@
         Ok(String::from_utf8_lossy(&body).into_owned())
     }
 
+    /// A figure of a process's metrics.
     pub fn gauge(&self, address: &str, name: &str) -> Option<u64> {
         let text = self.metrics(address).ok()?;
         let line = text.lines().find(|line| line.split(' ').next() == Some(name))?;
@@ -46,6 +49,7 @@
         if served { Ok(()) } else { Err(format!("the fleet does not serve: {:?}", self.fleet_page())) }
     }
 
+    /// Whether every running engine is confirmed and open.
     pub fn engines_confirmed(&self) -> bool {
         let running_engines = self.engines.iter().filter(|engine| engine.process.is_some()).count();
         self.fleet_page().is_ok_and(|page| {
--- a/crates/verdict/src/judge.rs
+++ b/crates/verdict/src/judge.rs
@@ -2,9 +2,12 @@
 
 use crate::prelude::*;
 
+/// A rule that was broken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Violation {
+    /// The rule's number.
     pub rule: u8,
+    /// What broke it.
     pub what: String,
 }
 
--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -2,6 +2,8 @@
 //! what engines started and were ordered, and what operators, the platform and the test did. The same
 //! code judges simulated runs, whole-program tests and replayed days.
 
+#![warn(missing_docs)]
+
 pub mod prelude;
 
 mod answers;
--- a/crates/verdict/src/lines.rs
+++ b/crates/verdict/src/lines.rs
@@ -5,28 +5,41 @@
 /// What one caller saw of one request.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct CallerLine {
+    /// When it asked.
     pub at: u64,
+    /// When its answer was over.
     pub ended: u64,
+    /// The router it asked.
     pub router: String,
     /// Empty if no run was named.
     pub run: String,
+    /// The tenant whose key it used.
     pub tenant: String,
+    /// The key's hash.
     pub key: String,
+    /// The kind of request.
     pub kind: String,
+    /// Whether the request may run more than once.
     pub repeatable: bool,
     /// The idempotency key it asked under; empty if none.
     pub idempotency: String,
+    /// Whether it asked for a stream.
     pub streams: bool,
+    /// The status of the answer; 0 if none came.
     pub status: u16,
     /// whole, not_run, unknown, cut, refused, no_answer, cancelled.
     pub outcome: String,
+    /// How long the first piece took.
     pub first_ms: Option<u64>,
     /// The shot whose pieces came; empty if none did.
     pub shot: String,
     /// When the last piece came; 0 if none did.
     pub last_at: u64,
+    /// Pieces that came.
     pub pieces: u64,
+    /// Blocks of the prompt, as the answer told.
     pub prompt_blocks: u64,
+    /// Blocks of it that its engine kept, as the answer told.
     pub cached_blocks: u64,
     /// What is wrong with the answer; empty if nothing.
     pub wrong: String,
@@ -36,77 +49,121 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "line", rename_all = "snake_case")]
 pub enum WorldLine {
+    /// A key's end was acknowledged.
     KeyWithdrawn {
+        /// When.
         at: u64,
+        /// The key's hash.
         key: String,
     },
+    /// An engine is listed as leaving or gone.
     ListedAway {
+        /// When.
         at: u64,
+        /// The engine.
         engine: String,
     },
+    /// An engine is listed open.
     ListedOpen {
+        /// When.
         at: u64,
+        /// The engine.
         engine: String,
     },
+    /// A change was acknowledged.
     Acked {
+        /// When.
         at: u64,
+        /// The number of the state that holds it.
         edition: u64,
     },
+    /// Newer weights were acknowledged as confirmed everywhere.
     WeightsAcked {
+        /// When.
         at: u64,
+        /// The weights.
         weights: u64,
     },
+    /// A tenant's wall was acknowledged.
     Walled {
+        /// When.
         at: u64,
+        /// The tenant.
         tenant: String,
     },
     /// The tenant's wall may be down from here on.
     Unwalled {
+        /// When.
         at: u64,
+        /// The tenant.
         tenant: String,
     },
     /// A kept block served a shot though it was made on other weights or for another tenant.
     MemoryUsed {
+        /// When.
         at: u64,
+        /// The attempt it served.
         shot: String,
+        /// The weights the attempt ran on.
         weights: u64,
+        /// The weights the block was made on.
         made_on: u64,
+        /// The tenant of the attempt.
         tenant: String,
+        /// The tenant the block was made for.
         made_for: String,
     },
     /// A router seen holding a lease with this edition in force.
     Sample {
+        /// When.
         at: u64,
+        /// The router.
         router: String,
+        /// The number of the state in force there.
         edition: u64,
+        /// Whether it held a lease.
         leased: bool,
         /// Shots and second shots of this router so far.
         shots: u64,
+        /// Second attempts among them.
         retries: u64,
     },
+    /// A fault was caused.
     Fault {
+        /// When.
         at: u64,
+        /// Which.
         what: String,
     },
+    /// From here on nothing is disturbed.
     LastFaultOver {
+        /// When.
         at: u64,
     },
+    /// The run is over.
     RunEnds {
+        /// When.
         at: u64,
     },
 }
 
+/// All lines of a run.
 #[derive(Clone, Debug, Default)]
 pub struct Record {
+    /// What callers saw.
     pub callers: Vec<CallerLine>,
+    /// What engines started and were ordered.
     pub engines: Vec<EngineLine>,
+    /// What operators, the platform and the test did.
     pub world: Vec<WorldLine>,
     /// Shots and second shots as the routers counted them, if known.
     pub shots: u64,
+    /// Second attempts among them.
     pub retries: u64,
 }
 
 impl Record {
+    /// Every start of an attempt on an engine.
     pub fn starts(&self) -> impl Iterator<Item = &StartLine> {
         self.engines.iter().filter_map(|line| match line {
             EngineLine::Start(start) => Some(start),
@@ -148,10 +205,14 @@
     }
 }
 
+/// How the work on an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ShotEnd {
+    /// When.
     pub at: u64,
+    /// After how many pieces.
     pub pieces: u64,
+    /// Whether it was worked to its end.
     pub whole: bool,
 }
 
--- a/crates/verdict/src/service.rs
+++ b/crates/verdict/src/service.rs
@@ -2,10 +2,15 @@
 
 use crate::prelude::*;
 
+/// Second attempts allowed for each first one.
 pub const RETRY_SHARE: f64 = 0.15;
+/// Second attempts allowed besides, over a whole run.
 pub const RETRY_FLOAT: u64 = 30;
+/// Second attempts allowed besides, for each router in a window.
 pub const RETRY_FLOAT_OF_ROUTER: u64 = 3;
+/// The stretch of time over which they are counted.
 pub const RETRY_WINDOW_MS: u64 = 5_000;
+/// Within this after the last fault, service is back.
 pub const RECOVERY_LIMIT_MS: u64 = 12_000;
 
 pub(crate) fn retries_are_few(record: &Record) -> Vec<String> {
--- a/crates/verdict/src/states.rs
+++ b/crates/verdict/src/states.rs
@@ -2,8 +2,11 @@
 
 use crate::prelude::*;
 
+/// Within this after its acknowledgement, a state is in force at every leased router.
 pub const DESIRED_STATE_LIMIT_MS: u64 = 2_000;
+/// So long after newer weights were acknowledged, nothing begins on older ones any more.
 pub const WEIGHTS_LIMIT_MS: u64 = 20_000;
+/// Between the orders of two holders to one engine there is at least this.
 pub const HOLDER_GAP_MS: u64 = 3_000;
 
 pub(crate) fn desired_states_hold(record: &Record) -> Vec<String> {
--- a/crates/verdict/src/withdrawn.rs
+++ b/crates/verdict/src/withdrawn.rs
@@ -2,7 +2,9 @@
 
 use crate::prelude::*;
 
+/// So long after its end was acknowledged, nothing is done for a key any more.
 pub const KEY_LIMIT_MS: u64 = 5_000;
+/// So long after it was listed away, an engine is asked for nothing any more.
 pub const LISTING_LIMIT_MS: u64 = 3_000;
 
 /// Work is judged, not starts alone: no shot may begin, go on at its engine, or bring its caller a
