--- /dev/null
+++ b/crates/simulator/src/events.rs
@@ -0,0 +1,121 @@
+//! What can happen in the world, and who it happens to.
+
+use crate::prelude::*;
+
+#[derive(Clone, Debug)]
+pub enum SimEvent {
+    KeeperPulse { keeper: usize, life: u64 },
+    KeeperInput { keeper: usize, life: Option<u64>, input: Input },
+    CarryOut { keeper: usize, life: u64, plan: Vec<Effect> },
+    NodePulse { node: usize, life: u64 },
+    NodeInput { node: usize, life: u64, input: SubscriptionInput },
+    RouterDials { node: usize, life: u64, router: NodeId },
+    RouterInput { node: usize, router: NodeId, message: RouterDown },
+    Dialled { node: usize, life: u64, address: String },
+    PumpUp { link: usize },
+    PumpDown { link: usize },
+    LinkEnds { link: usize },
+    Traffic { node: usize },
+    Enters { node: usize, caller: usize, request: SimRequest },
+    RunInput { to: ShotPlaceName, input: CarriageInput<SimPiece> },
+    EngineGets { engine: usize, ask: Box<EngineAsk> },
+    EngineWorks { engine: usize, boot: u64, shot: String },
+    EnginePrefills { engine: usize, ask: Box<EngineAsk> },
+    Prefilled { to: ShotPlaceName },
+    EngineAllows { engine: usize, shot: String, span: Span },
+    EngineLosesCaller { engine: usize, shot: String },
+    OrderLeaves { keeper: usize, life: u64, engine: usize, order: SimOrder },
+    Ordered { engine: usize, order: SimOrder },
+    EngineLoads { engine: usize, boot: u64, weights: WeightsEdition },
+    Polls { node: usize, life: u64 },
+    WorkLook { node: usize, life: u64 },
+    ClaimAgain { node: usize, router: NodeId, ticket: u64, submission: Submission, until: Instant },
+    PatienceEnds { caller: usize },
+    CallerLeft(CallerLeft),
+    ComesBack { node: usize, caller: usize },
+    Resumes { node: usize, caller: usize, carried: bool },
+    AsksAgain { node: usize, request: SimRequest },
+    Loses { keeper: usize },
+    IsolatesHolder { again: u64 },
+    Revives,
+    Heals,
+    WithdrawsBehind { node: usize, key_hash: String },
+    Operator,
+    Platform,
+    Fault(Fault),
+    StopKeeper { keeper: usize, life: u64 },
+    Sample,
+}
+
+impl World {
+    pub(crate) fn handle(&mut self, event: SimEvent) {
+        match event {
+            SimEvent::KeeperPulse { keeper, life } => {
+                if self.keepers[keeper].life != life || self.keepers[keeper].coordinator.is_none() {
+                    return;
+                }
+                self.step_keeper(keeper, Some(life), Input::Pulse);
+                self.tend_keeper(keeper);
+                self.later(Span::millis(50), SimEvent::KeeperPulse { keeper, life });
+            }
+            SimEvent::KeeperInput { keeper, life, input } => self.step_keeper(keeper, life, input),
+            SimEvent::CarryOut { keeper, life, plan } => self.carry_out(keeper, life, plan),
+            SimEvent::NodePulse { node, life } => {
+                if self.nodes[node].life == life && self.nodes[node].subscription.is_some() {
+                    self.step_node(node, life, SubscriptionInput::Pulse);
+                    self.later(Span::millis(50), SimEvent::NodePulse { node, life });
+                }
+            }
+            SimEvent::NodeInput { node, life, input } => self.step_node(node, life, input),
+            SimEvent::RouterDials { node, life, router } => self.feed_router(node, life, router),
+            SimEvent::RouterInput { node, router, message } => self.step_router(node, router, message),
+            SimEvent::Dialled { node, life, address } => self.connect(node, life, &address),
+            SimEvent::PumpUp { link } => self.pump(link, true),
+            SimEvent::PumpDown { link } => self.pump(link, false),
+            SimEvent::LinkEnds { link } => self.finish_link(link),
+            SimEvent::Traffic { node } => {
+                self.call(node);
+                let pause = Span::millis(self.draw.between(40, 260));
+                self.later(pause, SimEvent::Traffic { node });
+            }
+            SimEvent::Enters { node, caller, request } => self.enter(node, caller, request),
+            SimEvent::RunInput { to, input } => self.hear_engine(to, input),
+            SimEvent::EngineGets { engine, ask } => self.engine_gets(engine, *ask),
+            SimEvent::EngineWorks { engine, boot, shot } => self.engine_works(engine, boot, shot),
+            SimEvent::EnginePrefills { engine, ask } => self.engine_prefills(engine, *ask),
+            SimEvent::Prefilled { to } => self.hear_prefilled(to),
+            SimEvent::EngineAllows { engine, shot, span } => self.engine_allows(engine, &shot, span),
+            SimEvent::EngineLosesCaller { engine, shot } => self.engine_loses_caller(engine, &shot),
+            SimEvent::OrderLeaves { keeper, life, engine, order } => self.order_leaves(keeper, life, engine, order),
+            SimEvent::Ordered { engine, order } => self.engine_ordered(engine, order),
+            SimEvent::EngineLoads { engine, boot, weights } => self.engine_loads(engine, boot, weights),
+            SimEvent::Polls { node, life } => self.poll_sources(node, life),
+            SimEvent::WorkLook { node, life } => self.work_pulse(node, life),
+            SimEvent::ClaimAgain { node, router, ticket, submission, until } => {
+                self.say_submission(node, router, ticket, submission, until);
+            }
+            SimEvent::PatienceEnds { caller } => self.lose_patience(caller),
+            SimEvent::CallerLeft(left) => self.hear_caller_left(left),
+            SimEvent::ComesBack { node, caller } => self.hear_comes_back(node, caller),
+            SimEvent::Resumes { node, caller, carried } => self.resume(node, caller, carried),
+            SimEvent::AsksAgain { node, request } => self.ask_again(node, request),
+            SimEvent::IsolatesHolder { again } => self.isolate_holder(again),
+            SimEvent::Loses { keeper } => self.kill_keeper(keeper),
+            SimEvent::Revives => self.revive(),
+            SimEvent::Heals => self.heal_but_held(true),
+            SimEvent::WithdrawsBehind { node, key_hash } => self.hear_withdraws_behind(node, &key_hash),
+            SimEvent::Operator => self.operate(),
+            SimEvent::Platform => self.change_listing(),
+            SimEvent::StopKeeper { keeper, life } => {
+                if self.keepers[keeper].life == life {
+                    self.kill_keeper(keeper);
+                }
+            }
+            SimEvent::Fault(fault) => self.cause(fault),
+            SimEvent::Sample => {
+                self.sample();
+                self.later(Span::millis(100), SimEvent::Sample);
+            }
+        }
+    }
+}
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -5,13 +5,16 @@
 const FORM_SPAN: Span = Span::seconds(12);
 const CALM_SPAN: Span = Span::seconds(20);
 
+/// What is to be played.
 #[derive(Clone, Debug)]
 pub struct RunPlan {
+    /// Everything drawn follows from it.
     pub seed: u64,
     /// How long faults go on.
     pub trouble: Span,
     /// Mean pause between faults.
     pub fault_pause_ms: u64,
+    /// Whether what happens is noted down.
     pub keeps_notes: bool,
     /// A cut that stays after the other faults are over; service must return all the same.
     pub lasting: Lasting,
@@ -22,6 +25,7 @@
 /// What stays cut.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lasting {
+    /// All cuts heal.
     Nothing,
     /// One keeper hears none of the others, but is heard.
     DeafKeeper,
@@ -30,6 +34,7 @@
 }
 
 impl RunPlan {
+    /// The usual run of a seed.
     pub fn of(seed: u64) -> RunPlan {
         RunPlan {
             seed,
@@ -50,16 +55,22 @@
     }
 }
 
+/// What came of a run.
 #[derive(Debug, Default)]
 pub struct RunOutcome {
+    /// What broke a rule, as `rule N: what`.
     pub violations: Vec<String>,
+    /// Attempts that engines began.
     pub starts: usize,
+    /// Changes that were acknowledged.
     pub acks: usize,
+    /// Faults that were caused.
     pub faults: usize,
     /// The kinds of the faults caused, in order.
     pub fault_kinds: Vec<&'static str>,
     /// How requests ended, by outcome.
     pub outcomes: BTreeMap<String, usize>,
+    /// What happened, if notes were kept.
     pub notes: Vec<String>,
     /// From the end of the last fault until every node served again.
     pub recovery: Option<Span>,
@@ -105,7 +116,7 @@
         if fault_at + Span::millis(400) >= trouble_end {
             break;
         }
-        world.at(fault_at, Happening::Fault(Fault::draw(&mut draw, KEEPERS, NODES, ENGINES)));
+        world.at(fault_at, SimEvent::Fault(Fault::draw(&mut draw, KEEPERS, NODES, ENGINES)));
     }
     schedule_changes(&mut world, &mut draw, trouble_end, plan.lasting);
     world.run_until(trouble_end);
@@ -134,12 +145,12 @@
     let mut change_at = world.now;
     while change_at < calm_end {
         change_at = change_at + Span::millis(draw.between(50, 1500));
-        world.at(change_at, Happening::Operator);
+        world.at(change_at, SimEvent::Operator);
     }
     let mut listing_at = world.now;
     while listing_at < calm_end {
         listing_at = listing_at + Span::millis(draw.between(500, 6000));
-        world.at(listing_at, Happening::Platform);
+        world.at(listing_at, SimEvent::Platform);
     }
 }
 
@@ -183,8 +194,8 @@
         unserved.into_iter().for_each(|told| world.note(told));
     }
     for number in 0..world.nodes.len() {
-        let courier = format!("n{number} at the end: {:?}", world.nodes[number].courier);
-        world.note(courier);
+        let subscription = format!("n{number} at the end: {:?}", world.nodes[number].subscription);
+        world.note(subscription);
     }
     let mut violations: Vec<String> =
         judge(&world.record).into_iter().map(|Violation { rule, what }| format!("rule {rule}: {what}")).collect();
@@ -224,8 +235,8 @@
 /// Every acknowledged change must be in the state of the tail that acts at the end, as it was acked.
 fn lost_acks(world: &World) -> Vec<String> {
     let tail = world.keepers.iter().find_map(|keeper| {
-        let warden = keeper.warden.as_ref()?;
-        warden.tail_is_active(keeper.clock.read(world.now)).then_some(warden)
+        let coordinator = keeper.coordinator.as_ref()?;
+        coordinator.tail_is_active(keeper.clock.read(world.now)).then_some(coordinator)
     });
     let Some(tail) = tail else { return vec!["rule 12: no tail acts at the end".into()] };
     if world.net.cuts.is_empty() && tail.view().chain.len() != KEEPERS {
