--- a/crates/simulator/src/prelude.rs
+++ b/crates/simulator/src/prelude.rs
@@ -1,15 +1,18 @@
 //! The one import of this package's files.
 
-pub use crate::callers::*;
-pub use crate::carrying::*;
-pub use crate::cast::*;
-pub use crate::disorder::*;
-pub use crate::faults::*;
-pub use crate::keepers::*;
-pub use crate::net::*;
-pub use crate::pool::*;
+pub(crate) use crate::callers::*;
+pub(crate) use crate::disorder::*;
+pub(crate) use crate::engines::*;
+pub(crate) use crate::events::*;
+pub use crate::faults::fault_kinds;
+pub(crate) use crate::faults::*;
+pub(crate) use crate::keepers::*;
+pub(crate) use crate::machines::*;
+pub(crate) use crate::memory::*;
+pub(crate) use crate::net::*;
 pub use crate::run::*;
-pub use crate::world::*;
+pub(crate) use crate::runs::*;
+pub(crate) use crate::world::*;
 pub(crate) use admission::prelude::RetryBudget;
 pub(crate) use attempts::prelude::*;
 pub(crate) use blocks::prelude::{Salt, blocks_of, cut};
@@ -22,6 +25,6 @@
 };
 pub(crate) use std::cmp::Reverse;
 pub(crate) use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
-pub(crate) use subscription::prelude::{Courier, CourierEffect, CourierInput, RouterDown, RouterUp};
+pub(crate) use subscription::prelude::{RouterDown, RouterUp, Subscription, SubscriptionEffect, SubscriptionInput};
 pub(crate) use units::prelude::*;
 pub(crate) use verdict::prelude::{CallerLine, Record, Violation, WorldLine, judge};
--- a/crates/subscription/src/mind.rs
+++ b/crates/subscription/src/machine.rs
@@ -22,11 +22,16 @@
 pub enum RouterUp {
     /// Who the router is and where callers reach it; said first.
     Here(RouterDoor),
+    /// A state is in force at the router.
     Applied {
+        /// Its number.
         edition: Edition,
     },
+    /// A command for the core.
     Submit {
+        /// By which the router knows its outcome again.
         ticket: u64,
+        /// The command, named so that it counts once.
         submission: Submission,
     },
 }
@@ -36,47 +41,73 @@
 pub enum RouterDown {
     /// The whole state, and when each edition of weights lately given up gave way.
     Snapshot {
+        /// The state.
         state: Box<FleetState>,
+        /// Weights lately given up, and when.
         gave_way: Vec<(ModelName, WeightsEdition, Instant)>,
     },
     /// The next change, and when it was committed, if that is known: never later than it was.
     Push {
+        /// The number of the change.
         number: Edition,
+        /// The change.
         submission: Submission,
+        /// When it was committed, if that is known.
         committed: Option<Instant>,
     },
     /// The lease, and when the core was last disturbed: never later than it was.
     Lease {
+        /// Until when the router may start anything.
         until: Instant,
+        /// When the core was last disturbed.
         disturbed: Instant,
     },
+    /// What became of a command.
     Settled {
+        /// The router's own ticket.
         ticket: u64,
+        /// What became of it.
         outcome: Settled,
     },
+    /// Where the other routers are reached.
     Doors(Vec<RouterDoor>),
 }
 
+/// What the state machine is told.
 #[derive(Clone, Debug)]
-pub enum CourierInput {
+pub enum SubscriptionInput {
+    /// Time has passed.
     Pulse,
+    /// The stream to the core is up.
     CoreUp,
+    /// The stream to the core is gone.
     CoreDown,
+    /// A message from the core.
     Core(NodeDown),
+    /// A router has connected.
     RouterUp,
+    /// The router's stream is gone.
     RouterDown,
+    /// A message from the router.
     Router(RouterUp),
+    /// Other addresses at which the core may be found.
     Seeds(Vec<String>),
 }
 
+/// What the state machine orders.
 #[derive(Clone, Debug, PartialEq)]
-pub enum CourierEffect {
+pub enum SubscriptionEffect {
     /// Drop the stream to the core, if there is one, and dial this address.
     Dial(String),
+    /// Send a message to the core.
     SayCore(NodeUp),
+    /// Send a message to the router.
     SayRouter(RouterDown),
+    /// Log an event.
     Note {
+        /// The event's name.
         event: &'static str,
+        /// What is to be known of it, as key=value.
         detail: String,
     },
 }
@@ -95,8 +126,9 @@
     door: Option<RouterDoor>,
 }
 
+/// An agent's hold on the core, for its router.
 #[derive(Clone, Debug)]
-pub struct Courier {
+pub struct Subscription {
     seeds: Vec<String>,
     view: View,
     core: CoreStream,
@@ -115,12 +147,13 @@
     router: Option<RouterPlace>,
     lives: u64,
     lease_until: Instant,
-    plan: Vec<CourierEffect>,
+    plan: Vec<SubscriptionEffect>,
 }
 
-impl Courier {
-    pub fn new(seeds: Vec<String>, spread: usize) -> Courier {
-        Courier {
+impl Subscription {
+    /// An agent that has reached nobody yet; `spread` says with which seed it begins.
+    pub fn new(seeds: Vec<String>, spread: usize) -> Subscription {
+        Subscription {
             seeds,
             view: View::default(),
             core: CoreStream::Down,
@@ -140,18 +173,21 @@
         }
     }
 
+    /// The fleet it belongs to, once it knows.
     pub fn fleet(&self) -> FleetId {
         self.view.fleet
     }
 
+    /// Until when its router is leased.
     pub fn lease_until(&self) -> Instant {
         self.lease_until
     }
 
-    pub fn step(&mut self, input: CourierInput, now: Instant) -> Vec<CourierEffect> {
+    /// Takes an input; what is to be done about it, in order.
+    pub fn step(&mut self, input: SubscriptionInput, now: Instant) -> Vec<SubscriptionEffect> {
         match input {
-            CourierInput::Pulse => self.pulse(now),
-            CourierInput::CoreUp => {
+            SubscriptionInput::Pulse => self.pulse(now),
+            SubscriptionInput::CoreUp => {
                 self.core = CoreStream::Up;
                 self.last_heard = now;
                 self.last_granted = now;
@@ -159,28 +195,28 @@
                 self.behind_since = None;
                 self.renew(now);
             }
-            CourierInput::CoreDown => self.core = CoreStream::Down,
-            CourierInput::Core(message) => {
+            SubscriptionInput::CoreDown => self.core = CoreStream::Down,
+            SubscriptionInput::Core(message) => {
                 if self.core == CoreStream::Up {
                     self.last_heard = now;
                     self.hear_core(message, now);
                 }
             }
-            CourierInput::RouterUp => {
+            SubscriptionInput::RouterUp => {
                 self.lives += 1;
                 self.router = Some(RouterPlace { life: self.lives, applied: None, door: None });
                 self.renew(now);
             }
-            CourierInput::RouterDown => self.router = None,
-            CourierInput::Router(RouterUp::Here(door)) => {
+            SubscriptionInput::RouterDown => self.router = None,
+            SubscriptionInput::Router(RouterUp::Here(door)) => {
                 if let Some(router) = self.router.as_mut() {
                     router.door = Some(door);
                 }
             }
-            CourierInput::Router(RouterUp::Submit { ticket, submission }) => {
+            SubscriptionInput::Router(RouterUp::Submit { ticket, submission }) => {
                 self.say_core(NodeUp::Submit { ticket, submission });
             }
-            CourierInput::Router(RouterUp::Applied { edition }) => {
+            SubscriptionInput::Router(RouterUp::Applied { edition }) => {
                 let Some(router) = self.router.as_mut() else { return Vec::new() };
                 let is_first = router.applied.is_none();
                 router.applied = Some(edition);
@@ -189,14 +225,14 @@
                     self.renew(now);
                 }
             }
-            CourierInput::Seeds(seeds) => self.seeds = seeds,
+            SubscriptionInput::Seeds(seeds) => self.seeds = seeds,
         }
         std::mem::take(&mut self.plan)
     }
 
     fn say_core(&mut self, message: NodeUp) {
         if self.core == CoreStream::Up {
-            self.plan.push(CourierEffect::SayCore(message));
+            self.plan.push(SubscriptionEffect::SayCore(message));
         }
     }
 
@@ -272,7 +308,7 @@
         self.core = CoreStream::Dialling { since: now };
         self.behind_since = None;
         self.target = address.clone();
-        self.plan.push(CourierEffect::Dial(address));
+        self.plan.push(SubscriptionEffect::Dial(address));
     }
 
     fn hear_core(&mut self, message: NodeDown, now: Instant) {
@@ -287,14 +323,15 @@
                 if asked_for_this_life {
                     self.lease_until = self.lease_until.max(sent + span);
                     let disturbed = self.when(undisturbed);
-                    self.plan.push(CourierEffect::SayRouter(RouterDown::Lease { until: sent + span, disturbed }));
+                    self.plan
+                        .push(SubscriptionEffect::SayRouter(RouterDown::Lease { until: sent + span, disturbed }));
                 }
             }
             NodeDown::NotNow => {}
             NodeDown::Settled { ticket, outcome } => {
-                self.plan.push(CourierEffect::SayRouter(RouterDown::Settled { ticket, outcome }));
+                self.plan.push(SubscriptionEffect::SayRouter(RouterDown::Settled { ticket, outcome }));
             }
-            NodeDown::Doors(doors) => self.plan.push(CourierEffect::SayRouter(RouterDown::Doors(doors))),
+            NodeDown::Doors(doors) => self.plan.push(SubscriptionEffect::SayRouter(RouterDown::Doors(doors))),
             NodeDown::Behind => {
                 let has_applied = self.router.as_ref().is_some_and(|router| router.applied.is_some());
                 if has_applied {
@@ -304,11 +341,11 @@
             NodeDown::Snapshot { state, gave_way } => {
                 let gave_way = gave_way.into_iter().map(|(model, weights, age)| (model, weights, self.when(age)));
                 let message = RouterDown::Snapshot { state, gave_way: gave_way.collect() };
-                self.plan.push(CourierEffect::SayRouter(message));
+                self.plan.push(SubscriptionEffect::SayRouter(message));
             }
             NodeDown::Push { number, submission, age } => {
                 let committed = age.map(|age| self.when(age));
-                self.plan.push(CourierEffect::SayRouter(RouterDown::Push { number, submission, committed }));
+                self.plan.push(SubscriptionEffect::SayRouter(RouterDown::Push { number, submission, committed }));
             }
         }
     }
@@ -322,7 +359,7 @@
         let other_fleet = self.view.fleet != FleetId(0) && view.fleet != FleetId(0) && view.fleet != self.view.fleet;
         if other_fleet {
             let detail = format!("theirs={} ours={}", view.fleet, self.view.fleet);
-            self.plan.push(CourierEffect::Note { event: "wrong_fleet", detail });
+            self.plan.push(SubscriptionEffect::Note { event: "wrong_fleet", detail });
             self.dial_another(now);
             return;
         }
@@ -353,35 +390,35 @@
     }
 
     /// What the router is told of a push that says "just now", heard at an instant.
-    fn committed(courier: &mut Courier, now: Instant) -> Option<Instant> {
+    fn committed(subscription: &mut Subscription, now: Instant) -> Option<Instant> {
         let submission =
             Submission { request: RequestId(1), command: Command::Merge { base: None, patch: "{}".into() } };
         let push = NodeDown::Push { number: Edition(1), submission, age: Some(Span(0)) };
-        let plan = courier.step(CourierInput::Core(push), now);
+        let plan = subscription.step(SubscriptionInput::Core(push), now);
         plan.into_iter().find_map(|effect| match effect {
-            CourierEffect::SayRouter(RouterDown::Push { committed, .. }) => committed,
+            SubscriptionEffect::SayRouter(RouterDown::Push { committed, .. }) => committed,
             _ => None,
         })
     }
 
     #[test]
     fn what_waited_for_a_sleeping_machine_is_not_new() {
-        let mut courier = Courier::new(vec!["k".into()], 0);
-        courier.step(CourierInput::Pulse, at(1));
-        courier.step(CourierInput::CoreUp, at(1));
-        courier.step(CourierInput::RouterUp, at(1));
+        let mut subscription = Subscription::new(vec!["k".into()], 0);
+        subscription.step(SubscriptionInput::Pulse, at(1));
+        subscription.step(SubscriptionInput::CoreUp, at(1));
+        subscription.step(SubscriptionInput::RouterUp, at(1));
         let granted = |sent| {
-            CourierInput::Core(NodeDown::Granted {
+            SubscriptionInput::Core(NodeDown::Granted {
                 sent,
                 span: Span::seconds(2),
                 life: 1,
                 undisturbed: Span::seconds(60),
             })
         };
-        courier.step(granted(at(2)), at(2));
-        assert_eq!(committed(&mut courier, at(2)), Some(at(2)));
-        assert_eq!(committed(&mut courier, at(14)), Some(at(2)), "it slept for twelve seconds");
-        courier.step(granted(at(14)), at(14));
-        assert_eq!(committed(&mut courier, at(14)), Some(at(14)));
+        subscription.step(granted(at(2)), at(2));
+        assert_eq!(committed(&mut subscription, at(2)), Some(at(2)));
+        assert_eq!(committed(&mut subscription, at(14)), Some(at(2)), "it slept for twelve seconds");
+        subscription.step(granted(at(14)), at(14));
+        assert_eq!(committed(&mut subscription, at(14)), Some(at(14)));
     }
 }
