A member brought level learns how long ago records were committed; it asks as soon as it can

Besides, members of a chain of eight were levelled one after the other at pulses of 200 ms. Change: who levels another tells the ages it knows (64 latest records, weights that gave way); they count from the first asking under that nonce, so nothing is dated later than it was committed. A member asks as soon as it hears that the one before it is level.

--- a/crates/chain/src/log.rs
+++ b/crates/chain/src/log.rs
@@ -82,13 +82,13 @@
     }
 
     /// The answer to a member that asked to be brought level.
-    pub fn level(&self, view: ViewNumber, asked_from: Mark, nonce: u64) -> ChainMessage {
+    pub fn level(&self, view: ViewNumber, asked_from: Mark, nonce: u64, ages: Ages) -> ChainMessage {
         if self.knows(asked_from)
             && let Some(records) = self.after(asked_from.edition)
         {
-            return ChainMessage::Level { view, nonce, previous: asked_from, records };
+            return ChainMessage::Level { view, nonce, previous: asked_from, records, ages };
         }
-        ChainMessage::Snapshot { view, nonce, mark: self.last(), state: Box::new(self.state.clone()) }
+        ChainMessage::Snapshot { view, nonce, mark: self.last(), state: Box::new(self.state.clone()), ages }
     }
 }
 
@@ -108,14 +108,14 @@
             log.number(ViewNumber(1), submission(number));
         }
         let known_mark = Mark { edition: Edition(2), view: ViewNumber(1) };
-        let ChainMessage::Level { records, .. } = log.level(ViewNumber(2), known_mark, 0) else {
+        let ChainMessage::Level { records, .. } = log.level(ViewNumber(2), known_mark, 0, Ages::default()) else {
             panic!("a known mark is levelled by records")
         };
         assert_eq!(records.len(), 1);
         let foreign_mark = Mark { edition: Edition(2), view: ViewNumber(9) };
-        assert!(matches!(log.level(ViewNumber(2), foreign_mark, 0), ChainMessage::Snapshot { .. }));
+        assert!(matches!(log.level(ViewNumber(2), foreign_mark, 0, Ages::default()), ChainMessage::Snapshot { .. }));
         let longer_mark = Mark { edition: Edition(4), view: ViewNumber(1) };
-        assert!(matches!(log.level(ViewNumber(2), longer_mark, 0), ChainMessage::Snapshot { .. }));
+        assert!(matches!(log.level(ViewNumber(2), longer_mark, 0, Ages::default()), ChainMessage::Snapshot { .. }));
         assert!(log.after(Edition(4)).is_none());
     }
 
@@ -127,6 +127,9 @@
         }
         assert!(log.after(Edition(5)).is_none());
         assert_eq!(log.after(Edition(10)).map(|records| records.len()), Some(KEPT_RECORDS));
-        assert!(matches!(log.level(ViewNumber(1), Mark::default(), 0), ChainMessage::Snapshot { .. }));
+        assert!(matches!(
+            log.level(ViewNumber(1), Mark::default(), 0, Ages::default()),
+            ChainMessage::Snapshot { .. }
+        ));
     }
 }
--- a/crates/chain/src/messages.rs
+++ b/crates/chain/src/messages.rs
@@ -34,11 +34,22 @@
         nonce: u64,
         previous: Mark,
         records: Vec<Record>,
+        ages: Ages,
     },
     Snapshot {
         view: ViewNumber,
         nonce: u64,
         mark: Mark,
         state: Box<FleetState>,
+        ages: Ages,
     },
 }
+
+/// How long ago things were committed at the most, when the message was sent. What is not named may be of
+/// any age.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ages {
+    pub records: Vec<(Edition, Span)>,
+    /// Weights that newer ones have replaced, and how long ago.
+    pub gave_way: Vec<(ModelName, WeightsEdition, Span)>,
+}
--- a/crates/coordinator/src/chaining.rs
+++ b/crates/coordinator/src/chaining.rs
@@ -3,6 +3,8 @@
 use crate::prelude::*;
 
 const UNCOMMITTED_LIMIT: u64 = 256;
+/// The ages of so many records are told to a member that is brought level.
+const TOLD_AGES: usize = 64;
 
 impl Warden {
     pub(crate) fn hear_submit(&mut self, submission: Submission) {
@@ -26,44 +28,44 @@
         self.send(successor, CoreMessage::Chain(append));
     }
 
-    pub(crate) fn hear_chain(&mut self, from: NodeId, message: ChainMessage, _now: Instant) {
+    pub(crate) fn hear_chain(&mut self, from: NodeId, message: ChainMessage, now: Instant) {
         match message {
-            ChainMessage::Append { view, previous, records } => self.hear_append(from, view, previous, records),
+            ChainMessage::Append { view, previous, records } => self.hear_append(from, view, previous, records, now),
             ChainMessage::Have { view, last, nonce } => {
                 if view == self.view.number && self.is_aligned() {
-                    let answer = self.log.level(view, last, nonce);
+                    let answer = self.log.level(view, last, nonce, self.ages(now));
                     self.send(from, CoreMessage::Chain(answer));
                 }
             }
-            ChainMessage::Level { view, nonce, previous, records } => {
+            ChainMessage::Level { view, nonce, previous, records, ages } => {
                 if self.may_be_levelled(from, view, nonce) && previous == self.log.last() {
                     let was_aligned = self.is_aligned();
                     self.take_records(previous, records);
                     if !was_aligned {
-                        self.forget_dates();
+                        self.take_ages(&ages, nonce);
                     }
                     self.align();
                 }
             }
-            ChainMessage::Snapshot { view, nonce, mark, state } => {
+            ChainMessage::Snapshot { view, nonce, mark, state, ages } => {
                 if self.may_be_levelled(from, view, nonce) {
                     self.log = Log::restore(mark, (*state).clone(), Vec::new());
                     self.store(Stored::Snapshot { mark, state });
-                    self.forget_dates();
+                    self.take_ages(&ages, nonce);
                     self.align();
                 }
             }
         }
     }
 
-    fn hear_append(&mut self, from: NodeId, view: ViewNumber, previous: Mark, records: Vec<Record>) {
+    fn hear_append(&mut self, from: NodeId, view: ViewNumber, previous: Mark, records: Vec<Record>, now: Instant) {
         let from_before = self.view.before(self.me.id) == Some(from);
         if view != self.view.number || !from_before || !self.is_aligned() || self.sealed() {
             return;
         }
         let last = self.log.last();
         if previous.edition > last.edition {
-            self.ask_level_of(from);
+            self.ask_level_of(from, now);
             return;
         }
         let new_records: Vec<Record> =
@@ -93,8 +95,34 @@
         !self.view.in_chain(self.me.id) || self.view.before(self.me.id) == Some(from)
     }
 
+    /// How long ago what is dated here was committed at the most.
+    fn ages(&self, now: Instant) -> Ages {
+        let records = self.committed_at.iter().rev().take(TOLD_AGES);
+        let gave_way = self.gave_way.iter();
+        Ages {
+            records: records.map(|(edition, since)| (*edition, now.since(*since))).collect(),
+            gave_way: gave_way
+                .map(|((model, weights), since)| (model.clone(), *weights, now.since(*since)))
+                .collect(),
+        }
+    }
+
+    /// Dates what the levelling member has dated. It said so after it was asked, so nothing is dated later
+    /// than it was committed: the head numbered each record before anybody could commit it, or was in every
+    /// chain since, and each member has its dates from the one before it.
+    fn take_ages(&mut self, ages: &Ages, nonce: u64) {
+        self.forget_dates();
+        let Some(asked) = self.asked_level.filter(|(asked_nonce, _)| *asked_nonce == nonce) else { return };
+        let when = |age: Span| Instant(asked.1.0.saturating_sub(age.0));
+        let last = self.log.last().edition;
+        let records = ages.records.iter().filter(|(edition, _)| *edition <= last);
+        self.committed_at = records.map(|(edition, age)| (*edition, when(*age))).collect();
+        let gave_way = ages.gave_way.iter();
+        self.gave_way = gave_way.map(|(model, weights, age)| ((model.clone(), *weights), when(*age))).collect();
+    }
+
     /// What was committed before we stood aligned may be older than our seeing it: its age is not
-    /// known. An aligned tail's own append is the commit, so its dates are right.
+    /// known. An aligned member's own append comes before the commit, so its dates are right.
     pub(crate) fn forget_dates(&mut self) {
         self.restored_at = self.log.last().edition;
         self.committed_at.clear();
@@ -119,12 +147,16 @@
         }
     }
 
-    fn ask_level_of(&mut self, other: NodeId) {
+    fn ask_level_of(&mut self, other: NodeId, now: Instant) {
+        let is_first_asking = self.asked_level.is_none_or(|(nonce, _)| nonce != self.nonce);
+        if is_first_asking {
+            self.asked_level = Some((self.nonce, now));
+        }
         let have = ChainMessage::Have { view: self.view.number, last: self.log.last(), nonce: self.nonce };
         self.send(other, CoreMessage::Chain(have));
     }
 
-    pub(crate) fn ask_to_be_levelled(&mut self) {
+    pub(crate) fn ask_to_be_levelled(&mut self, now: Instant) {
         if !self.has_view() || self.is_aligned() {
             return;
         }
@@ -133,7 +165,7 @@
             false => self.view.tail(),
         };
         if let Some(asked_member) = asked_member {
-            self.ask_level_of(asked_member);
+            self.ask_level_of(asked_member, now);
         }
     }
 
--- a/crates/coordinator/src/mind.rs
+++ b/crates/coordinator/src/mind.rs
@@ -57,6 +57,8 @@
     /// Where the log ended when this life began, or was replaced by a snapshot.
     pub(crate) restored_at: Edition,
     pub(crate) nonce: u64,
+    /// When it was first asked, under which nonce, to be brought level.
+    pub(crate) asked_level: Option<(u64, Instant)>,
     pub(crate) began: Instant,
     pub(crate) adopted: Instant,
     pub(crate) campaign: Option<Campaign>,
@@ -96,6 +98,7 @@
             acquaintances,
             restored_at: Edition(0),
             nonce: life,
+            asked_level: None,
             began: now,
             adopted: now,
             campaign: None,
@@ -170,6 +173,7 @@
     fn date_records(&mut self, now: Instant) {
         let last_edition = self.log.last().edition;
         let dated_last = self.committed_at.last_key_value().map_or(self.restored_at, |(edition, _)| *edition);
+        let dated_last = dated_last.max(self.restored_at);
         for number in (dated_last.0 + 1)..=last_edition.0 {
             self.committed_at.insert(Edition(number), now);
         }
@@ -264,7 +268,7 @@
         if now.since(self.last_pulse) >= PULSE_SPAN {
             self.last_pulse = now;
             self.tell_news(now);
-            self.ask_to_be_levelled();
+            self.ask_to_be_levelled(now);
             self.ask_read_lease(now);
             self.ask_duty(now);
             self.forget_the_gone(now);
@@ -339,6 +343,10 @@
         }
         self.watch_wellness(from, &news, now);
         self.resend_to_successor(from, &news, last_news.as_ref());
+        let can_level = news.view == self.view.number && news.aligned == self.view.number;
+        if can_level && self.view.before(self.me.id) == Some(from) {
+            self.ask_to_be_levelled(now);
+        }
     }
 
     /// Whoever was known at an address is not there any more: its machine came back without its disk.
--- a/crates/coordinator/src/viewing.rs
+++ b/crates/coordinator/src/viewing.rs
@@ -389,7 +389,7 @@
             ),
         );
         self.move_tail(&previous_view, now);
-        self.ask_to_be_levelled();
+        self.ask_to_be_levelled(now);
         self.ask_read_lease(now);
     }
 }
