--- a/crates/subscription/src/lib.rs
+++ b/crates/subscription/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod prelude;
 
 mod machine;
+mod messages;
--- a/crates/subscription/src/prelude.rs
+++ b/crates/subscription/src/prelude.rs
@@ -1,6 +1,7 @@
 //! The one import of this package's files.
 
 pub use crate::machine::*;
+pub use crate::messages::*;
 pub(crate) use coordinator::prelude::{FleetState, NodeDown, NodeUp, RouterDoor, Settled, Submission, View};
 pub(crate) use serde::{Deserialize, Serialize};
 pub(crate) use units::prelude::*;
