Tail: what was planned for a node and dropped as too late is taken back and sent again

Cause: the tail marked a node as pushed when it planned the message; the desk dropped the message if the read lease had run out by the end of a slow sync. The gap showed only at the next push, or after 900 ms of Behind; a dropped list of routers stayed dropped until it changed. Now Dispatch, which the desk and the simulator share, drops the rest for the same node as well and reports it (Input::NotSent); the tail takes its place for the node back. What was planned for a node's earlier stream is dropped when the next one is taken up in the same batch. The courier passes no change on to a router that has no state yet: it was pushed for the router's earlier life. The class, message by message: grants and duties are counted longer than they are held, which is safe; Behind, NotNow, claims' answers, outcomes and chain records are asked for or said again; views have no end. The simulator reports a gap in what a router is pushed. It also did things out of order, which hid or made gaps, and does no more: an input taken before the earlier plan was carried out, messages of one stream overtaking each other while the receiver was frozen, plans sent on a stream the keeper had not taken up, a machine woken early at the end of the faults. A stalled disk now holds the sync under way.

--- a/crates/courier/src/mind.rs
+++ b/crates/courier/src/mind.rs
@@ -93,6 +93,9 @@
     life: u64,
     applied: Option<Edition>,
     door: Option<RouterDoor>,
+    /// It has a state that changes can follow: its own, or a snapshot that is on its way to it. What was
+    /// pushed for the router before it can follow nothing.
+    has_state: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -168,7 +171,7 @@
             }
             CourierInput::RouterUp => {
                 self.lives += 1;
-                self.router = Some(RouterPlace { life: self.lives, applied: None, door: None });
+                self.router = Some(RouterPlace { life: self.lives, applied: None, door: None, has_state: false });
                 self.renew(now);
             }
             CourierInput::RouterDown => self.router = None,
@@ -184,6 +187,7 @@
                 let Some(router) = self.router.as_mut() else { return Vec::new() };
                 let is_first = router.applied.is_none();
                 router.applied = Some(edition);
+                router.has_state = true;
                 self.say_core(NodeUp::Applied { edition });
                 if is_first {
                     self.renew(now);
@@ -302,11 +306,17 @@
                 }
             }
             NodeDown::Snapshot { state, gave_way } => {
+                if let Some(router) = self.router.as_mut() {
+                    router.has_state = true;
+                }
                 let gave_way = gave_way.into_iter().map(|(model, weights, age)| (model, weights, self.when(age)));
                 let message = RouterDown::Snapshot { state, gave_way: gave_way.collect() };
                 self.plan.push(CourierEffect::SayRouter(message));
             }
             NodeDown::Push { number, submission, age } => {
+                if !self.router.as_ref().is_some_and(|router| router.has_state) {
+                    return;
+                }
                 let committed = age.map(|age| self.when(age));
                 self.plan.push(CourierEffect::SayRouter(RouterDown::Push { number, submission, committed }));
             }
@@ -370,6 +380,7 @@
         courier.step(CourierInput::Pulse, at(1));
         courier.step(CourierInput::CoreUp, at(1));
         courier.step(CourierInput::RouterUp, at(1));
+        courier.step(CourierInput::Router(RouterUp::Applied { edition: Edition(0) }), at(1));
         let granted = |sent| {
             CourierInput::Core(NodeDown::Granted {
                 sent,
--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -35,6 +35,27 @@
     pub disk_refuses: bool,
 }
 
+impl Seen {
+    /// Whether the duty of reading the platform's listing may be done now.
+    pub fn holds_census(&self, now: Instant) -> bool {
+        held_term(self.census, now).is_some()
+    }
+
+    /// Whether those who wait for a change must be woken: the state or a duty is another than they saw. A duty
+    /// whose lease had run out by now is another once it is renewed, though its term is the same.
+    pub fn is_news_after(&self, earlier: &Seen, now: Instant) -> bool {
+        self.state.edition != earlier.state.edition
+            || held_term(self.census, now) != held_term(earlier.census, now)
+            || held_term(self.conductor, now) != held_term(earlier.conductor, now)
+            || held_term(self.named_conductor, now) != held_term(earlier.named_conductor, now)
+    }
+}
+
+/// The term of a duty, while its lease lasts.
+fn held_term(held: Option<(Term, Instant)>, now: Instant) -> Option<Term> {
+    held.filter(|(_, until)| now < *until).map(|(term, _)| term)
+}
+
 /// What the desk shows, and the bell it rings when state or duties have changed.
 #[derive(Default)]
 pub struct Shown {
@@ -66,6 +87,22 @@
     Arc::clone(&shelf.seen.read().expect("no holder of this lock panics"))
 }
 
+/// Waits until the desk shows what is awaited, or the limit passes. What is shown between the look and the
+/// waiting is not missed.
+pub async fn await_shown(shelf: &Shelf, limit: Span, is_awaited: impl Fn(&Seen) -> bool) {
+    let end = boot_now() + limit;
+    loop {
+        let changed = shelf.changed.notified();
+        if is_awaited(&look(shelf)) {
+            return;
+        }
+        let left = end.since(boot_now());
+        if left == Span(0) || tokio::time::timeout(left.as_duration(), changed).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Waits until the desk shows something new, or the limit passes.
 pub async fn await_change(shelf: &Shelf, limit: Span) {
     let _ = tokio::time::timeout(limit.as_duration(), shelf.changed.notified()).await;
@@ -108,6 +145,8 @@
     shown_edition: Option<Edition>,
     shown_state: Arc<FleetState>,
     last_sync_micros: u64,
+    /// Planned when the machine heard what was not sent; carried out with the next batch.
+    replanned: Vec<Effect>,
 }
 
 impl Desk {
@@ -136,6 +175,7 @@
             shown_edition: None,
             shown_state: Arc::default(),
             last_sync_micros: 0,
+            replanned: Vec::new(),
         }
     }
 
@@ -144,7 +184,7 @@
         let mut stops_at: Option<Instant> = None;
         loop {
             let Some(batch) = self.patience.next(self.pause(stops_at), BATCH) else { return Ok(()) };
-            let mut plan = Vec::new();
+            let mut plan = std::mem::take(&mut self.replanned);
             for command in batch {
                 match command {
                     DeskCommand::Link(link_event) => self.take_link_event(link_event, &mut plan),
@@ -187,6 +227,9 @@
     /// How long nothing is due.
     fn pause(&self, stops_at: Option<Instant>) -> Duration {
         let now = boot_now();
+        if !self.replanned.is_empty() {
+            return Duration::ZERO;
+        }
         let due = self.last_pulse + self.warden.pulse_span(now);
         let due = stops_at.map_or(due, |stops_at| due.min(stops_at));
         due.since(now).as_duration()
@@ -214,6 +257,7 @@
                 let node = place.hello.speaker;
                 if self.nodes.get(&node) == Some(&id) {
                     self.nodes.remove(&node);
+                    drop_tells(plan, node);
                     plan.extend(self.warden.step(Input::NodeGone { node }, boot_now()));
                 }
             }
@@ -241,6 +285,7 @@
                 if let Some(earlier) = self.links.get(&earlier_id) {
                     earlier.link.close();
                 }
+                drop_tells(plan, node);
                 plan.extend(self.warden.step(Input::NodeGone { node }, boot_now()));
             }
         }
@@ -268,8 +313,14 @@
             }
             self.last_sync_micros = boot_now().since(sync_began).0 / 1000;
         }
+        let mut dispatch = Dispatch::default();
         for effect in sent_effects {
-            self.send_out(effect);
+            if let Some(effect) = dispatch.admit(effect, boot_now()) {
+                self.send_out(effect);
+            }
+        }
+        for input in dispatch.into_inputs() {
+            self.replanned.extend(self.warden.step(input, boot_now()));
         }
         Ok(true)
     }
@@ -277,17 +328,12 @@
     fn send_out(&mut self, effect: Effect) {
         match effect {
             Effect::Store(_) => {}
-            Effect::Send { address, message, until, .. } => {
-                if until.is_none_or(|until| boot_now() < until) {
-                    self.post.send(&address, &Inbound::Core(message));
-                }
+            Effect::Send { address, message, .. } | Effect::Knock { address, message } => {
+                self.post.send(&address, &Inbound::Core(message));
             }
-            Effect::Knock { address, message } => self.post.send(&address, &Inbound::Core(message)),
-            Effect::Tell { node, message, until } => {
+            Effect::Tell { node, message, .. } => {
                 let Some(place) = self.nodes.get(&node).and_then(|id| self.links.get(id)) else { return };
-                if until.is_none_or(|until| boot_now() < until) {
-                    place.link.say(&message);
-                }
+                place.link.say(&message);
             }
             Effect::Outcome { ticket, outcome } => {
                 if let Some(reply) = self.replies.remove(&ticket) {
@@ -331,18 +377,18 @@
         };
         let seen = Arc::new(seen);
         let earlier = self.shelf.put(Arc::clone(&seen));
-        let term = |held: Option<(Term, Instant)>| held.map(|(term, _)| term);
-        let has_changed = seen.state.edition != earlier.state.edition
-            || term(seen.census) != term(earlier.census)
-            || term(seen.conductor) != term(earlier.conductor)
-            || term(seen.named_conductor) != term(earlier.named_conductor);
-        if has_changed {
+        if seen.is_news_after(&earlier, now) {
             self.shelf.changed.notify_waiters();
         }
         Ok(true)
     }
 }
 
+/// What was planned for a node's earlier link must not go out on the next one: the node begins anew there.
+fn drop_tells(plan: &mut Vec<Effect>, to: NodeId) {
+    plan.retain(|effect| !matches!(effect, Effect::Tell { node, .. } if *node == to));
+}
+
 /// Whoever waits for an answer that has not come by then is told that nothing is known.
 fn refused(shelf: &Shelf, replies: &mut HashMap<u64, oneshot::Sender<AskOutcome>>, waited: Span) {
     shelf.put_refusal();
--- a/crates/simulator/src/cast.rs
+++ b/crates/simulator/src/cast.rs
@@ -29,6 +29,8 @@
     /// While the disk syncs, inputs wait.
     pub busy_until: Instant,
     pub sync_span: Span,
+    /// What was planned and waits for its sync; nothing else is taken up before it is carried out.
+    pub syncing: Option<Vec<Effect>>,
     pub census_since: Option<Instant>,
     /// When it read the platform's listing last.
     pub census_read: Instant,
@@ -36,6 +38,13 @@
     pub submitted: BTreeMap<EngineName, Instant>,
 }
 
+impl SimKeeper {
+    /// When it takes something up again: it is frozen or its disk syncs until then.
+    pub fn free_at(&self) -> Instant {
+        self.frozen_until.max(self.busy_until)
+    }
+}
+
 pub struct SimNode {
     pub courier: Option<Courier>,
     pub id: NodeId,
@@ -85,6 +94,8 @@
     pub keeper: usize,
     pub keeper_life: u64,
     pub open: bool,
+    /// Whether the keeper has taken the stream up; until then it still writes to the one before.
+    pub taken_up: bool,
     pub up: VecDeque<NodeUp>,
     pub down: VecDeque<NodeDown>,
 }
--- a/crates/simulator/src/keepers.rs
+++ b/crates/simulator/src/keepers.rs
@@ -26,6 +26,7 @@
 
     pub fn kill_keeper(&mut self, number: usize) {
         self.keepers[number].warden = None;
+        self.keepers[number].syncing = None;
         self.keepers[number].life += 1;
         for link in 0..self.links.len() {
             if self.links[link].open && self.links[link].keeper == number {
@@ -49,11 +50,11 @@
 
     pub fn step_keeper(&mut self, number: usize, life: Option<u64>, input: Input) {
         let now = self.now;
-        let keeper = &mut self.keepers[number];
-        if life.is_some_and(|life| life != keeper.life) {
+        if life.is_some_and(|life| life != self.keepers[number].life) {
             return;
         }
-        let free_at = keeper.frozen_until.max(keeper.busy_until);
+        let free_at = self.await_keeper(number);
+        let keeper = &mut self.keepers[number];
         if free_at > now {
             let life = Some(keeper.life);
             self.defer(free_at, Happening::KeeperInput { keeper: number, life, input });
@@ -68,37 +69,46 @@
         let life = keeper.life;
         if syncs {
             keeper.busy_until = now + keeper.sync_span;
+            keeper.syncing = Some(plan);
             let synced_at = keeper.busy_until;
-            self.at(synced_at, Happening::CarryOut { keeper: number, life, plan });
+            self.at(synced_at, Happening::Synced { keeper: number, life });
         } else {
-            self.carry_out(number, life, plan);
+            self.carry_out(number, plan);
         }
     }
 
-    pub fn carry_out(&mut self, number: usize, life: u64, plan: Vec<Effect>) {
+    /// A sync is over, unless the disk stalled or the machine was frozen meanwhile.
+    pub fn end_sync(&mut self, number: usize, life: u64) {
         if self.keepers[number].life != life {
             return;
         }
-        if self.keepers[number].frozen_until > self.now {
-            let woken_at = self.keepers[number].frozen_until;
-            self.defer(woken_at, Happening::CarryOut { keeper: number, life, plan });
-            return;
+        let free_at = self.await_keeper(number);
+        if free_at > self.now {
+            self.defer(free_at, Happening::Synced { keeper: number, life });
+        }
+    }
+
+    /// When a keeper takes something up again. If that is now, what it planned before is carried out first.
+    pub fn await_keeper(&mut self, number: usize) -> Instant {
+        while self.keepers[number].free_at() <= self.now
+            && let Some(plan) = self.keepers[number].syncing.take()
+        {
+            self.carry_out(number, plan);
         }
+        self.keepers[number].free_at()
+    }
+
+    fn carry_out(&mut self, number: usize, plan: Vec<Effect>) {
         let local_now = self.keepers[number].clock.read(self.now);
+        let mut dispatch = Dispatch::default();
         for effect in plan {
+            let Some(effect) = dispatch.admit(effect, local_now) else { continue };
             match effect {
                 Effect::Store(stored) => keep(&mut self.keepers[number].disk, stored),
-                Effect::Send { address, message, until, .. } => {
-                    if until.is_none_or(|until| local_now < until) {
-                        self.post(number, &address, message);
-                    }
-                }
-                Effect::Knock { address, message } => self.post(number, &address, message),
-                Effect::Tell { node, message, until } => {
-                    if until.is_none_or(|until| local_now < until) {
-                        self.tell(number, node, message);
-                    }
+                Effect::Send { address, message, .. } | Effect::Knock { address, message } => {
+                    self.post(number, &address, message);
                 }
+                Effect::Tell { node, message, .. } => self.tell(number, node, message),
                 Effect::Outcome { ticket, outcome } => self.take_outcome(ticket, outcome),
                 Effect::Note { event, detail } => {
                     if event == "campaign" && std::mem::take(&mut self.campaign_fails) {
@@ -108,6 +118,9 @@
                 }
             }
         }
+        for input in dispatch.into_inputs() {
+            self.step_keeper(number, None, input);
+        }
     }
 
     /// Keepers are lost at some moment of the vote, and start again soon.
@@ -134,9 +147,9 @@
     pub fn tell(&mut self, keeper: usize, node_id: NodeId, message: NodeDown) {
         let life = self.keepers[keeper].life;
         let found = self.links.iter().rposition(|link| {
-            link.open && link.keeper == keeper && link.keeper_life == life && self.nodes[link.node].id == node_id
+            link.taken_up && link.keeper == keeper && link.keeper_life == life && self.nodes[link.node].id == node_id
         });
-        let Some(link) = found else { return };
+        let Some(link) = found.filter(|link| self.links[*link].open) else { return };
         self.links[link].down.push_back(message);
         let delay = self.net.delay(&mut self.draw);
         self.later(delay, Happening::PumpDown { link });
--- a/crates/simulator/src/nodes.rs
+++ b/crates/simulator/src/nodes.rs
@@ -125,15 +125,33 @@
             keeper,
             keeper_life,
             open: true,
+            taken_up: false,
             up: VecDeque::new(),
             down: VecDeque::new(),
         });
-        self.nodes[number].link = Some(self.links.len() - 1);
-        let input = Input::NodeGone { node: self.nodes[number].id };
-        self.later(Span(0), Happening::KeeperInput { keeper, life: Some(keeper_life), input });
+        let link = self.links.len() - 1;
+        self.nodes[number].link = Some(link);
+        self.later(Span(0), Happening::TakesUp { link });
         self.tell_node(number, CourierInput::CoreUp);
     }
 
+    /// A keeper that is busy or frozen takes a new stream up afterwards, in its own order of things.
+    pub fn take_up(&mut self, number: usize) {
+        let link = &self.links[number];
+        let (keeper, keeper_life, node) = (link.keeper, link.keeper_life, link.node);
+        if self.keepers[keeper].life != keeper_life {
+            return;
+        }
+        let free_at = self.await_keeper(keeper);
+        if free_at > self.now {
+            self.defer(free_at, Happening::TakesUp { link: number });
+            return;
+        }
+        self.links[number].taken_up = true;
+        let input = Input::NodeGone { node: self.nodes[node].id };
+        self.step_keeper(keeper, Some(keeper_life), input);
+    }
+
     /// Moves one message along a stream; while the way is cut, or the receiver frozen, it waits.
     pub fn pump(&mut self, number: usize, is_up: bool) {
         let link = &self.links[number];
@@ -141,13 +159,19 @@
             return;
         }
         let (node_machine, keeper) = (NODE_BASE + link.node, link.keeper);
+        let (node, keeper_life) = (link.node, link.keeper_life);
         let way = if is_up { (node_machine, keeper) } else { (keeper, node_machine) };
+        let again = if is_up { Happening::PumpUp { link: number } } else { Happening::PumpDown { link: number } };
         if self.net.is_cut(way.0, way.1) {
-            let again = if is_up { Happening::PumpUp { link: number } } else { Happening::PumpDown { link: number } };
             self.later(Span::millis(40), again);
             return;
         }
-        let (node, keeper_life) = (link.node, link.keeper_life);
+        // What comes first must be taken first, however many wait for the receiver.
+        let free_at = if is_up { self.await_keeper(keeper) } else { self.nodes[node].frozen_until };
+        if free_at > self.now {
+            self.defer(free_at, again);
+            return;
+        }
         if is_up {
             let Some(message) = self.links[number].up.pop_front() else { return };
             let input = Input::Node { node: self.nodes[node].id, message };
@@ -177,18 +201,18 @@
         self.links[number].down.clear();
     }
 
-    pub fn step_router(&mut self, number: usize, router_id: NodeId, message: RouterDown) {
+    pub fn step_router(&mut self, node_number: usize, router_id: NodeId, message: RouterDown) {
         let now = self.now;
-        let node = &mut self.nodes[number];
+        let node = &mut self.nodes[node_number];
         if node.frozen_until > now {
             let woken_at = node.frozen_until;
-            self.defer(woken_at, Happening::RouterInput { node: number, router: router_id, message });
+            self.defer(woken_at, Happening::RouterInput { node: node_number, router: router_id, message });
             return;
         }
         let local_now = node.clock.read(now);
         let Some(router) = node.router.as_mut().filter(|router| router.id == router_id) else { return };
         let sight = match message {
-            RouterDown::Settled { ticket, outcome } => return self.settle_claim(number, ticket, outcome),
+            RouterDown::Settled { ticket, outcome } => return self.settle_claim(node_number, ticket, outcome),
             RouterDown::Doors(doors) => {
                 router.doors = doors;
                 return;
@@ -204,7 +228,11 @@
                 router.sight.starting_over(*state, &gave_way, local_now)
             }
             RouterDown::Push { number, submission, committed } => {
-                if number != router.sight.state.edition.next() {
+                let expected = router.sight.state.edition.next();
+                if number > expected {
+                    return self.see_push_gap(node_number, expected, number);
+                }
+                if number < expected {
                     return;
                 }
                 let mut state = (*router.sight.state).clone();
@@ -217,10 +245,16 @@
         router.sight = sight;
         router.picker.keep_only(&router.sight);
         if let Some(request) = last_settled {
-            self.see_committed(edition, request, &format!("n{number}"));
+            self.see_committed(edition, request, &format!("n{node_number}"));
         }
-        self.tell_node(number, CourierInput::Router(RouterUp::Applied { edition }));
-        self.look_at_work(number);
+        self.tell_node(node_number, CourierInput::Router(RouterUp::Applied { edition }));
+        self.look_at_work(node_number);
+    }
+
+    /// A change that never came over a live stream is the product's own fault: the tail takes it for pushed.
+    fn see_push_gap(&mut self, node: usize, expected: Edition, pushed: Edition) {
+        let at = self.millis();
+        self.extra.push(format!("push gap: n{node} was pushed {pushed} before {expected}, at {at}"));
     }
 
     /// Two different records under one edition would be a lost or forked change.
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -110,8 +110,10 @@
     schedule_changes(&mut world, &mut draw, trouble_end, plan.lasting);
     world.run_until(trouble_end);
     // A machine woken before its time would do what waits for it out of order.
-    let awake_at = world.awake_at();
-    world.run_until(awake_at);
+    while world.now < world.awake_at() {
+        let awake_at = world.awake_at();
+        world.run_until(awake_at);
+    }
     world.end_faults();
     cut_lastingly(&mut world, &mut draw, plan.lasting);
     let over_at = world.now;
--- a/crates/simulator/src/trouble.rs
+++ b/crates/simulator/src/trouble.rs
@@ -213,9 +213,10 @@
         }
     }
 
-    /// When every frozen machine and stalled disk goes on by itself.
+    /// When every frozen machine goes on by itself. A disk that stalls does not matter: what waits for it is
+    /// carried out first, whenever that is.
     pub fn awake_at(&self) -> Instant {
-        let keepers = self.keepers.iter().map(|keeper| keeper.frozen_until.max(keeper.busy_until));
+        let keepers = self.keepers.iter().map(|keeper| keeper.frozen_until);
         let nodes = self.nodes.iter().map(|node| node.frozen_until);
         keepers.chain(nodes).fold(self.now, Instant::max)
     }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -13,7 +13,7 @@
 pub enum Happening {
     KeeperPulse { keeper: usize, life: u64 },
     KeeperInput { keeper: usize, life: Option<u64>, input: Input },
-    CarryOut { keeper: usize, life: u64, plan: Vec<Effect> },
+    Synced { keeper: usize, life: u64 },
     NodePulse { node: usize, life: u64 },
     NodeInput { node: usize, life: u64, input: CourierInput },
     RouterDials { node: usize, life: u64, router: NodeId },
@@ -21,6 +21,7 @@
     Dialled { node: usize, life: u64, address: String },
     PumpUp { link: usize },
     PumpDown { link: usize },
+    TakesUp { link: usize },
     LinkEnds { link: usize },
     Traffic { node: usize },
     Enters { node: usize, caller: usize, request: SimRequest },
@@ -153,6 +154,7 @@
                 life: 0,
                 frozen_until: Instant(0),
                 busy_until: Instant(0),
+                syncing: None,
                 sync_span: Span::millis(2),
                 census_since: None,
                 census_read: Instant(0),
@@ -340,7 +342,7 @@
                 self.later(Span::millis(50), Happening::KeeperPulse { keeper, life });
             }
             Happening::KeeperInput { keeper, life, input } => self.step_keeper(keeper, life, input),
-            Happening::CarryOut { keeper, life, plan } => self.carry_out(keeper, life, plan),
+            Happening::Synced { keeper, life } => self.end_sync(keeper, life),
             Happening::NodePulse { node, life } => {
                 if self.nodes[node].life == life && self.nodes[node].courier.is_some() {
                     self.step_node(node, life, CourierInput::Pulse);
@@ -353,6 +355,7 @@
             Happening::Dialled { node, life, address } => self.connect(node, life, &address),
             Happening::PumpUp { link } => self.pump(link, true),
             Happening::PumpDown { link } => self.pump(link, false),
+            Happening::TakesUp { link } => self.take_up(link),
             Happening::LinkEnds { link } => self.finish_link(link),
             Happening::Traffic { node } => {
                 self.call(node);
--- a/crates/warden/src/lib.rs
+++ b/crates/warden/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod asks;
 mod chaining;
+mod dispatch;
 mod messages;
 mod mind;
 mod tailing;
--- a/crates/warden/src/messages.rs
+++ b/crates/warden/src/messages.rs
@@ -164,6 +164,11 @@
     NodeGone {
         node: NodeId,
     },
+    /// What was planned for a node, and was dropped since it had come too late; in the order of the plan.
+    NotSent {
+        node: NodeId,
+        messages: Vec<NodeDown>,
+    },
     Ask {
         ticket: u64,
         question: Question,
--- a/crates/warden/src/mind.rs
+++ b/crates/warden/src/mind.rs
@@ -152,6 +152,7 @@
             Input::Peer { from, message } => self.hear(from, message, now),
             Input::Node { node, message } => self.hear_node(node, message, now),
             Input::NodeGone { node } => self.lose_node(node),
+            Input::NotSent { node, messages } => self.take_back(node, &messages),
             Input::Ask { ticket, question, limit } => self.begin_ask(ticket, question, limit, now),
             Input::ListingRead { read, asked } => self.note_listing(read, asked),
             Input::Retire => self.retire(now),
--- a/crates/warden/src/prelude.rs
+++ b/crates/warden/src/prelude.rs
@@ -1,6 +1,7 @@
 //! The one import of this package's files.
 
 pub(crate) use crate::asks::*;
+pub use crate::dispatch::*;
 pub use crate::messages::*;
 pub use crate::mind::*;
 pub(crate) use crate::tailing::*;
--- a/crates/warden/src/tailing.rs
+++ b/crates/warden/src/tailing.rs
@@ -37,6 +37,26 @@
     pub(crate) doors: u64,
 }
 
+impl PushPlace {
+    /// A message for this node was planned and never sent.
+    fn take_back(&mut self, message: &NodeDown) {
+        match message {
+            NodeDown::Push { number, .. } => {
+                let before = Edition(number.0.saturating_sub(1));
+                self.pushed = self.pushed.min(Some(before));
+            }
+            NodeDown::Snapshot { .. } => self.pushed = None,
+            NodeDown::Doors(_) => self.doors = NO_DOORS,
+            // The rest is asked for again, or said again anyway.
+            NodeDown::Whereabouts(_)
+            | NodeDown::Granted { .. }
+            | NodeDown::NotNow
+            | NodeDown::Behind
+            | NodeDown::Settled { .. } => {}
+        }
+    }
+}
+
 /// Who waits for a settlement: a keeper's door, until it is in force, or a node, until it is committed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AskedBy {
@@ -65,6 +85,8 @@
     agreed: VecDeque<(Edition, Instant)>,
 }
 
+/// The number of no list of routers that was ever told.
+const NO_DOORS: u64 = 0;
 /// The list of routers goes out at most so often.
 const DOORS_EVERY: Span = Span::millis(500);
 /// How old the agreement of state and platform may be for a node's lease to be granted on it: with the
@@ -95,7 +117,7 @@
             asked: Vec::new(),
             doors: BTreeMap::new(),
             told_doors: Vec::new(),
-            doors_number: 0,
+            doors_number: NO_DOORS,
             doors_told: Instant(0),
             claim_turn: (u64::MAX, Instant(0)),
         }
@@ -388,7 +410,7 @@
             NodeUp::Submit { .. } => {}
             NodeUp::Renew { sent, applied, life, door } => {
                 let known_edition = applied.filter(|edition| *edition <= last_edition);
-                let fresh_place = PushPlace { life, pushed: known_edition, doors: 0 };
+                let fresh_place = PushPlace { life, pushed: known_edition, doors: NO_DOORS };
                 let place = tail.pushed.entry(node).or_insert(fresh_place);
                 if place.life != life || place.pushed < known_edition || known_edition.is_none() {
                     *place = fresh_place;
@@ -425,6 +447,14 @@
         of_peers.max().unwrap_or_default().max(self.began)
     }
 
+    /// What was dropped is pushed again from there on, as soon as this tail acts.
+    pub(crate) fn take_back(&mut self, node: NodeId, messages: &[NodeDown]) {
+        let Some(place) = self.tail.as_mut().and_then(|tail| tail.pushed.get_mut(&node)) else { return };
+        for message in messages {
+            place.take_back(message);
+        }
+    }
+
     pub(crate) fn lose_node(&mut self, node: NodeId) {
         if let Some(tail) = &mut self.tail {
             tail.pushed.remove(&node);
--- /dev/null
+++ b/crates/warden/tests/dispatch.rs
@@ -0,0 +1,114 @@
+//! What a plan held for a node and came too late to be sent is known to the tail, and planned anew.
+
+use units::prelude::*;
+use warden::prelude::*;
+
+const NODE: NodeId = NodeId(100);
+const OTHER: NodeId = NodeId(101);
+const START: Instant = Instant(1_000_000_000);
+
+fn tell(node: NodeId, number: u64, until: Option<Instant>) -> Effect {
+    let submission =
+        Submission { request: RequestId(number.into()), command: Command::Merge { base: None, patch: "{}".into() } };
+    Effect::Tell { node, message: NodeDown::Push { number: Edition(number), submission, age: None }, until }
+}
+
+#[test]
+fn once_something_for_a_node_came_too_late_so_does_the_rest() {
+    let (early, late) = (START + Span::millis(10), START + Span::millis(90));
+    let mut dispatch = Dispatch::default();
+    assert!(dispatch.admit(tell(NODE, 1, Some(late)), START).is_some());
+    let now = START + Span::millis(50);
+    assert!(dispatch.admit(tell(NODE, 2, Some(early)), now).is_none());
+    assert!(dispatch.admit(tell(NODE, 3, Some(late)), now).is_none(), "a gap would be seen");
+    assert!(dispatch.admit(tell(NODE, 4, None), now).is_none());
+    assert!(dispatch.admit(tell(OTHER, 2, Some(late)), now).is_some());
+    let inputs: Vec<Input> = dispatch.into_inputs().collect();
+    let [Input::NotSent { node: NODE, messages }] = inputs.as_slice() else { panic!("{inputs:?}") };
+    let numbers: Vec<u64> = messages.iter().map(number_of).collect();
+    assert_eq!(numbers, [2, 3, 4]);
+}
+
+fn number_of(message: &NodeDown) -> u64 {
+    let NodeDown::Push { number, .. } = message else { panic!("{message:?}") };
+    number.0
+}
+
+/// A keeper that is alone and acts as the tail; it has heard the read lease it gave itself.
+fn acting_tail() -> (Warden, Instant) {
+    let address = "k".to_owned();
+    let me = Member { id: NodeId(1), door: address.clone(), address, zone: Zone("z".into()) };
+    let mut kept = Kept::default();
+    for stored in Warden::founding(&me, FleetId(7), FleetState::default()) {
+        match stored {
+            Stored::Snapshot { mark, state } => (kept.mark, kept.state) = (mark, *state),
+            Stored::View(view) => kept.view = Some(view),
+            Stored::Aligned(view) => kept.aligned = view,
+            Stored::Whole(view) => kept.whole = view,
+            _ => {}
+        }
+    }
+    let wishes = Wishes { core_size: 1, ..Wishes::default() };
+    let mut warden = Warden::restore(me, kept, wishes, 1, START);
+    let mut now = START;
+    while !warden.tail_is_active(now) {
+        now = now + PULSE_SPAN;
+        assert!(now < START + Span::seconds(10), "it never acts");
+        warden.step(Input::Pulse, now);
+    }
+    (warden, now)
+}
+
+/// What a plan tells the node that a router can only do with whole.
+fn told(plan: &[Effect]) -> Vec<&'static str> {
+    let messages = plan.iter().filter_map(|effect| match effect {
+        Effect::Tell { node: NODE, message, .. } => Some(message),
+        _ => None,
+    });
+    messages
+        .filter_map(|message| match message {
+            NodeDown::Snapshot { .. } => Some("snapshot"),
+            NodeDown::Doors(_) => Some("doors"),
+            _ => None,
+        })
+        .collect()
+}
+
+fn not_sent(plan: Vec<Effect>) -> Input {
+    let messages = plan.into_iter().filter_map(|effect| match effect {
+        Effect::Tell { node: NODE, message, .. } => Some(message),
+        _ => None,
+    });
+    Input::NotSent { node: NODE, messages: messages.collect() }
+}
+
+#[test]
+fn a_snapshot_that_was_not_sent_is_planned_again_at_once() {
+    let (mut warden, now) = acting_tail();
+    let renewal = NodeUp::Renew { sent: now, applied: None, life: 1, door: None };
+    let plan = warden.step(Input::Node { node: NODE, message: renewal }, now);
+    assert_eq!(told(&plan), ["snapshot"]);
+    assert_eq!(told(&warden.step(Input::Pulse, now)), [""; 0], "it counts as sent");
+    assert_eq!(told(&warden.step(not_sent(plan), now)), ["snapshot"]);
+    assert_eq!(told(&warden.step(Input::Pulse, now)), [""; 0]);
+}
+
+#[test]
+fn a_list_of_routers_that_was_not_sent_is_planned_again_at_once() {
+    let (mut warden, now) = acting_tail();
+    let door = RouterDoor { router: NodeId(5), address: "r".into(), zone: Zone("z".into()), relay: None };
+    let edition = warden.last().edition;
+    let renewal = NodeUp::Renew { sent: now, applied: Some(edition), life: 1, door: Some(door) };
+    let plan = warden.step(Input::Node { node: NODE, message: renewal }, now);
+    assert_eq!(told(&plan), ["doors"]);
+    assert_eq!(told(&warden.step(not_sent(plan), now)), ["doors"]);
+}
+
+#[test]
+fn what_was_not_sent_to_a_node_that_left_is_not_planned_again() {
+    let (mut warden, now) = acting_tail();
+    let renewal = NodeUp::Renew { sent: now, applied: None, life: 1, door: None };
+    let plan = warden.step(Input::Node { node: NODE, message: renewal }, now);
+    warden.step(Input::NodeGone { node: NODE }, now);
+    assert_eq!(told(&warden.step(not_sent(plan), now)), [""; 0]);
+}
