--- a/crates/warden/tests/dispatch.rs
+++ b/crates/warden/tests/dispatch.rs
@@ -9,7 +9,7 @@
 
 fn tell(node: NodeId, number: u64, until: Option<Instant>) -> Effect {
     let submission =
-        Submission { request: RequestId(number.into()), command: Command::Merge { base: None, patch: "{}".into() } };
+        Submission { request: RequestId(number), command: Command::Merge { base: None, patch: "{}".into() } };
     Effect::Tell { node, message: NodeDown::Push { number: Edition(number), submission, age: None }, until }
 }
 
