--- a/crates/warden/tests/dispatch.rs
+++ b/crates/coordinator/tests/dispatch.rs
@@ -1,7 +1,7 @@
 //! What a plan held for a node and came too late to be sent is known to the tail, and planned anew.
 
+use coordinator::prelude::*;
 use units::prelude::*;
-use warden::prelude::*;
 
 const NODE: NodeId = NodeId(100);
 const OTHER: NodeId = NodeId(101);
@@ -49,14 +49,14 @@
         }
     }
     let wishes = Wishes { core_size: 1, ..Wishes::default() };
-    let mut warden = Warden::restore(me, kept, wishes, 1, START);
+    let mut coordinator = Warden::restore(me, kept, wishes, 1, START);
     let mut now = START;
-    while !warden.tail_is_active(now) {
+    while !coordinator.tail_is_active(now) {
         now = now + PULSE_SPAN;
         assert!(now < START + Span::seconds(10), "it never acts");
-        warden.step(Input::Pulse, now);
+        coordinator.step(Input::Pulse, now);
     }
-    (warden, now)
+    (coordinator, now)
 }
 
 /// What a plan tells the node that a router can only do with whole.
@@ -84,31 +84,31 @@
 
 #[test]
 fn a_snapshot_that_was_not_sent_is_planned_again_at_once() {
-    let (mut warden, now) = acting_tail();
+    let (mut coordinator, now) = acting_tail();
     let renewal = NodeUp::Renew { sent: now, applied: None, life: 1, door: None };
-    let plan = warden.step(Input::Node { node: NODE, message: renewal }, now);
+    let plan = coordinator.step(Input::Node { node: NODE, message: renewal }, now);
     assert_eq!(told(&plan), ["snapshot"]);
-    assert_eq!(told(&warden.step(Input::Pulse, now)), [""; 0], "it counts as sent");
-    assert_eq!(told(&warden.step(not_sent(plan), now)), ["snapshot"]);
-    assert_eq!(told(&warden.step(Input::Pulse, now)), [""; 0]);
+    assert_eq!(told(&coordinator.step(Input::Pulse, now)), [""; 0], "it counts as sent");
+    assert_eq!(told(&coordinator.step(not_sent(plan), now)), ["snapshot"]);
+    assert_eq!(told(&coordinator.step(Input::Pulse, now)), [""; 0]);
 }
 
 #[test]
 fn a_list_of_routers_that_was_not_sent_is_planned_again_at_once() {
-    let (mut warden, now) = acting_tail();
+    let (mut coordinator, now) = acting_tail();
     let door = RouterDoor { router: NodeId(5), address: "r".into(), zone: Zone("z".into()), relay: None };
-    let edition = warden.last().edition;
+    let edition = coordinator.last().edition;
     let renewal = NodeUp::Renew { sent: now, applied: Some(edition), life: 1, door: Some(door) };
-    let plan = warden.step(Input::Node { node: NODE, message: renewal }, now);
+    let plan = coordinator.step(Input::Node { node: NODE, message: renewal }, now);
     assert_eq!(told(&plan), ["doors"]);
-    assert_eq!(told(&warden.step(not_sent(plan), now)), ["doors"]);
+    assert_eq!(told(&coordinator.step(not_sent(plan), now)), ["doors"]);
 }
 
 #[test]
 fn what_was_not_sent_to_a_node_that_left_is_not_planned_again() {
-    let (mut warden, now) = acting_tail();
+    let (mut coordinator, now) = acting_tail();
     let renewal = NodeUp::Renew { sent: now, applied: None, life: 1, door: None };
-    let plan = warden.step(Input::Node { node: NODE, message: renewal }, now);
-    warden.step(Input::NodeGone { node: NODE }, now);
-    assert_eq!(told(&warden.step(not_sent(plan), now)), [""; 0]);
+    let plan = coordinator.step(Input::Node { node: NODE, message: renewal }, now);
+    coordinator.step(Input::NodeGone { node: NODE }, now);
+    assert_eq!(told(&coordinator.step(not_sent(plan), now)), [""; 0]);
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -3,8 +3,13 @@
 //! among the engines that pass admission, liveness and drain; walls, editions, leases and drain are
 //! judged outside the policy, so that no policy can weaken them.
 
+#![warn(missing_docs)]
+
 pub mod prelude;
 
 mod fetch;
+mod known_engine;
+mod pick;
 mod picker;
+mod placement;
 mod sight;
--- a/crates/placement/src/sight.rs
+++ b/crates/placement/src/sight.rs
@@ -12,18 +12,27 @@
         OldWeightsSpan(Span::seconds(15))
     }
 }
+
+/// The policy of every tenant that is not on trial.
 pub const DEFAULT_POLICY: &str = "default";
 
+/// The fleet as a router knows it.
 #[derive(Clone, Debug, Default)]
 pub struct FleetSight {
+    /// The state in force here.
     pub state: Arc<FleetState>,
+    /// The default policy, compiled.
     pub default_table: Table,
+    /// For each tenant on trial, its policy's name and that policy compiled.
     pub trial_tables: BTreeMap<TenantName, (String, Table)>,
+    /// Tenants by the hashes of their keys.
     pub tenants_by_key: HashMap<String, TenantName>,
     /// Until when an edition that is no longer wanted may still be used: from when the first newer one
     /// was wanted, whatever came after that.
     pub old_until: BTreeMap<(ModelName, WeightsEdition), Instant>,
+    /// The routes, compiled.
     pub routes: Arc<RouteTable>,
+    /// How long weights may be used after newer ones were committed.
     pub old_weights_span: OldWeightsSpan,
     /// When the core was last seen disturbed, where the bound on old weights is counted in undisturbed time
     /// alone; shared with whoever hears of it, and 0 where every moment counts.
@@ -35,11 +44,11 @@
     /// known, old weights are given up at once.
     pub fn following(&self, state: FleetState, committed: Option<Instant>, now: Instant) -> FleetSight {
         let mut old_until = self.old_until.clone();
-        for (model, wish) in &state.desired.models {
-            let Some(known_wish) = self.state.desired.models.get(model) else { continue };
-            if known_wish.weights < wish.weights {
+        for (model, wanted) in &state.desired.models {
+            let Some(known_model) = self.state.desired.models.get(model) else { continue };
+            if known_model.weights < wanted.weights {
                 let until = committed.map_or(now, |committed| committed + self.old_weights_span.0);
-                old_until.insert((model.clone(), known_wish.weights), until);
+                old_until.insert((model.clone(), known_model.weights), until);
             }
         }
         old_until.retain(|_, until| now < *until);
@@ -60,8 +69,8 @@
             .map(|(tenant, policy)| (tenant.clone(), (policy.clone(), compile(policy))))
             .collect();
         let mut tenants_by_key = HashMap::new();
-        for (tenant, wish) in &state.desired.tenants {
-            for key_hash in wish.keys.values() {
+        for (tenant, wanted) in &state.desired.tenants {
+            for key_hash in wanted.keys.values() {
                 tenants_by_key.insert(key_hash.clone(), tenant.clone());
             }
         }
--- a/crates/store/src/main.rs
+++ b/crates/store/src/main.rs
@@ -1,8 +1,8 @@
 //! Stand-in for the prompt store: keeps blocks by name for any engine, tells of them by the same
 //! numbered events, and starts empty each time.
 
-use booth::prelude::*;
 use engine::prelude::*;
+use standin::prelude::*;
 
 static TRADE: Trade = Trade {
     program: "store",
@@ -68,6 +68,6 @@
     run_trade(&TRADE, |settings| {
         let memory = Memory::new(Incarnation::random().to_string(), settings.whole("blocks")? as usize);
         let site = StoreSite { memory: Mutex::new(memory), news: tokio::sync::watch::channel(0).0 };
-        serve_booth(&TRADE, &settings, Arc::new(site))
+        serve_standin(&TRADE, &settings, Arc::new(site))
     })
 }
--- a/crates/yard/src/prelude.rs
+++ b/crates/testbed/src/prelude.rs
@@ -1,11 +1,15 @@
 //! The one import of this package's files and tests.
 
+pub(crate) use crate::asking::ASK_LIMIT;
+pub use crate::faults::*;
 pub use crate::fleet::*;
+pub use crate::plan::*;
 pub use crate::process::*;
 pub use crate::relay::*;
 pub use crate::report::*;
-pub use crate::trouble::*;
+pub(crate) use crate::starting::{QUICK_LINK_US, SLOW_LINK_US};
 pub use contract::prelude::EngineLine;
+pub(crate) use process::prelude::sha256_hex;
 pub use serde_json::{Value, json};
 pub(crate) use std::collections::BTreeMap;
 pub(crate) use std::io::BufRead;
@@ -14,7 +18,6 @@
 pub(crate) use std::process::{Child, Command, Stdio};
 pub(crate) use std::sync::{Arc, Mutex, Weak};
 pub use std::time::Duration;
-pub(crate) use trade::prelude::sha256_hex;
 pub(crate) use units::prelude::*;
 pub use verdict::prelude::{CallerLine, Record, Violation, WorldLine, judge};
 pub use web::prelude::{Method, StatusCode};
--- a/crates/yard/tests/faults.rs
+++ b/crates/testbed/tests/faults.rs
@@ -1,7 +1,7 @@
 //! Whole-fleet faults by real processes: several machines at once, a full disk, a pool replaced engine
 //! by engine, configurations that are large or come in quick succession.
 
-use yard::prelude::*;
+use testbed::prelude::*;
 
 const EDITION: &str = "haremount_router_edition";
 const LEASE_LEFT: &str = "haremount_router_lease_left_ms";
