--- a/crates/subscription/src/machine.rs
+++ b/crates/subscription/src/machine.rs
@@ -29,6 +29,9 @@
     life: u64,
     applied: Option<Edition>,
     door: Option<RouterDoor>,
+    /// It has a state that changes can follow: its own, or a snapshot that is on its way to it. What was
+    /// pushed for the router before it can follow nothing.
+    has_state: bool,
 }
 
 /// An agent's hold on the core, for its router.
@@ -109,7 +112,7 @@
             }
             SubscriptionInput::RouterUp => {
                 self.lives += 1;
-                self.router = Some(RouterPlace { life: self.lives, applied: None, door: None });
+                self.router = Some(RouterPlace { life: self.lives, applied: None, door: None, has_state: false });
                 self.renew(now);
             }
             SubscriptionInput::RouterDown => self.router = None,
@@ -125,6 +128,7 @@
                 let Some(router) = self.router.as_mut() else { return Vec::new() };
                 let is_first = router.applied.is_none();
                 router.applied = Some(edition);
+                router.has_state = true;
                 self.say_core(NodeUp::Applied { edition });
                 if is_first {
                     self.renew(now);
@@ -244,11 +248,17 @@
                 }
             }
             NodeDown::Snapshot { state, gave_way } => {
+                if let Some(router) = self.router.as_mut() {
+                    router.has_state = true;
+                }
                 let gave_way = gave_way.into_iter().map(|(model, weights, age)| (model, weights, self.when(age)));
                 let message = RouterDown::Snapshot { state, gave_way: gave_way.collect() };
                 self.plan.push(SubscriptionEffect::SayRouter(message));
             }
             NodeDown::Push { number, submission, age } => {
+                if !self.router.as_ref().is_some_and(|router| router.has_state) {
+                    return;
+                }
                 let committed = age.map(|age| self.when(age));
                 self.plan.push(SubscriptionEffect::SayRouter(RouterDown::Push { number, submission, committed }));
             }
@@ -312,6 +322,7 @@
         subscription.step(SubscriptionInput::Pulse, at(1));
         subscription.step(SubscriptionInput::CoreUp, at(1));
         subscription.step(SubscriptionInput::RouterUp, at(1));
+        subscription.step(SubscriptionInput::Router(RouterUp::Applied { edition: Edition(0) }), at(1));
         let granted = |sent| {
             SubscriptionInput::Core(NodeDown::Granted {
                 sent,
