Engines with several models; weights named twice; orders out of turn for what waits

Cause 1: of an engine's models only the first one listed counted. Requests for the others found no candidate and were refused; new weights of the others were never ordered. The listing, the standing, the candidates, the last look before a start and the orders go by model now.

Cause 2: weights named while engines loaded the ones before stopped the bringing for good: an order under way for older weights held its place and was never looked at again. What was ordered is looked at until it is done.

Once routers have given the weights up, engines left are asked what waits there, and ordered out of turn if something does: the order turns it away unrun. The span counts from the first edition newer than what the engine holds.

Ruled out: a late push (the request left 2.3 s before the bound); the orders' duty (one holder all the time).

--- a/crates/conductor/src/bringing.rs
+++ b/crates/conductor/src/bringing.rs
@@ -1,7 +1,10 @@
 //! Bringing engines to new weights where the platform's listing shows what each one holds, and an engine
 //! loads by itself once what runs on it has ended. An engine is closed first, in force on every router; then
 //! ordered to load; then looked at until it tells the new weights; then opened. A few load at a time, the
-//! next as soon as one is done.
+//! next as soon as one is done. An engine that holds several models loads them one after the other.
+//!
+//! Once routers have given up the old weights, an engine left at which requests still wait is ordered out of
+//! turn: the order turns away what waits, which would otherwise begin on weights that are too old.
 
 use crate::prelude::*;
 
@@ -17,6 +20,10 @@
 const BUSY_PAUSE: Span = Span::millis(300);
 const REFUSED_PAUSE: Span = Span::millis(1500);
 const FAULT_PAUSE: Span = Span::millis(700);
+/// Of so many editions of a model it is known since when they are wanted.
+const EDITIONS_KEPT: usize = 16;
+/// Between two looks at what waits at an engine whose turn has not come.
+const WAITING_PAUSE: Span = Span::millis(300);
 /// An engine that answered nothing so often holds up no other.
 const FAULTS_BORNE: u32 = 2;
 
@@ -33,6 +40,8 @@
     Overtaken,
     /// There is no such order, or not yet.
     Refused,
+    /// It was not given: nothing waits at the engine.
+    Unneeded,
     /// Nothing came back; it may have been taken.
     Nothing,
 }
@@ -40,50 +49,113 @@
 /// What is to be done next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Bringing {
-    Stand { engine: EngineName, standing: Standing },
-    Order { engine: EngineName, address: String, model: ModelName, weights: WeightsEdition },
-    Look { engine: EngineName, address: String },
+    Stand {
+        engine: EngineName,
+        standing: Standing,
+    },
+    Order {
+        engine: EngineName,
+        address: String,
+        model: ModelName,
+        weights: WeightsEdition,
+    },
+    /// An order out of turn, to be given only if requests wait at the engine.
+    OrderIfWaiting {
+        engine: EngineName,
+        address: String,
+        model: ModelName,
+        weights: WeightsEdition,
+    },
+    Look {
+        engine: EngineName,
+        address: String,
+        model: ModelName,
+    },
+}
+
+/// Weights of a model that an engine is to hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Load {
+    model: ModelName,
+    weights: WeightsEdition,
 }
 
 /// What is known of an engine on its way to new weights.
 #[derive(Clone, Debug, Default)]
 struct Way {
-    /// An order that was or may have been taken, and the weights it names.
-    ordered: Option<WeightsEdition>,
+    /// An order that was or may have been taken, and is not known to be done.
+    ordered: Option<Load>,
     /// Nothing is done about it before this.
     next: Instant,
     faults: u32,
-    /// The newest weights it told.
-    told: WeightsEdition,
+    /// The newest weights it told of each model.
+    told: BTreeMap<ModelName, WeightsEdition>,
+}
+
+impl Way {
+    fn note_told(&mut self, model: &ModelName, weights: WeightsEdition) {
+        let told = self.told.entry(model.clone()).or_default();
+        *told = weights.max(*told);
+    }
 }
 
 #[derive(Clone, Debug, Default)]
 pub struct Bringer {
     ways: BTreeMap<EngineName, Way>,
     due: Option<Instant>,
+    /// How long after new weights were first seen orders are given out of turn; never if there is no span.
+    hurry_after: Option<Span>,
+    /// Since when each of the latest editions of a model's weights is wanted.
+    wanted_since: BTreeMap<ModelName, BTreeMap<WeightsEdition, Instant>>,
 }
 
 impl Bringer {
-    /// Drops what was known under an earlier term.
+    /// A bringer that gives orders out of turn once new weights have been wanted for so long.
+    pub fn hurrying_after(span: Span) -> Bringer {
+        Bringer { hurry_after: Some(span), ..Bringer::default() }
+    }
+
+    /// Drops what was known of engines under an earlier term.
     pub fn forget(&mut self) {
         self.ways.clear();
     }
 
+    /// Keeps since when the present weights of each model are wanted. Told by holders and others alike, so
+    /// that a new holder knows.
+    pub fn note_wanted(&mut self, state: &FleetState, now: Instant) {
+        self.wanted_since.retain(|model, _| state.desired.models.contains_key(model));
+        for (model, wish) in &state.desired.models {
+            let editions = self.wanted_since.entry(model.clone()).or_default();
+            editions.entry(wish.weights).or_insert(now);
+            while editions.len() > EDITIONS_KEPT {
+                editions.pop_first();
+            }
+        }
+    }
+
+    /// From when on an engine that holds these weights is ordered out of turn: the first edition above them
+    /// counts, whatever was named since.
+    fn hurry_from(&self, model: &ModelName, held: WeightsEdition) -> Option<Instant> {
+        let editions = self.wanted_since.get(model)?;
+        let (_, since) = editions.iter().find(|(edition, _)| **edition > held)?;
+        Some(*since + self.hurry_after?)
+    }
+
     /// What to do now. Whatever is answered is told by `hear_order` and `hear_report`; a standing shows in
     /// the state. While the holder before may still have orders on their way, none is given.
     pub fn direct(&mut self, state: &FleetState, may_order: bool, now: Instant) -> Vec<Bringing> {
         self.ways.retain(|engine, _| state.listing.engines.contains_key(engine));
+        self.note_wanted(state, now);
         self.due = None;
         let mut steps = Vec::new();
         let mut rooms = self.rooms(state);
         for (engine, listed) in &state.listing.engines {
-            let Some(wish) = state.desired.models.get(&listed.model) else { continue };
             if listed.listed != Listed::Open {
                 continue;
             }
             let Some(room) = rooms.get_mut(&listed.model) else { continue };
             room.may_order = may_order;
-            steps.extend(self.tend(state, engine, listed, wish.weights, room, now));
+            steps.extend(self.tend(state, engine, listed, room, now));
         }
         steps
     }
@@ -102,23 +174,29 @@
         state: &FleetState,
         engine: &EngineName,
         listed: &ListedEngine,
-        wanted: WeightsEdition,
         room: &mut Room,
         now: Instant,
     ) -> Option<Bringing> {
         let standing = state.standings.get(engine).cloned().unwrap_or_default();
-        let told = self.ways.get(engine).map_or(WeightsEdition(0), |way| way.told);
-        let held = held_weights(listed, &standing).max(told);
-        if held >= wanted {
+        let Some(load) = self.next_load(state, engine, listed, &standing) else {
             if !standing.closed {
                 self.ways.remove(engine);
                 return None;
             }
-            let confirmed = Standing { confirmed: Some((held, engine.0.clone())), closed: false };
-            return Some(Bringing::Stand { engine: engine.clone(), standing: confirmed });
-        }
+            let opened = self.opened(engine, listed, &standing);
+            return Some(Bringing::Stand { engine: engine.clone(), standing: opened });
+        };
+        let held = self.held(engine, listed, &standing, &load.model);
+        let hurry_from = self.hurry_from(&load.model, held);
+        let is_hurried = hurry_from.is_some_and(|from| now >= from);
         if !standing.closed {
-            room.closed = room.closed.checked_sub(1)?;
+            if let Some(from) = hurry_from.filter(|_| !is_hurried) {
+                self.note_due(from);
+            }
+            let has_place = take_place(&mut room.closed).is_some();
+            if !has_place && !is_hurried {
+                return None;
+            }
             let closed = Standing { closed: true, ..standing };
             return Some(Bringing::Stand { engine: engine.clone(), standing: closed });
         }
@@ -130,22 +208,70 @@
             return None;
         }
         let address = listed.address.clone();
-        if way.ordered == Some(wanted) {
+        if let Some(ordered) = &way.ordered {
+            let model = ordered.model.clone();
             way.next = now + LOOK_EVERY;
             self.note_due(now + LOOK_EVERY);
-            return Some(Bringing::Look { engine: engine.clone(), address });
+            return Some(Bringing::Look { engine: engine.clone(), address, model });
         }
         if !room.may_order {
             return None;
         }
         let bears_nothing = way.faults > FAULTS_BORNE;
-        if !bears_nothing {
-            room.loading = room.loading.checked_sub(1)?;
+        let has_place = bears_nothing || take_place(&mut room.loading).is_some();
+        if !has_place && !is_hurried {
+            if let Some(from) = hurry_from {
+                self.note_due(from);
+            }
+            return None;
         }
         way.next = now + FIRST_LOOK;
-        way.ordered = Some(wanted);
+        way.ordered = Some(load.clone());
         self.note_due(now + FIRST_LOOK);
-        Some(Bringing::Order { engine: engine.clone(), address, model: listed.model.clone(), weights: wanted })
+        let (engine, Load { model, weights }) = (engine.clone(), load);
+        Some(match has_place {
+            true => Bringing::Order { engine, address, model, weights },
+            false => Bringing::OrderIfWaiting { engine, address, model, weights },
+        })
+    }
+
+    /// The first of an engine's models whose wanted weights it is not known to hold.
+    fn next_load(
+        &self,
+        state: &FleetState,
+        engine: &EngineName,
+        listed: &ListedEngine,
+        standing: &Standing,
+    ) -> Option<Load> {
+        listed.models().find_map(|model| {
+            let wanted = state.desired.models.get(model)?.weights;
+            let is_behind = self.held(engine, listed, standing, model) < wanted;
+            is_behind.then(|| Load { model: model.clone(), weights: wanted })
+        })
+    }
+
+    /// The newest weights of a model that the engine holds by the list, by an earlier confirmation or by what
+    /// it told since.
+    fn held(
+        &self,
+        engine: &EngineName,
+        listed: &ListedEngine,
+        standing: &Standing,
+        model: &ModelName,
+    ) -> WeightsEdition {
+        let told = self.ways.get(engine).and_then(|way| way.told.get(model)).copied();
+        standing.held_weights(listed, model).max(told).unwrap_or_default()
+    }
+
+    /// The standing of an engine that holds all that is wanted of it.
+    fn opened(&self, engine: &EngineName, listed: &ListedEngine, standing: &Standing) -> Standing {
+        let held = |model| self.held(engine, listed, standing, model);
+        let further = listed.further_models.keys().map(|model| (model.clone(), held(model)));
+        Standing {
+            confirmed: Some((held(&listed.model), engine.0.clone())),
+            closed: false,
+            further_confirmed: further.collect(),
+        }
     }
 
     pub fn hear_order(&mut self, engine: &EngineName, answer: OrderAnswer, now: Instant) {
@@ -153,11 +279,14 @@
         let (pause, stays_ordered) = match answer {
             OrderAnswer::Taken => (FIRST_LOOK, true),
             OrderAnswer::Holds => {
-                way.told = way.told.max(way.ordered.unwrap_or_default());
-                (LOOK_EVERY, true)
+                if let Some(load) = way.ordered.clone() {
+                    way.note_told(&load.model, load.weights);
+                }
+                (LOOK_EVERY, false)
             }
             OrderAnswer::Busy => (BUSY_PAUSE, true),
             OrderAnswer::Overtaken | OrderAnswer::Refused => (REFUSED_PAUSE, false),
+            OrderAnswer::Unneeded => (WAITING_PAUSE, false),
             OrderAnswer::Nothing => (FAULT_PAUSE, true),
         };
         way.faults = if answer == OrderAnswer::Nothing { way.faults + 1 } else { 0 };
@@ -167,16 +296,17 @@
         }
     }
 
-    /// What an engine told of itself; nothing if it did not answer.
+    /// What an engine told of the model it was looked at for: its weights, and whether it loads. Nothing if
+    /// it did not answer.
     pub fn hear_report(&mut self, engine: &EngineName, report: Option<(WeightsEdition, bool)>, now: Instant) {
         let Some(way) = self.ways.get_mut(engine) else { return };
         match report {
             Some((weights, is_loading)) => {
                 way.faults = 0;
-                way.told = way.told.max(weights);
-                let goes_on = is_loading || way.ordered.is_some_and(|ordered| weights >= ordered);
-                if !goes_on {
-                    way.ordered = None;
+                if let Some(load) = way.ordered.clone() {
+                    way.note_told(&load.model, weights);
+                    let is_done = weights >= load.weights;
+                    way.ordered = Some(load).filter(|_| is_loading && !is_done);
                 }
                 way.next = now + if is_loading { LOOK_EVERY } else { Span(0) };
             }
@@ -213,14 +343,15 @@
     }
 }
 
+/// How many more engines of a kind may be closed, and ordered to load.
 struct Room {
     closed: usize,
     loading: usize,
     may_order: bool,
 }
 
-/// The newest weights an engine is known to hold.
-pub fn held_weights(listed: &ListedEngine, standing: &Standing) -> WeightsEdition {
-    let confirmed = standing.confirmed.as_ref().map(|(weights, _)| *weights);
-    listed.weights.max(confirmed).unwrap_or_default()
+/// Takes one of the places left, if there is any.
+fn take_place(places: &mut usize) -> Option<()> {
+    *places = places.checked_sub(1)?;
+    Some(())
 }
--- a/crates/conductor/src/mind.rs
+++ b/crates/conductor/src/mind.rs
@@ -126,7 +126,8 @@
             if !seen.accepting {
                 return Some(Act::Open { engine: engine.clone(), address });
             }
-            let confirmed = Standing { confirmed: Some((wanted, seen.boot.clone())), closed: false };
+            let confirmed =
+                Standing { confirmed: Some((wanted, seen.boot.clone())), closed: false, ..Standing::default() };
             return (standing != confirmed).then(|| Act::Stand { engine: engine.clone(), standing: confirmed });
         }
         let is_in_use = standing.confirmed.is_some() && !standing.closed;
--- a/crates/conductor/tests/bringing.rs
+++ b/crates/conductor/tests/bringing.rs
@@ -68,6 +68,7 @@
                     ready_at[number] = Some(now + 1800);
                     bringer.hear_order(&engine, OrderAnswer::Taken, at(now));
                 }
+                Bringing::OrderIfWaiting { .. } => panic!("nothing is in a hurry"),
                 Bringing::Look { engine, .. } => {
                     looks += 1;
                     let number: usize = engine.as_str()[1..].parse().unwrap();
@@ -114,13 +115,14 @@
 fn weights_that_the_list_tells_open_an_engine_without_a_look() {
     let mut state = fleet();
     bump(&mut state);
-    let standing = Standing { confirmed: None, closed: true };
+    let standing = Standing { confirmed: None, closed: true, ..Standing::default() };
     apply(&mut state, Command::Stand { term: Term(1), engine: name(0), standing });
     let mut engines = state.listing.engines.clone();
     engines.insert(name(0), listed(2));
     apply(&mut state, Command::List(Listing { boot: "b".into(), number: ListingNumber(2), engines }));
     let steps = Bringer::default().direct(&state, true, at(0));
-    let opened = Standing { confirmed: Some((WeightsEdition(2), "e00".into())), closed: false };
+    let opened =
+        Standing { confirmed: Some((WeightsEdition(2), "e00".into())), closed: false, ..Standing::default() };
     assert!(steps.contains(&Bringing::Stand { engine: name(0), standing: opened }), "{steps:?}");
 }
 
@@ -143,7 +145,7 @@
     let mut state = fleet();
     bump(&mut state);
     for number in [0, 1] {
-        let standing = Standing { confirmed: None, closed: true };
+        let standing = Standing { confirmed: None, closed: true, ..Standing::default() };
         apply(&mut state, Command::Stand { term: Term(1), engine: name(number), standing });
     }
     let mut engines = state.listing.engines.clone();
@@ -156,3 +158,104 @@
     let steps = bringer.direct(&state, true, at(1001));
     assert!(steps.iter().any(|step| matches!(step, Bringing::Order { engine, .. } if *engine == name(1))));
 }
+
+/// Long after new weights were named every engine left is closed; one whose turn has not come is ordered
+/// only if requests wait there, and looked at again if none do.
+#[test]
+fn what_waits_on_weights_too_old_is_turned_away_by_an_order_out_of_turn() {
+    let mut state = fleet();
+    let mut bringer = Bringer::hurrying_after(Span::millis(13_500));
+    assert!(bringer.direct(&state, true, at(0)).is_empty());
+    bump(&mut state);
+    let first_steps = bringer.direct(&state, true, at(1000));
+    assert_eq!(first_steps.len(), ENGINES / 6 + 1, "few are closed in their turn: {first_steps:?}");
+    assert_eq!(bringer.next_due(), Some(at(14_500)));
+
+    for step in bringer.direct(&state, true, at(14_500)) {
+        let Bringing::Stand { engine, standing } = step else { panic!("{step:?}") };
+        assert!(standing.closed);
+        apply(&mut state, Command::Stand { term: Term(1), engine, standing });
+    }
+    assert!((0..ENGINES).all(|number| state.standings[&name(number)].closed));
+    assert!(bringer.direct(&state, true, at(14_500)).is_empty(), "routers hear of it first");
+
+    let steps = bringer.direct(&state, true, at(14_700));
+    let in_turn = steps.iter().filter(|step| matches!(step, Bringing::Order { .. })).count();
+    let out_of_turn = steps.iter().filter(|step| matches!(step, Bringing::OrderIfWaiting { .. })).count();
+    assert_eq!((in_turn, out_of_turn), (ENGINES / 6, ENGINES - ENGINES / 6), "{steps:?}");
+    bringer.hear_order(&name(ENGINES - 1), OrderAnswer::Unneeded, at(14_710));
+    assert!(bringer.direct(&state, true, at(14_900)).is_empty());
+    let again = bringer.direct(&state, true, at(15_010));
+    assert!(
+        matches!(&again[..], [Bringing::OrderIfWaiting { engine, .. }] if *engine == name(ENGINES - 1)),
+        "{again:?}"
+    );
+}
+
+/// The span counts from the naming, also where another keeper held the duty then.
+#[test]
+fn a_new_holder_knows_since_when_weights_are_wanted() {
+    let mut state = fleet();
+    bump(&mut state);
+    let mut bringer = Bringer::hurrying_after(Span::millis(13_500));
+    bringer.note_wanted(&state, at(1000));
+    bringer.forget();
+    let steps = bringer.direct(&state, true, at(14_500));
+    assert_eq!(steps.len(), ENGINES, "{steps:?}");
+}
+
+/// Weights named while engines load the ones before: what loads is looked at until it is done and ordered
+/// anew, and holds up no other.
+#[test]
+fn weights_named_in_the_middle_of_a_load_are_brought_to_all() {
+    let mut state = fleet();
+    bump(&mut state);
+    let mut bringer = Bringer::default();
+    let mut loading: Vec<Option<(WeightsEdition, u64)>> = vec![None; ENGINES];
+    for now in (0..60_000).step_by(10) {
+        if now == 3000 {
+            apply(&mut state, Command::NameWeights { model: "m".into(), weights: WeightsEdition(3) });
+        }
+        for step in bringer.direct(&state, true, at(now)) {
+            match step {
+                Bringing::Stand { engine, standing } => {
+                    apply(&mut state, Command::Stand { term: Term(1), engine, standing });
+                }
+                Bringing::Order { engine, weights, .. } => {
+                    let number: usize = engine.as_str()[1..].parse().unwrap();
+                    let is_free = loading[number].is_none_or(|(_, ready)| now >= ready);
+                    assert!(is_free, "an engine that loads is not ordered again");
+                    loading[number] = Some((weights, now + 1800));
+                    bringer.hear_order(&engine, OrderAnswer::Taken, at(now));
+                }
+                Bringing::OrderIfWaiting { .. } => panic!("nothing is in a hurry"),
+                Bringing::Look { engine, .. } => {
+                    let number: usize = engine.as_str()[1..].parse().unwrap();
+                    let (weights, ready) = loading[number].expect("only what was ordered is looked at");
+                    let told = if now >= ready { weights } else { WeightsEdition(1) };
+                    bringer.hear_report(&engine, Some((told, now < ready)), at(now));
+                }
+            }
+        }
+        let confirmed = |standing: &Standing| standing.confirmed.as_ref().map(|(weights, _)| weights.0);
+        let is_done = |standing: &Standing| !standing.closed && confirmed(standing) == Some(3);
+        if state.standings.len() == ENGINES && state.standings.values().all(is_done) {
+            assert!(now < 18_000, "took {now} ms");
+            return;
+        }
+    }
+    panic!("never done")
+}
+
+/// The bound of old weights counts from the first newer ones, whatever is named since.
+#[test]
+fn a_second_naming_puts_off_no_order_out_of_turn() {
+    let mut state = fleet();
+    let mut bringer = Bringer::hurrying_after(Span::millis(13_500));
+    bringer.direct(&state, true, at(0));
+    bump(&mut state);
+    bringer.direct(&state, true, at(1000));
+    apply(&mut state, Command::NameWeights { model: "m".into(), weights: WeightsEdition(3) });
+    bringer.direct(&state, true, at(10_000));
+    assert_eq!(bringer.direct(&state, true, at(14_500)).len(), ENGINES);
+}
--- /dev/null
+++ b/crates/conductor/tests/several_models.rs
@@ -0,0 +1,110 @@
+//! Engines that hold several models are brought to the new weights of each.
+
+use conductor::prelude::*;
+use desired::prelude::*;
+use units::prelude::*;
+
+const ENGINES: usize = 12;
+
+fn apply(state: &mut FleetState, command: Command) {
+    let outcome = state.apply(&Submission { request: RequestId::random(), command });
+    assert!(matches!(outcome, Settled::Taken(_)), "{outcome:?}");
+}
+
+fn name(number: usize) -> EngineName {
+    EngineName(format!("e{number:02}"))
+}
+
+fn at(millis: u64) -> Instant {
+    Instant(0) + Span::millis(millis)
+}
+
+/// Engines that hold two models on their first weights, and new weights named for some.
+fn fleet(named: &[&str]) -> FleetState {
+    let mut state = FleetState::default();
+    apply(&mut state, Command::Merge { base: None, patch: r#"{"models":{"m0":{},"m1":{}}}"#.into() });
+    let listed = ListedEngine {
+        model: "m0".into(),
+        weights: Some(WeightsEdition(1)),
+        further_models: [("m1".into(), WeightsEdition(1))].into(),
+        ..ListedEngine::default()
+    };
+    let engines = (0..ENGINES).map(|number| (name(number), listed.clone())).collect();
+    apply(&mut state, Command::List(Listing { boot: "b".into(), number: ListingNumber(1), engines }));
+    apply(&mut state, Command::Appoint { kind: DutyKind::Conductor, from_term: Term(0), holder: NodeId(1) });
+    for model in named {
+        apply(&mut state, Command::NameWeights { model: (*model).into(), weights: WeightsEdition(2) });
+    }
+    state
+}
+
+/// An order that an engine carries out.
+#[derive(Clone, Debug, PartialEq)]
+struct Loading {
+    model: ModelName,
+    weights: WeightsEdition,
+    ready_at: u64,
+}
+
+/// Plays until every engine is open on what is wanted. What each was ordered, in order, and how long it took.
+fn play(state: &mut FleetState) -> (Vec<Vec<Loading>>, u64) {
+    let mut bringer = Bringer::default();
+    let mut ordered: Vec<Vec<Loading>> = vec![Vec::new(); ENGINES];
+    for now in (0..60_000).step_by(10) {
+        for step in bringer.direct(state, true, at(now)) {
+            match step {
+                Bringing::Stand { engine, standing } => {
+                    apply(state, Command::Stand { term: Term(1), engine, standing });
+                }
+                Bringing::Order { engine, model, weights, .. } => {
+                    assert!(state.standings[&engine].closed, "only a closed engine is ordered");
+                    let number: usize = engine.as_str()[1..].parse().unwrap();
+                    let is_free = ordered[number].iter().all(|loading| loading.ready_at <= now);
+                    assert!(is_free, "one order at a time");
+                    ordered[number].push(Loading { model, weights, ready_at: now + 1800 });
+                    bringer.hear_order(&engine, OrderAnswer::Taken, at(now));
+                }
+                Bringing::OrderIfWaiting { .. } => panic!("nothing is in a hurry"),
+                Bringing::Look { engine, model, .. } => {
+                    let number: usize = engine.as_str()[1..].parse().unwrap();
+                    let loading = ordered[number].iter().rfind(|loading| loading.model == model).unwrap();
+                    let is_loading = now < loading.ready_at;
+                    let weights = if is_loading { WeightsEdition(1) } else { loading.weights };
+                    bringer.hear_report(&engine, Some((weights, is_loading)), at(now));
+                }
+            }
+        }
+        let under_way = ordered.iter().flatten().filter(|loading| loading.ready_at > now).count();
+        assert!(under_way <= ENGINES / 6, "{under_way} load at once");
+        let closed = state.standings.values().filter(|standing| standing.closed).count();
+        if closed == 0 && bringer.direct(state, true, at(now)).is_empty() {
+            return (ordered, now);
+        }
+    }
+    panic!("never done")
+}
+
+#[test]
+fn a_model_that_is_not_the_first_is_brought_to_its_new_weights() {
+    let mut state = fleet(&["m1"]);
+    let (ordered, took) = play(&mut state);
+    assert!(took < 15_000, "took {took} ms");
+    for (number, orders) in ordered.iter().enumerate() {
+        let [only] = &orders[..] else { panic!("{orders:?}") };
+        assert_eq!((only.model.as_str(), only.weights), ("m1", WeightsEdition(2)));
+        let (standing, listed) = (&state.standings[&name(number)], &state.listing.engines[&name(number)]);
+        assert_eq!(standing.held_weights(listed, &"m1".into()), Some(WeightsEdition(2)));
+        assert_eq!(standing.held_weights(listed, &"m0".into()), Some(WeightsEdition(1)));
+    }
+}
+
+#[test]
+fn new_weights_of_both_models_are_loaded_one_after_the_other() {
+    let mut state = fleet(&["m0", "m1"]);
+    let (ordered, took) = play(&mut state);
+    assert!(took < 30_000, "took {took} ms");
+    for orders in &ordered {
+        let models: Vec<&str> = orders.iter().map(|loading| loading.model.as_str()).collect();
+        assert_eq!(models, ["m0", "m1"]);
+    }
+}
--- a/crates/desired/src/fleet.rs
+++ b/crates/desired/src/fleet.rs
@@ -40,6 +40,25 @@
     /// The weights the list shows for it.
     #[serde(default)]
     pub weights: Option<WeightsEdition>,
+    /// Models that it holds besides, with the weights the list shows for each.
+    #[serde(default)]
+    pub further_models: BTreeMap<ModelName, WeightsEdition>,
+}
+
+impl ListedEngine {
+    /// All models that the engine holds.
+    pub fn models(&self) -> impl Iterator<Item = &ModelName> {
+        std::iter::once(&self.model).chain(self.further_models.keys())
+    }
+
+    pub fn serves(&self, model: &ModelName) -> bool {
+        self.model == *model || self.further_models.contains_key(model)
+    }
+
+    /// The weights of a model that the list shows.
+    pub fn listed_weights(&self, model: &ModelName) -> Option<WeightsEdition> {
+        if self.model == *model { self.weights } else { self.further_models.get(model).copied() }
+    }
 }
 
 /// The platform's listing, whole; an engine that is not in it is gone.
@@ -57,6 +76,20 @@
     pub confirmed: Option<(WeightsEdition, String)>,
     /// Closed by the conductor for an order under way.
     pub closed: bool,
+    /// The weights it confirmed of the models that it holds besides its first.
+    #[serde(default)]
+    pub further_confirmed: BTreeMap<ModelName, WeightsEdition>,
+}
+
+impl Standing {
+    /// The newest weights of a model that the engine is known to hold, by its own word or by the list.
+    pub fn held_weights(&self, listed: &ListedEngine, model: &ModelName) -> Option<WeightsEdition> {
+        let confirmed = match listed.model == *model {
+            true => self.confirmed.as_ref().map(|(weights, _)| *weights),
+            false => self.further_confirmed.get(model).copied(),
+        };
+        confirmed.max(listed.listed_weights(model))
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -13,11 +13,10 @@
     let usual = ServiceWish::default();
     let wish = sight.state.desired.services.get(service).unwrap_or(&usual);
     let listed = sight.state.listing.engines.iter().filter(|(_, listed)| listed.service == *service);
-    let of_model = listed.filter(|(_, listed)| model.is_none_or(|model| listed.model == *model));
-    of_model
+    listed
         .filter_map(|(engine, listed)| {
             Some(Candidate {
-                weights: sight.usable_weights(engine, now)?,
+                weights: sight.usable_weights_of(engine, model.unwrap_or(&listed.model), now)?,
                 engine: engine.clone(),
                 address: listed.address.clone(),
                 zone: listed.zone.clone(),
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -40,7 +40,11 @@
     {
         return Err(Bar::KeyMoved);
     }
-    if sight.usable_weights(&ground.engine, now) != Some(ground.weights) {
+    let usable = match &ground.model {
+        Some(model) => sight.usable_weights_of(&ground.engine, model, now),
+        None => sight.usable_weights(&ground.engine, now),
+    };
+    if usable != Some(ground.weights) {
         return Err(Bar::EngineMoved);
     }
     if let (Some(model), Some(salt)) = (&ground.model, &ground.salt) {
--- /dev/null
+++ b/crates/gateway/tests/several_models.rs
@@ -0,0 +1,58 @@
+//! Engines that hold several models are candidates for the requests of each, on that model's weights.
+
+use desired::prelude::*;
+use gateway::prelude::*;
+use placement::prelude::FleetSight;
+
+const NOW: Instant = Instant(1_000_000_000_000);
+
+/// One engine with two models and one with the first alone; the second model is on its third weights.
+fn sight() -> FleetSight {
+    let mut state = FleetState::default();
+    let mut apply = |command| {
+        let outcome = state.apply(&Submission { request: RequestId::random(), command });
+        assert!(matches!(outcome, Settled::Taken(_)), "{outcome:?}");
+    };
+    let document = r#"{"models":{"m0":{},"m1":{"weights":3}},"services":{"s":{"models":["m0","m1"]}}}"#;
+    apply(Command::Merge { base: None, patch: document.into() });
+    let single = ListedEngine {
+        address: "10.0.0.1:1".into(),
+        model: "m0".into(),
+        service: "s".into(),
+        weights: Some(WeightsEdition(1)),
+        ..ListedEngine::default()
+    };
+    let both = ListedEngine { further_models: [("m1".into(), WeightsEdition(3))].into(), ..single.clone() };
+    let engines = [("both".into(), both), ("single".into(), single)].into();
+    apply(Command::List(Listing { boot: "b".into(), number: ListingNumber(1), engines }));
+    FleetSight::default().following(state, None, NOW)
+}
+
+fn found(sight: &FleetSight, model: &str) -> Vec<(String, u64)> {
+    let found = candidates(sight, &"s".into(), Some(&model.into()), NOW);
+    found.into_iter().map(|candidate| (candidate.engine.0, candidate.weights.0)).collect()
+}
+
+#[test]
+fn candidates_are_those_that_hold_the_request_s_model() {
+    let sight = sight();
+    assert_eq!(found(&sight, "m0"), [("both".to_owned(), 1), ("single".to_owned(), 1)]);
+    assert_eq!(found(&sight, "m1"), [("both".to_owned(), 3)]);
+    assert_eq!(found(&sight, "m2"), []);
+}
+
+#[test]
+fn the_last_look_compares_the_weights_of_the_request_s_model() {
+    let sight = sight();
+    let ground = |weights: u64| AttemptGround {
+        tenant: None,
+        model: Some("m1".into()),
+        engine: "both".into(),
+        weights: WeightsEdition(weights),
+        salt: None,
+        deadline: NOW + Span::seconds(1),
+    };
+    let lease_until = NOW + Span::seconds(1);
+    assert_eq!(may_start(&sight, lease_until, &ground(3), NOW), Ok(()));
+    assert_eq!(may_start(&sight, lease_until, &ground(1), NOW), Err(Bar::EngineMoved), "those of the other model");
+}
--- a/crates/keeper/src/bringing.rs
+++ b/crates/keeper/src/bringing.rs
@@ -12,6 +12,9 @@
 const SHORTEST_PAUSE: Span = Span::millis(30);
 const LONGEST_PAUSE: Span = Span::seconds(2);
 
+/// Routers give up old weights by their own clocks, which start when they hear of the new ones.
+const GIVE_UP_MARGIN: Span = Span::millis(100);
+
 /// What came of a step.
 enum Heard {
     Order(EngineName, OrderAnswer),
@@ -19,8 +22,8 @@
     Stood(EngineName),
 }
 
-pub async fn bring(orders: Arc<dyn EngineOrders>, shelf: Shelf, desk: DeskAsker, me: NodeId) {
-    let mut bringer = Bringer::default();
+pub async fn bring(orders: Arc<dyn EngineOrders>, shelf: Shelf, desk: DeskAsker, me: NodeId, timing: Timing) {
+    let mut bringer = Bringer::hurrying_after(timing.old_weights_span + GIVE_UP_MARGIN);
     let mut present_term = Term(0);
     let mut standing: BTreeSet<EngineName> = BTreeSet::new();
     let mut asked: BTreeSet<EngineName> = BTreeSet::new();
@@ -51,9 +54,13 @@
                             let order = LoadOrder { model, weights, holder: me, term };
                             under_way.spawn(give(Arc::clone(&orders), Arc::clone(&shelf), engine, address, order));
                         }
-                        Bringing::Look { engine, address } => {
-                            let model = seen.state.listing.engines.get(&engine).map(|listed| listed.model.clone());
-                            let model = model.unwrap_or_default();
+                        Bringing::OrderIfWaiting { engine, address, model, weights } => {
+                            let order = LoadOrder { model, weights, holder: me, term };
+                            let giving =
+                                give_if_waiting(Arc::clone(&orders), Arc::clone(&shelf), engine, address, order);
+                            under_way.spawn(giving);
+                        }
+                        Bringing::Look { engine, address, model } => {
                             under_way.spawn(look_at(Arc::clone(&orders), engine, address, model));
                         }
                     }
@@ -61,6 +68,7 @@
             }
             None => {
                 bringer.forget();
+                bringer.note_wanted(&seen.state, now);
                 present_term = Term(0);
             }
         }
@@ -90,7 +98,10 @@
 
 fn engine_of(step: &Bringing) -> &EngineName {
     match step {
-        Bringing::Stand { engine, .. } | Bringing::Order { engine, .. } | Bringing::Look { engine, .. } => engine,
+        Bringing::Stand { engine, .. }
+        | Bringing::Order { engine, .. }
+        | Bringing::OrderIfWaiting { engine, .. }
+        | Bringing::Look { engine, .. } => engine,
     }
 }
 
@@ -125,12 +136,30 @@
     Heard::Order(engine, answer)
 }
 
+/// Gives an order if requests wait at the engine that would begin on the old weights.
+async fn give_if_waiting(
+    orders: Arc<dyn EngineOrders>,
+    shelf: Shelf,
+    engine: EngineName,
+    address: String,
+    order: LoadOrder,
+) -> Heard {
+    let report = report_of(&orders, &address).await;
+    if report.is_some_and(|report| report.waiting == 0) {
+        return Heard::Order(engine, OrderAnswer::Unneeded);
+    }
+    event!(info, "order_given_out_of_turn", engine = engine, weights = order.weights, term = order.term);
+    give(orders, shelf, engine, address, order).await
+}
+
 async fn look_at(orders: Arc<dyn EngineOrders>, engine: EngineName, address: String, model: ModelName) -> Heard {
-    let asking = ask_whole(&address, orders.report_question(), CONNECT_LIMIT, REPORT_BYTES).await;
-    let report = asking.ok().filter(|(status, _, _)| status.is_success()).and_then(|(_, _, body)| {
-        let report = orders.report(&body).ok()?;
-        let weights = report.weights.get(&model).copied().unwrap_or_default();
-        Some((weights, report.is_loading))
-    });
-    Heard::Report(engine, report)
+    let report = report_of(&orders, &address).await;
+    let told = report.map(|report| (report.weights.get(&model).copied().unwrap_or_default(), report.is_loading));
+    Heard::Report(engine, told)
+}
+
+async fn report_of(orders: &Arc<dyn EngineOrders>, address: &str) -> Option<EngineReport> {
+    let asked = ask_whole(address, orders.report_question(), CONNECT_LIMIT, REPORT_BYTES).await;
+    let (_, _, body) = asked.ok().filter(|(status, _, _)| status.is_success())?;
+    orders.report(&body).ok()
 }
--- a/crates/keeper/src/ports.rs
+++ b/crates/keeper/src/ports.rs
@@ -35,6 +35,8 @@
     pub weights: BTreeMap<ModelName, WeightsEdition>,
     /// An order is under way.
     pub is_loading: bool,
+    /// Requests that have come and not begun.
+    pub waiting: u64,
 }
 
 /// Orders to engines and their reports.
--- a/crates/keeper/src/run.rs
+++ b/crates/keeper/src/run.rs
@@ -129,7 +129,9 @@
     }
     match plan.orders {
         OrderSource::Own => runtime.spawn(conduct(Arc::clone(&shelf), asker.clone(), identity)),
-        OrderSource::Protocol(orders) => runtime.spawn(bring(orders, Arc::clone(&shelf), asker.clone(), identity)),
+        OrderSource::Protocol(orders) => {
+            runtime.spawn(bring(orders, Arc::clone(&shelf), asker.clone(), identity, plan.timing))
+        }
     };
     let site: Arc<dyn Site> = match plan.operators {
         DoorSource::Own => Arc::new(Door { desk: asker, shelf: Arc::clone(&shelf), me: me.clone(), census: health }),
--- a/crates/placement/src/picker.rs
+++ b/crates/placement/src/picker.rs
@@ -310,8 +310,8 @@
             .collect();
         let mut scores = Vec::new();
         for (engine, listed) in &sight.state.listing.engines {
-            let passes = listed.model == prompt.model && !prompt.tried.contains(engine);
-            let Some(weights) = sight.usable_weights(engine, now).filter(|_| passes) else { continue };
+            let usable = sight.usable_weights_of(engine, &prompt.model, now);
+            let Some(weights) = usable.filter(|_| !prompt.tried.contains(engine)) else { continue };
             let Some(names) = prompt.names.get(&weights) else { continue };
             let unknown_engine = EngineSight::default();
             let known = self.engines.get(engine).unwrap_or(&unknown_engine);
@@ -401,7 +401,8 @@
         let engines = engine_names.iter().map(|name| ((*name).into(), listed.clone())).collect();
         submit(Command::List(Listing { boot: "b".into(), number: ListingNumber(1), engines }));
         for name in engine_names {
-            let standing = Standing { confirmed: Some((WeightsEdition(1), "x".into())), closed: false };
+            let standing =
+                Standing { confirmed: Some((WeightsEdition(1), "x".into())), closed: false, ..Standing::default() };
             state.standings.insert((*name).into(), standing);
         }
         FleetSight::default().following(state, None, NOW)
--- a/crates/placement/src/prelude.rs
+++ b/crates/placement/src/prelude.rs
@@ -5,7 +5,7 @@
 pub use crate::sight::*;
 pub use blocks::prelude::{KeptEvent, PrefixTree, SentHistory, SourceIndex, SourcePlace};
 pub use desired::prelude::Role;
-pub(crate) use desired::prelude::{FleetState, Listed, Policy, Sight};
+pub(crate) use desired::prelude::{FleetState, Listed, Policy, Sight, Standing};
 pub(crate) use policy::prelude::{Band, Table, cost};
 pub use routes::prelude::RouteTable;
 pub(crate) use std::collections::{BTreeMap, HashMap};
--- a/crates/placement/src/sight.rs
+++ b/crates/placement/src/sight.rs
@@ -94,20 +94,26 @@
         sight
     }
 
-    /// The weights an engine may be used with now: those it confirmed, or is listed with if it has confirmed
-    /// none, if they are the wanted ones or old ones not yet given up; nothing if the engine is not listed
-    /// open or is closed.
+    /// The weights of its first model that an engine may be used with now.
     pub fn usable_weights(&self, engine: &EngineName, now: Instant) -> Option<WeightsEdition> {
+        let listed = self.state.listing.engines.get(engine)?;
+        self.usable_weights_of(engine, &listed.model, now)
+    }
+
+    /// The weights of a model that an engine may be used with now: those it confirmed, or is listed with if
+    /// it has confirmed none, if they are the wanted ones or old ones not yet given up; nothing if the
+    /// engine does not hold the model, is not listed open or is closed.
+    pub fn usable_weights_of(&self, engine: &EngineName, model: &ModelName, now: Instant) -> Option<WeightsEdition> {
         let listed = self.state.listing.engines.get(engine).filter(|listed| listed.listed == Listed::Open)?;
-        let standing = self.state.standings.get(engine);
-        if self.state.drained.contains(engine) || standing.is_some_and(|standing| standing.closed) {
+        let unknown = Standing::default();
+        let standing = self.state.standings.get(engine).unwrap_or(&unknown);
+        if self.state.drained.contains(engine) || standing.closed || !listed.serves(model) {
             return None;
         }
-        let confirmed = standing.and_then(|standing| standing.confirmed.as_ref()).map(|(weights, _)| *weights);
-        let confirmed = &confirmed.max(listed.weights)?;
-        let wanted = self.state.desired.models.get(&listed.model)?.weights;
-        let may_use = *confirmed == wanted || now < self.old_weights_until(&listed.model, *confirmed);
-        may_use.then_some(*confirmed)
+        let held = standing.held_weights(listed, model)?;
+        let wanted = self.state.desired.models.get(model)?.weights;
+        let may_use = held == wanted || now < self.old_weights_until(model, held);
+        may_use.then_some(held)
     }
 
     /// Until when weights that gave way may be used.
@@ -124,9 +130,8 @@
             .state
             .listing
             .engines
-            .iter()
-            .filter(|(_, listed)| listed.model == *model)
-            .filter_map(|(engine, _)| self.usable_weights(engine, now))
+            .keys()
+            .filter_map(|engine| self.usable_weights_of(engine, model, now))
             .collect();
         editions.sort();
         editions.dedup();
