--- /dev/null
+++ b/crates/subscription/tests/leaving.rs
@@ -0,0 +1,89 @@
+//! An agent that gives up its keeper turns to another one.
+
+use coordinator::prelude::{Member, NodeDown, View};
+use subscription::prelude::*;
+use units::prelude::*;
+
+const KEEPERS: u64 = 4;
+const TAIL: u64 = 3;
+
+fn at(millis: u64) -> Instant {
+    Instant(0) + Span::seconds(10) + Span::millis(millis)
+}
+
+fn address(number: u64) -> String {
+    format!("10.0.0.{number}:1")
+}
+
+fn view() -> View {
+    let ids: Vec<NodeId> = (0..KEEPERS).map(NodeId).collect();
+    let member = |id: &NodeId| Member { id: *id, address: address(id.0), door: String::new(), zone: "z".into() };
+    View {
+        fleet: FleetId(1),
+        number: ViewNumber(4),
+        chain: ids.clone(),
+        voters: ids.clone(),
+        members: ids.iter().map(member).collect(),
+        ..View::default()
+    }
+}
+
+fn dialled(effects: Vec<CourierEffect>) -> Option<String> {
+    effects.into_iter().find_map(|effect| match effect {
+        CourierEffect::Dial(address) => Some(address),
+        _ => None,
+    })
+}
+
+/// An agent on the tail's stream, with a lease just granted; `spread` is where it begins its turn.
+fn on_tail(spread: usize) -> Courier {
+    let mut courier = Courier::new(vec![address(0), address(1), address(TAIL)], spread);
+    courier.step(CourierInput::Pulse, at(0));
+    courier.step(CourierInput::CoreUp, at(0));
+    courier.step(CourierInput::RouterUp, at(0));
+    if dialled(courier.step(CourierInput::Core(NodeDown::Whereabouts(view())), at(300))).is_some() {
+        courier.step(CourierInput::CoreUp, at(310));
+    }
+    let (sent, span) = (at(400), Span::millis(6500));
+    let granted = NodeDown::Granted { sent, span, life: 1, undisturbed: Span::seconds(60) };
+    courier.step(CourierInput::Core(granted), at(400));
+    courier
+}
+
+/// The keeper dialled once the present one grants nothing any more, though it answers.
+fn dialled_after_no_grant(courier: &mut Courier) -> String {
+    for now in (410..4000).step_by(10) {
+        courier.step(CourierInput::Core(NodeDown::NotNow), at(now));
+        if let Some(address) = dialled(courier.step(CourierInput::Pulse, at(now))) {
+            return address;
+        }
+    }
+    panic!("never left")
+}
+
+#[test]
+fn a_tail_that_grants_nothing_is_not_dialled_again_at_once() {
+    for spread in 0..12 {
+        let mut courier = on_tail(spread);
+        assert_ne!(dialled_after_no_grant(&mut courier), address(TAIL), "spread {spread}");
+    }
+}
+
+#[test]
+fn a_keeper_that_takes_no_connection_is_not_dialled_again_at_once() {
+    for spread in 0..12 {
+        let mut courier = on_tail(spread);
+        let first = dialled_after_no_grant(&mut courier);
+        let second = (4000..8000).step_by(10).find_map(|now| dialled(courier.step(CourierInput::Pulse, at(now))));
+        assert_ne!(second, Some(first), "spread {spread}");
+    }
+}
+
+#[test]
+fn the_only_keeper_known_is_dialled_again() {
+    let mut courier = Courier::new(vec![address(0)], 0);
+    courier.step(CourierInput::Pulse, at(0));
+    courier.step(CourierInput::CoreUp, at(0));
+    courier.step(CourierInput::RouterUp, at(0));
+    assert_eq!(dialled_after_no_grant(&mut courier), address(0));
+}
