--- a/crates/subscription/src/machine.rs
+++ b/crates/subscription/src/machine.rs
@@ -160,7 +160,7 @@
                 let behind_too_long = self.behind_since.is_some_and(|since| now.since(since) >= BEHIND_LIMIT);
                 let granted_nothing = self.router.is_some() && now.since(self.last_granted) >= GRANT_LIMIT;
                 if silent_too_long || behind_too_long || granted_nothing {
-                    self.dial_another(now);
+                    self.leave(now);
                     return;
                 }
                 if now.since(self.last_renewed) >= self.pause(now) {
@@ -170,12 +170,19 @@
             CoreStream::Down => self.dial_another(now),
             CoreStream::Dialling { since } => {
                 if now.since(since) >= SILENCE_LIMIT {
-                    self.dial_another(now);
+                    self.leave(now);
                 }
             }
         }
     }
 
+    /// Gives up the present keeper for another. The same one again would cost its whole limit once more: a
+    /// tail that the other keepers cannot reach still answers, and still takes itself for the tail.
+    fn leave(&mut self, now: Instant) {
+        let left = self.target.clone();
+        self.dial_one(now, |address| address != left);
+    }
+
     /// Between two renewals.
     fn pause(&self, now: Instant) -> Span {
         let is_leased = now + self.renew_span < self.lease_until;
@@ -196,14 +203,22 @@
         due.max(now + SHORTEST_PAUSE)
     }
 
-    /// The tail first, then everybody in turn.
+    /// Everybody in turn.
     fn dial_another(&mut self, now: Instant) {
+        self.dial_one(now, |_| true);
+    }
+
+    /// The next in turn of those wanted, or of all if none is.
+    fn dial_one(&mut self, now: Instant, is_wanted: impl Fn(&str) -> bool) {
         if now < self.next_dial {
             return;
         }
         let mut addresses: Vec<String> = self.view.members.iter().map(|member| member.address.clone()).collect();
         addresses.extend(self.seeds.iter().cloned());
         addresses.dedup();
+        if addresses.iter().any(|address| is_wanted(address)) {
+            addresses.retain(|address| is_wanted(address));
+        }
         if addresses.is_empty() {
             return;
         }
