--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -15,3 +15,4 @@
 mod patience;
 mod ports;
 mod run;
+mod shelf;
--- a/crates/keeper/src/prelude.rs
+++ b/crates/keeper/src/prelude.rs
@@ -3,8 +3,8 @@
 pub(crate) use crate::bringing::*;
 pub(crate) use crate::census::*;
 pub(crate) use crate::conducting::*;
+pub use crate::desk::DeskCommand;
 pub(crate) use crate::desk::*;
-pub use crate::desk::{DeskCommand, Seen};
 pub(crate) use crate::directory::*;
 pub(crate) use crate::door::*;
 pub use crate::filing::*;
@@ -12,6 +12,8 @@
 pub use crate::patience::*;
 pub use crate::ports::*;
 pub use crate::run::*;
+pub use crate::shelf::Seen;
+pub(crate) use crate::shelf::*;
 pub use conductor::prelude::OrderAnswer;
 pub(crate) use conductor::prelude::{Act, Bringer, Bringing, Conductor, Observed};
 pub(crate) use contract::prelude::*;
