--- a/crates/placement/src/pick.rs
+++ b/crates/placement/src/pick.rs
@@ -116,10 +116,10 @@
     /// An engine's score; nothing if it does not pass.
     fn score(&self, engine: &EngineName, listed: &ListedEngine) -> Option<Score> {
         let prompt = self.prompt;
-        if listed.model != prompt.model || prompt.tried.contains(engine) {
+        if prompt.tried.contains(engine) {
             return None;
         }
-        let weights = self.sight.usable_weights(engine, self.now)?;
+        let weights = self.sight.usable_weights_of(engine, &prompt.model, self.now)?;
         let names = prompt.names.get(&weights)?;
         let unknown_engine = KnownEngine::default();
         let known = self.picker.engines.get(engine).unwrap_or(&unknown_engine);
--- a/crates/placement/tests/picker.rs
+++ b/crates/placement/tests/picker.rs
@@ -26,7 +26,8 @@
     let engines = engine_names.iter().map(|name| ((*name).into(), listed.clone())).collect();
     submit(Command::List(Listing { boot: "b".into(), number: ListingNumber(1), engines }));
     for name in engine_names {
-        let standing = Standing { confirmed: Some((WeightsEdition(1), "x".into())), closed: false };
+        let standing =
+            Standing { confirmed: Some((WeightsEdition(1), "x".into())), closed: false, ..Standing::default() };
         state.standings.insert((*name).into(), standing);
     }
     FleetSight::default().following(state, None, NOW)
