--- a/crates/conductor/src/bringing.rs
+++ b/crates/conductor/src/bringing.rs
@@ -151,6 +151,9 @@
         let mut rooms = self.rooms(state);
         for (engine, listed) in &state.listing.engines {
             if listed.listed != Listed::Open {
+                if may_order {
+                    steps.extend(self.turn_away(state, engine, listed, now));
+                }
                 continue;
             }
             let Some(room) = rooms.get_mut(&listed.model) else { continue };
@@ -235,6 +238,35 @@
         })
     }
 
+    /// An order for an engine that leaves, so that nothing which waits there begins on weights that are too
+    /// old. Routers send it nothing, so it is not closed; nobody awaits the new weights, so it is not looked at.
+    fn turn_away(
+        &mut self,
+        state: &FleetState,
+        engine: &EngineName,
+        listed: &ListedEngine,
+        now: Instant,
+    ) -> Option<Bringing> {
+        let standing = state.standings.get(engine).cloned().unwrap_or_default();
+        let load = self.next_load(state, engine, listed, &standing)?;
+        let held = self.held(engine, listed, &standing, &load.model);
+        let from = self.hurry_from(&load.model, held)?;
+        let way = self.ways.entry(engine.clone()).or_default();
+        if way.ordered.as_ref() == Some(&load) {
+            return None;
+        }
+        let due = from.max(way.next);
+        if now < due {
+            self.note_due(due);
+            return None;
+        }
+        way.next = now + FIRST_LOOK;
+        way.ordered = Some(load.clone());
+        self.note_due(now + FIRST_LOOK);
+        let address = listed.address.clone();
+        Some(Bringing::OrderIfWaiting { engine: engine.clone(), address, model: load.model, weights: load.weights })
+    }
+
     /// The first of an engine's models whose wanted weights it is not known to hold.
     fn next_load(
         &self,
--- a/crates/conductor/tests/bringing.rs
+++ b/crates/conductor/tests/bringing.rs
@@ -259,3 +259,29 @@
     bringer.direct(&state, true, at(10_000));
     assert_eq!(bringer.direct(&state, true, at(14_500)).len(), ENGINES);
 }
+
+/// Requests may still wait at an engine that leaves: they are turned away as anywhere.
+#[test]
+fn what_waits_at_a_leaving_engine_is_turned_away_too() {
+    let mut state = fleet();
+    let mut bringer = Bringer::hurrying_after(Span::millis(13_500));
+    bump(&mut state);
+    bringer.direct(&state, true, at(1000));
+    let mut engines = state.listing.engines.clone();
+    engines.insert(name(17), ListedEngine { listed: Listed::Leaving, ..listed(1) });
+    apply(&mut state, Command::List(Listing { boot: "b".into(), number: ListingNumber(2), engines }));
+    let concerns = |steps: &[Bringing]| {
+        steps.iter().any(|step| {
+            matches!(step,
+        Bringing::OrderIfWaiting { engine, .. } if *engine == name(17))
+        })
+    };
+    assert!(!concerns(&bringer.direct(&state, true, at(14_400))), "routers may still use old weights");
+    assert!(!concerns(&bringer.direct(&state, false, at(14_500))), "the holder before may still order");
+    assert!(concerns(&bringer.direct(&state, true, at(14_500))));
+    assert!(!concerns(&bringer.direct(&state, true, at(14_600))), "one order at a time");
+    bringer.hear_order(&name(17), OrderAnswer::Unneeded, at(14_600));
+    assert!(concerns(&bringer.direct(&state, true, at(14_900))), "asked again");
+    bringer.hear_order(&name(17), OrderAnswer::Taken, at(14_910));
+    assert!(!concerns(&bringer.direct(&state, true, at(20_000))));
+}
