Adapters: document, copies in the fleet state, and the planner that keeps them warm

Cause: the users run their requests on tuned adapters of their own and want them warm near their traffic.

An adapter has a model, owners, a revision and counts of copies; tenants are bound to their own. The state holds each copy's stage at each engine and the one revision in force; it bounds loads and places and keeps the last warm copy, whatever a conductor knew. The planner places copies near the requests, spread over zones, and displaces by last use.

Ruled out: switching the revision at the change of the document (every request would find it cold); unloading at once what is not wanted (it flaps); demand as records of the chain (its bytes grow with the nodes).

--- /dev/null
+++ b/crates/adapters/src/pool.rs
@@ -0,0 +1,65 @@
+//! The engines that may hold adapters of one model, in one role, and what they told of themselves.
+
+use crate::prelude::*;
+
+/// An engine that has told nothing for so long counts as lost.
+pub const SILENT_AFTER: Span = Span::millis(2500);
+
+/// What an engine said of the adapters it holds, and when it was asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SeenEngine {
+    /// The life of its process.
+    pub boot: String,
+    pub resident: Vec<AdapterId>,
+    pub places: u64,
+    pub at: Instant,
+}
+
+impl SeenEngine {
+    pub(crate) fn holds(&self, adapter: &AdapterId) -> bool {
+        self.resident.contains(adapter)
+    }
+}
+
+/// An engine that may be given adapters now.
+#[derive(Clone, Debug)]
+pub(crate) struct PoolEngine {
+    pub(crate) name: EngineName,
+    pub(crate) zone: Zone,
+    pub(crate) region: Region,
+    pub(crate) places: usize,
+}
+
+/// What engines share that may stand in for each other.
+pub(crate) type PoolName = (ModelName, Role);
+
+/// The engines that serve and were heard lately, by model and role.
+pub(crate) fn pools(
+    state: &FleetState,
+    seen: &BTreeMap<EngineName, SeenEngine>,
+    now: Instant,
+) -> BTreeMap<PoolName, Vec<PoolEngine>> {
+    let mut pools: BTreeMap<PoolName, Vec<PoolEngine>> = BTreeMap::new();
+    for (name, listed) in &state.listing.engines {
+        let Some(told) = seen.get(name).filter(|told| now.since(told.at) < SILENT_AFTER) else { continue };
+        let Some(model) = state.desired.models.get(&listed.model) else { continue };
+        if !serves(state, name, listed) {
+            continue;
+        }
+        let engine = PoolEngine {
+            name: name.clone(),
+            zone: listed.zone.clone(),
+            region: state.desired.region_of(&listed.zone),
+            places: model.adapter_places.min(told.places) as usize,
+        };
+        pools.entry((listed.model.clone(), listed.role)).or_default().push(engine);
+    }
+    pools
+}
+
+/// Whether an engine is listed open and neither drained nor closed for new weights.
+fn serves(state: &FleetState, name: &EngineName, listed: &ListedEngine) -> bool {
+    let standing = state.standings.get(name);
+    let is_confirmed = standing.is_some_and(|standing| standing.confirmed.is_some() && !standing.closed);
+    listed.listed == Listed::Open && is_confirmed && !state.drained.contains(name)
+}
--- /dev/null
+++ b/crates/adapters/src/prelude.rs
@@ -0,0 +1,13 @@
+//! The one import of this package's files.
+
+pub(crate) use crate::allotment::*;
+pub use crate::demand::*;
+pub use crate::meter::*;
+pub use crate::planner::*;
+pub use crate::pool::*;
+pub(crate) use desired::prelude::{
+    AdapterCopy, AdapterWish, CopyStage, FleetState, Listed, ListedEngine, Role, WarmingWish,
+};
+pub(crate) use serde::{Deserialize, Serialize};
+pub(crate) use std::collections::{BTreeMap, BTreeSet};
+pub(crate) use units::prelude::*;
--- /dev/null
+++ b/crates/adapters/tests/planner.rs
@@ -0,0 +1,385 @@
+//! The planner against engines that load and unload in time, with requests that arrive in two regions:
+//! minimums, bounds, shifts, losses, and peace under noise.
+
+use adapters::prelude::*;
+use desired::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use units::prelude::*;
+
+const STEP: Span = Span::millis(300);
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+const LOAD_STEPS: u64 = 4;
+
+struct SimEngine {
+    up: bool,
+    boot: u64,
+    resident: BTreeSet<AdapterId>,
+    loading: BTreeMap<AdapterId, u64>,
+}
+
+/// A fleet of engines over four zones in two regions, `a` and `b` in the north, `c` and `d` in the south.
+struct Fleet {
+    state: FleetState,
+    planner: WarmingPlanner,
+    engines: BTreeMap<EngineName, SimEngine>,
+    meters: BTreeMap<&'static str, DemandMeter>,
+    now: Instant,
+    steps: u64,
+    /// Stages put into the state, but for those that tell what an engine told.
+    moves: usize,
+    loads: usize,
+    places: usize,
+}
+
+fn submit(state: &mut FleetState, command: Command) -> Settled {
+    state.apply(&Submission { request: RequestId::random(), command })
+}
+
+impl Fleet {
+    fn new(engines: usize, places: usize, adapters: usize, warming: &str) -> Fleet {
+        let mut state = FleetState::default();
+        let tenants: Vec<String> = (0..adapters).map(|n| format!(r#""t{n}":{{"adapters":["x{n}"]}}"#)).collect();
+        let wishes: Vec<String> =
+            (0..adapters).map(|n| format!(r#""x{n}":{{"model":"m","owners":["t{n}"],"revision":1}}"#)).collect();
+        let document = format!(
+            r#"{{"models":{{"m":{{"adapter_places":{places}}}}},"tenants":{{{}}},"adapters":{{{}}},"warming":{warming},
+            "zones":{{"a":"north","b":"north","c":"south","d":"south"}}}}"#,
+            tenants.join(","),
+            wishes.join(",")
+        );
+        let taken = submit(&mut state, Command::Merge { base: None, patch: document });
+        assert!(matches!(taken, Settled::Taken(_)), "{taken:?}");
+        submit(&mut state, Command::Appoint { kind: DutyKind::Conductor, from_term: Term(0), holder: NodeId(1) });
+        let names: Vec<EngineName> = (0..engines).map(|number| EngineName(format!("e{number}"))).collect();
+        let listed = |number: usize| ListedEngine {
+            model: "m".into(),
+            zone: ZONES[number % 4].into(),
+            ..ListedEngine::default()
+        };
+        let listing = names.iter().enumerate().map(|(number, name)| (name.clone(), listed(number))).collect();
+        submit(&mut state, Command::List(Listing { boot: "b".into(), number: ListingNumber(1), engines: listing }));
+        for name in &names {
+            let standing = Standing { confirmed: Some((WeightsEdition(1), "x".into())), closed: false };
+            state.standings.insert(name.clone(), standing);
+        }
+        let empty = || SimEngine { up: true, boot: 1, resident: BTreeSet::new(), loading: BTreeMap::new() };
+        Fleet {
+            state,
+            planner: WarmingPlanner::default(),
+            engines: names.into_iter().map(|name| (name, empty())).collect(),
+            meters: ZONES.into_iter().map(|zone| (zone, DemandMeter::default())).collect(),
+            now: Instant(1_000_000_000_000),
+            steps: 0,
+            moves: 0,
+            loads: 0,
+            places,
+        }
+    }
+
+    fn seen(&self) -> BTreeMap<EngineName, SeenEngine> {
+        let told = |engine: &SimEngine| SeenEngine {
+            boot: engine.boot.to_string(),
+            resident: engine.resident.iter().cloned().collect(),
+            places: self.places as u64,
+            at: self.now,
+        };
+        let up = self.engines.iter().filter(|(_, engine)| engine.up);
+        up.map(|(name, engine)| (name.clone(), told(engine))).collect()
+    }
+
+    fn request(&mut self, zone: &'static str, adapter: &str) {
+        let span = self.state.desired.warming.demand_span;
+        let now = self.now;
+        self.meters.get_mut(zone).unwrap().note(&adapter.into(), span, now);
+    }
+
+    /// One look of the conductor and what follows from it; the bounds hold after each.
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.steps += 1;
+        let span = self.state.desired.warming.demand_span;
+        for (number, zone) in ZONES.into_iter().enumerate() {
+            let rates = self.meters.get_mut(zone).unwrap().tell(span, self.now);
+            let report = DemandReport { router: NodeId(number as u64 + 1), zone: zone.into(), rates };
+            self.planner.demand.hear(vec![HeardDemand { report, age: Span(0) }], self.now);
+        }
+        let seen = self.seen();
+        for act in self.planner.direct(&self.state, &seen, self.now) {
+            self.carry_out(act);
+        }
+        self.finish_loads();
+        self.check_bounds();
+    }
+
+    fn carry_out(&mut self, act: WarmingAct) {
+        match act {
+            WarmingAct::Place { engine, adapter, stage } => {
+                self.moves += usize::from(!matches!(stage, None | Some(CopyStage::Warm { .. })));
+                let settled = submit(&mut self.state, Command::PlaceCopy { term: Term(1), engine, adapter, stage });
+                assert!(matches!(settled, Settled::Taken(_)), "the planner keeps to the bounds: {settled:?}");
+            }
+            WarmingAct::UseRevision { adapter } => {
+                submit(&mut self.state, Command::UseRevision { term: Term(1), adapter });
+            }
+            WarmingAct::Load { engine, adapter, .. } => {
+                let loads_to = self.steps + LOAD_STEPS;
+                let engine = self.engines.get_mut(&engine).unwrap();
+                if engine.up && !engine.loading.contains_key(&adapter) {
+                    engine.loading.insert(adapter, loads_to);
+                    self.loads += 1;
+                }
+            }
+            WarmingAct::Unload { engine, adapter, .. } => {
+                self.engines.get_mut(&engine).unwrap().resident.remove(&adapter);
+            }
+        }
+    }
+
+    fn finish_loads(&mut self) {
+        for engine in self.engines.values_mut() {
+            let steps = self.steps;
+            let done: Vec<AdapterId> =
+                engine.loading.iter().filter(|(_, until)| **until <= steps).map(|(id, _)| id.clone()).collect();
+            for adapter in done {
+                engine.loading.remove(&adapter);
+                engine.resident.insert(adapter);
+            }
+        }
+    }
+
+    fn check_bounds(&self) {
+        let at_once = self.state.desired.warming.loads_at_once as usize;
+        let loading: usize = self.engines.values().map(|engine| engine.loading.len()).sum();
+        assert!(loading <= at_once, "{loading} loads at once");
+        for (name, engine) in &self.engines {
+            let held = engine.resident.len() + engine.loading.len();
+            assert!(held <= self.places, "{name} holds {held} in {} places", self.places);
+        }
+    }
+
+    fn run(&mut self, steps: u64) {
+        (0..steps).for_each(|_| self.step());
+    }
+
+    /// Runs with one request a step for each adapter in each of the zones named.
+    fn run_with(&mut self, steps: u64, demand: &[(&'static str, &str)]) {
+        for _ in 0..steps {
+            for (zone, adapter) in demand {
+                self.request(zone, adapter);
+            }
+            self.step();
+        }
+    }
+
+    /// The engines that hold the revision in force warm and are up.
+    fn warm(&self, adapter: &str) -> Vec<EngineName> {
+        let revision = self.state.adapters.in_force[&AdapterName::from(adapter)];
+        let id = AdapterId { name: adapter.into(), revision };
+        let holders = self.state.adapters.warm_engines(&id);
+        holders.filter(|name| self.engines[*name].up && self.engines[*name].resident.contains(&id)).cloned().collect()
+    }
+
+    fn warm_in(&self, adapter: &str, region: &str) -> Vec<EngineName> {
+        let mut warm = self.warm(adapter);
+        warm.retain(|name| self.state.desired.region_of(&self.state.listing.engines[name].zone).as_str() == region);
+        warm
+    }
+
+    fn lose(&mut self, name: &EngineName) {
+        let engine = self.engines.get_mut(name).unwrap();
+        engine.up = false;
+        engine.resident.clear();
+        engine.loading.clear();
+    }
+
+    fn restart(&mut self, name: &EngineName) {
+        let engine = self.engines.get_mut(name).unwrap();
+        engine.up = true;
+        engine.boot += 1;
+    }
+}
+
+const QUICK: &str = r#"{"loads_at_once":3,"demand_ms":3000,"hold_ms":6000}"#;
+
+#[test]
+fn every_adapter_is_warm_somewhere_without_any_request() {
+    let mut fleet = Fleet::new(8, 2, 5, QUICK);
+    fleet.run(60);
+    for number in 0..5 {
+        assert_eq!(fleet.warm(&format!("x{number}")).len(), 1);
+    }
+    assert_eq!(fleet.planner.unplaced(), 0);
+    let moves = fleet.moves;
+    fleet.run(200);
+    assert_eq!(fleet.moves, moves, "at rest nothing moves");
+}
+
+#[test]
+fn a_shift_between_regions_warms_the_new_one_before_the_old_one_goes() {
+    let mut fleet = Fleet::new(8, 1, 2, QUICK);
+    fleet.run_with(60, &[("a", "x0"), ("b", "x0"), ("c", "x1")]);
+    let north = fleet.warm_in("x0", "north");
+    assert_eq!(north.len(), 2);
+    let zones: BTreeSet<&Zone> = north.iter().map(|name| &fleet.state.listing.engines[name].zone).collect();
+    assert_eq!(zones.len(), 2, "spread over the zones of the region");
+    for _ in 0..20 {
+        fleet.run_with(1, &[("a", "x0"), ("c", "x0"), ("c", "x1")]);
+        assert_eq!(fleet.warm_in("x0", "north").len(), 2, "its traffic lasts");
+    }
+    assert_eq!(fleet.warm_in("x0", "south").len(), 2);
+    fleet.run_with(100, &[("c", "x0"), ("c", "x1")]);
+    assert_eq!(fleet.warm_in("x0", "south").len(), 2);
+    assert_eq!(fleet.warm_in("x1", "south").len(), 2);
+    // The places of the north are needed now: what is not wanted there gives way, and only that.
+    fleet.run_with(100, &[("c", "x0"), ("c", "x1"), ("a", "x1")]);
+    assert_eq!(fleet.warm_in("x1", "north").len(), 2);
+    assert_eq!(fleet.warm_in("x0", "south").len(), 2);
+}
+
+#[test]
+fn the_loss_of_an_engine_leaves_a_warm_one_near_and_is_made_good() {
+    let mut fleet = Fleet::new(8, 2, 2, QUICK);
+    let demand = [("a", "x0"), ("b", "x1")];
+    fleet.run_with(60, &demand);
+    let lost = fleet.warm_in("x0", "north")[0].clone();
+    fleet.lose(&lost);
+    for _ in 0..40 {
+        fleet.run_with(1, &demand);
+        assert!(!fleet.warm_in("x0", "north").is_empty());
+        assert!(!fleet.warm_in("x1", "north").is_empty());
+    }
+    assert_eq!(fleet.warm_in("x0", "north").len(), 2);
+    fleet.restart(&lost);
+    fleet.run_with(40, &demand);
+    let copies = fleet.state.adapters.copies_at(&lost);
+    assert!(copies.iter().all(|copy| fleet.engines[&lost].resident.contains(&copy.adapter)), "{copies:?}");
+}
+
+#[test]
+fn a_newer_revision_takes_over_without_a_gap_even_if_every_place_is_taken() {
+    for places in [1, 2] {
+        let mut fleet = Fleet::new(4, places, if places == 1 { 1 } else { 2 }, QUICK);
+        let demand = [("a", "x0"), ("b", "x0"), ("c", "x0"), ("d", "x0")];
+        fleet.run_with(60, &demand);
+        assert_eq!(fleet.warm("x0").len(), 4);
+        submit(
+            &mut fleet.state,
+            Command::Merge { base: None, patch: r#"{"adapters":{"x0":{"revision":2}}}"#.into() },
+        );
+        for _ in 0..200 {
+            fleet.run_with(1, &demand);
+            assert!(!fleet.warm("x0").is_empty(), "no moment without a warm copy");
+        }
+        assert_eq!(fleet.state.adapters.in_force[&AdapterName::from("x0")], AdapterRevision(2));
+        assert_eq!(fleet.warm("x0").len(), 4, "all copies follow");
+        let old = AdapterId::new("x0", 1);
+        assert!(fleet.engines.values().all(|engine| !engine.resident.contains(&old)));
+    }
+}
+
+#[test]
+fn a_new_conductor_goes_on_from_the_state_and_moves_nothing() {
+    let mut fleet = Fleet::new(8, 2, 3, QUICK);
+    let demand = [("a", "x0"), ("b", "x1"), ("c", "x2")];
+    fleet.run_with(80, &demand);
+    let (moves, loads) = (fleet.moves, fleet.loads);
+    fleet.planner = WarmingPlanner::default();
+    fleet.run_with(80, &demand);
+    assert_eq!((fleet.moves, fleet.loads), (moves, loads));
+}
+
+#[test]
+fn what_an_engine_holds_without_being_told_to_is_unloaded() {
+    let mut fleet = Fleet::new(2, 2, 1, QUICK);
+    fleet.run(40);
+    let stray = AdapterId::new("foreign", 7);
+    let name = EngineName::from("e0");
+    fleet.engines.get_mut(&name).unwrap().resident.insert(stray.clone());
+    fleet.run(5);
+    assert!(!fleet.engines[&name].resident.contains(&stray));
+}
+
+/// Whatever is drawn: bounds hold at each step, a warm adapter stays warm but for a loss, and what the
+/// places bear is warm in the end where its requests arrive.
+#[test]
+fn drawn_fleets_keep_their_minimums_through_shifts_and_losses() {
+    for seed in 0..200u64 {
+        arbtest::arbtest(|source| {
+            let engine_count = source.int_in_range(8..=16)?;
+            let places = source.int_in_range(1..=3)?;
+            let adapter_count = source.int_in_range(1..=4usize)?.min(places * 2);
+            let mut fleet = Fleet::new(engine_count, places, adapter_count, QUICK);
+            let mut homes: Vec<usize> = Vec::new();
+            for _ in 0..adapter_count {
+                homes.push(source.int_in_range(0..=3)?);
+            }
+            let names: Vec<String> = (0..adapter_count).map(|number| format!("x{number}")).collect();
+            fleet.run(40);
+            for _ in 0..source.int_in_range(1..=4)? {
+                let demand: Vec<(&'static str, &str)> =
+                    homes.iter().zip(&names).map(|(home, name)| (ZONES[*home], name.as_str())).collect();
+                let lost = source.int_in_range(0..=engine_count - 1)?;
+                let is_lost = source.ratio(1, 2)?;
+                for moment in 0..130 {
+                    if is_lost && moment == 60 {
+                        fleet.lose(&EngineName(format!("e{lost}")));
+                    }
+                    if is_lost && moment == 95 {
+                        fleet.restart(&EngineName(format!("e{lost}")));
+                    }
+                    fleet.run_with(1, &demand);
+                    let is_after_loss = is_lost && moment >= 60;
+                    for (name, home) in names.iter().zip(&homes) {
+                        assert!(!fleet.warm(name).is_empty() || is_after_loss, "{name} is warm nowhere");
+                        let region = if *home < 2 { "north" } else { "south" };
+                        if moment >= 55 {
+                            assert!(!fleet.warm_in(name, region).is_empty(), "{name} is not warm in the {region}");
+                        }
+                    }
+                }
+                let moved = source.int_in_range(0..=adapter_count - 1)?;
+                homes[moved] = source.int_in_range(0..=3)?;
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | 200)
+        .run();
+    }
+}
+
+#[test]
+fn noise_moves_nothing() {
+    for seed in 0..40u64 {
+        let mut draw = Draw::new(seed);
+        let mut fleet = Fleet::new(8, 2, 4, r#"{"loads_at_once":3,"demand_ms":6000,"hold_ms":20000}"#);
+        let mut noisy = |fleet: &mut Fleet, steps: u64| {
+            for _ in 0..steps {
+                for number in 0..4 {
+                    let home = if draw.chance(97) { number } else { (number + 2) % 4 };
+                    if draw.chance(50) {
+                        fleet.request(ZONES[home as usize], &format!("x{number}"));
+                    }
+                }
+                fleet.step();
+            }
+        };
+        noisy(&mut fleet, 300);
+        let moves = fleet.moves;
+        noisy(&mut fleet, 1000);
+        let more = fleet.moves - moves;
+        assert!(more <= 8, "seed {seed}: {more} moves in five minutes of noise");
+    }
+}
+
+#[test]
+fn copies_follow_the_load_and_do_not_flap() {
+    let mut fleet = Fleet::new(12, 1, 1, QUICK);
+    let patch = r#"{"adapters":{"x0":{"copy_requests":100}}}"#;
+    submit(&mut fleet.state, Command::Merge { base: None, patch: patch.into() });
+    // One request a step of 300 ms is 200 a minute in each zone.
+    fleet.run_with(80, &[("a", "x0"), ("b", "x0")]);
+    assert_eq!(fleet.warm_in("x0", "north").len(), 4, "380 a minute, as told just before the next request");
+    let moves = fleet.moves;
+    fleet.run_with(200, &[("a", "x0"), ("b", "x0")]);
+    assert_eq!(fleet.moves, moves);
+}
--- a/crates/desired/src/document.rs
+++ b/crates/desired/src/document.rs
@@ -19,11 +19,21 @@
     pub routes: BTreeMap<RouteName, RouteWish>,
     #[serde(default)]
     pub limits: CallerLimits,
+    #[serde(default)]
+    pub adapters: BTreeMap<AdapterName, AdapterWish>,
+    #[serde(default)]
+    pub warming: WarmingWish,
+    /// The region of each zone; a zone that is not named is in the region without a name.
+    #[serde(default)]
+    pub zones: BTreeMap<Zone, Region>,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ModelWish {
     pub weights: WeightsEdition,
+    /// Adapters that an engine of this model holds at once, at most.
+    #[serde(default)]
+    pub adapter_places: u64,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -34,6 +44,10 @@
     /// Goes before the priority of a route; 0 is the most urgent.
     #[serde(default)]
     pub priority: Option<u64>,
+    /// The adapters its requests run on: a request for a model runs on the adapter of that model, if there
+    /// is one here.
+    #[serde(default)]
+    pub adapters: Vec<AdapterName>,
     /// Key name -> SHA-256 of the key, in hex.
     pub keys: BTreeMap<KeyName, String>,
 }
@@ -60,6 +74,13 @@
     /// What prefilling a block costs an engine, for weighing a fetch against it.
     pub prefill_block: Span,
     pub fetch: FetchWish,
+    /// What an engine in another region than the router costs more, in blocks.
+    #[serde(default = "usual_distance")]
+    pub other_region_blocks: u64,
+}
+
+fn usual_distance() -> u64 {
+    64
 }
 
 fn all_of_them() -> u64 {
@@ -98,6 +119,7 @@
             events_late: Span::seconds(2),
             prefill_block: Span::micros(1500),
             fetch: FetchWish::default(),
+            other_region_blocks: usual_distance(),
         }
     }
 }
@@ -116,8 +138,9 @@
 
 fn read_fields(document: &mut Reader<'_>, desired_state: &mut DesiredState) {
     document.each("models", |name, mut model| {
-        let weights = model.whole("weights", 1, 1 << 53).unwrap_or(1);
-        desired_state.models.insert(name.into(), ModelWish { weights: WeightsEdition(weights) });
+        let weights = WeightsEdition(model.whole("weights", 1, 1 << 53).unwrap_or(1));
+        let adapter_places = model.whole("adapter_places", 0, MOST_ADAPTER_PLACES).unwrap_or(0);
+        desired_state.models.insert(name.into(), ModelWish { weights, adapter_places });
         model.close();
     });
     document.each("tenants", |name, mut tenant| {
@@ -125,6 +148,7 @@
             walled: tenant.flag("walled").unwrap_or(false),
             share: tenant.whole("share", 1, 100_000).unwrap_or(64),
             priority: tenant.whole("priority", 0, 1000),
+            adapters: tenant.texts("adapters").unwrap_or_default().into_iter().map(AdapterName).collect(),
             keys: BTreeMap::new(),
         };
         for (key_name, key_hash) in tenant.named_texts("keys") {
@@ -170,6 +194,7 @@
         check_key_hash(document, &format!("operators.{name}"), &key_hash);
     }
     read_traffic(document, desired_state);
+    read_adapters(document, desired_state);
     let Some(routing_value) = document.take("routing") else { return };
     read_routing(document, routing_value, &mut desired_state.routing);
 }
@@ -200,6 +225,9 @@
         if let Some(micros) = fields.whole("prefill_block_us", 0, 1_000_000) {
             routing.prefill_block = Span::micros(micros);
         }
+        if let Some(blocks) = fields.whole("other_region_blocks", 0, 1_000_000) {
+            routing.other_region_blocks = blocks;
+        }
         if let Some(fetch_value) = fields.take("fetch") {
             read_fetch(&mut fields, fetch_value, &mut routing.fetch);
         }
@@ -241,6 +269,7 @@
 
 fn check_references(desired_state: &DesiredState, complaints: &mut Vec<Complaint>) {
     check_traffic(desired_state, complaints);
+    check_adapters(desired_state, complaints);
     let mut seen_hashes = BTreeMap::new();
     for (tenant, wish) in &desired_state.tenants {
         for (key_name, key_hash) in &wish.keys {
--- a/crates/desired/src/fleet.rs
+++ b/crates/desired/src/fleet.rs
@@ -109,6 +109,19 @@
         engine: EngineName,
         standing: Standing,
     },
+    /// The conductor's word on a copy of an adapter at an engine, valid under its term alone; no stage
+    /// takes the copy out of the state.
+    PlaceCopy {
+        term: Term,
+        engine: EngineName,
+        adapter: AdapterId,
+        stage: Option<CopyStage>,
+    },
+    /// Requests run on this revision of an adapter from here on, valid under the conductor's term alone.
+    UseRevision {
+        term: Term,
+        adapter: AdapterId,
+    },
     /// An operator's intent; the plan made of it goes by this record's number.
     Intend(Intent),
     Confirm {
@@ -200,6 +213,8 @@
     /// Weights named apart from the document; they hold for models that the document has.
     #[serde(default)]
     pub named_weights: BTreeMap<ModelName, WeightsEdition>,
+    #[serde(default)]
+    pub adapters: HeldAdapters,
 }
 
 impl FleetState {
@@ -255,6 +270,7 @@
             claim_book,
             configuration: self.configuration.without_source(),
             named_weights: self.named_weights.clone(),
+            adapters: self.adapters.clone(),
         }
     }
 
@@ -297,6 +313,14 @@
                 }
                 Settled::Taken(number)
             }
+            Command::PlaceCopy { term, engine, adapter, stage } => match self.conducts(*term) {
+                true => self.place_copy(number, engine, adapter, stage),
+                false => other_term(),
+            },
+            Command::UseRevision { term, adapter } => match self.conducts(*term) {
+                true => self.use_revision(number, adapter),
+                false => other_term(),
+            },
             Command::Claim { claim, router, run } => self.claim(number, *claim, (*router, *run)),
             Command::Release { claim, router, run } => {
                 self.claim_book.give_back(*claim, (*router, *run));
@@ -460,6 +484,7 @@
             return Settled::Refused(complaints);
         }
         self.move_walls(number, &next_desired);
+        self.adapters.follow(&self.desired, &next_desired);
         std::mem::swap(&mut self.desired, &mut next_desired);
         self.desired_text = desired_text;
         self.desired_edition = number;
@@ -480,6 +505,7 @@
         if next_desired.operators.is_empty() && !self.desired.operators.is_empty() {
             complaints.push(Complaint::at("operators", "at least one operator key must stay"));
         }
+        complaints.extend(self.desired.check_adapter_move(next_desired, &self.adapters.given_up));
         complaints
     }
 
@@ -509,6 +535,7 @@
             let moved = listing.engines.get(engine).is_none_or(|listed| listed.address != known.address);
             if moved {
                 self.standings.remove(engine);
+                self.adapters.forget_engine(engine);
             }
         }
         self.listing = listing.clone();
--- a/crates/desired/src/lib.rs
+++ b/crates/desired/src/lib.rs
@@ -5,10 +5,12 @@
 
 pub mod prelude;
 
+mod adapters;
 mod claims;
 mod configuration;
 mod document;
 mod fleet;
+mod held_adapters;
 mod plans;
 mod read;
 mod scan;
--- a/crates/desired/src/prelude.rs
+++ b/crates/desired/src/prelude.rs
@@ -1,9 +1,11 @@
 //! The one import of this package's files.
 
+pub use crate::adapters::*;
 pub use crate::claims::*;
 pub use crate::configuration::*;
 pub use crate::document::*;
 pub use crate::fleet::*;
+pub use crate::held_adapters::*;
 pub use crate::plans::*;
 pub use crate::read::*;
 pub use crate::scan::*;
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod prelude;
 
+mod adapter;
 mod clock;
 mod draw;
 mod hash;
--- a/crates/units/src/names.rs
+++ b/crates/units/src/names.rs
@@ -1,4 +1,4 @@
-//! Names that operators and the platform give: tenants, keys, models, engines, zones.
+//! Names that operators and the platform give: tenants, keys, models, adapters, engines, zones, regions.
 
 use crate::prelude::*;
 
@@ -18,7 +18,7 @@
     )*};
 }
 
-name_type!(TenantName, KeyName, ModelName, EngineName, ServiceName, RouteName, Zone);
+name_type!(TenantName, KeyName, ModelName, EngineName, ServiceName, RouteName, Zone, Region, AdapterName);
 
 /// Whether a text may serve as a name: 1 to 64 of letters, digits, `-`, `_`, `.`.
 pub fn is_name(text: &str) -> bool {
--- a/crates/units/src/numbers.rs
+++ b/crates/units/src/numbers.rs
@@ -43,6 +43,7 @@
     /// The number of a record of the fleet state, and of the state it leads to.
     Edition,
     WeightsEdition,
+    AdapterRevision,
     WallEdition,
     WallId,
     Term,
--- a/crates/units/src/prelude.rs
+++ b/crates/units/src/prelude.rs
@@ -1,5 +1,6 @@
 //! The one import of this package's files, and of others that want all its types.
 
+pub use crate::adapter::*;
 pub use crate::clock::*;
 pub use crate::draw::*;
 pub use crate::hash::*;
