--- a/crates/blocks/src/cut.rs
+++ b/crates/blocks/src/cut.rs
@@ -17,6 +17,16 @@
         let salt_hash = BlockHash::over(&[b"salt", model.as_str().as_bytes(), &numbers[0], &numbers[1], &numbers[2]]);
         Salt(format!("w{weights}.{salt_hash}"))
     }
+
+    /// The salt of what is made under an adapter: neither that of the bare model nor of another adapter or
+    /// revision. Without an adapter it is that of the bare model.
+    pub fn under(self, adapter: Option<&AdapterId>) -> Salt {
+        let Some(adapter) = adapter else { return self };
+        let revision = adapter.revision.0.to_le_bytes();
+        let adapter_hash =
+            BlockHash::over(&[b"adapter", self.0.as_bytes(), adapter.name.as_str().as_bytes(), &revision]);
+        Salt(format!("{}.{adapter_hash}", self.0))
+    }
 }
 
 /// The names of a prompt's whole blocks, first to last.
@@ -51,7 +61,12 @@
             Salt::of(&"m".into(), WeightsEdition(1), WallId(1), WallEdition(0)),
             Salt::of(&"m".into(), WeightsEdition(1), WallId(0), WallEdition(1)),
         ];
-        for other_salt in other_salts {
+        let base_salt = Salt::of(&"m".into(), WeightsEdition(1), WallId(0), WallEdition(0));
+        assert_eq!(base_salt.clone().under(None), base_salt);
+        let adapted = [AdapterId::new("x", 1), AdapterId::new("x", 2), AdapterId::new("y", 1)];
+        let adapted_salts = adapted.map(|adapter| base_salt.clone().under(Some(&adapter)));
+        assert!(adapted_salts[0] != adapted_salts[1] && adapted_salts[0] != adapted_salts[2]);
+        for other_salt in other_salts.into_iter().chain(adapted_salts) {
             let other_names = cut(&other_salt, &prompt);
             assert!(other_names.iter().all(|name| !base_names.contains(name)), "{other_salt:?}");
         }
--- a/crates/carriage/src/gate.rs
+++ b/crates/carriage/src/gate.rs
@@ -14,6 +14,8 @@
     KeyWithdrawn,
     EngineMoved,
     WallMoved,
+    /// Requests run on another adapter or revision now, or the engine holds it no more.
+    AdapterMoved,
     LimitPassed,
 }
 
@@ -32,6 +34,8 @@
     pub model: ModelName,
     pub engine: EngineName,
     pub weights: WeightsEdition,
+    /// The adapter it runs on, alone; none for the bare model.
+    pub adapter: Option<AdapterId>,
     pub salt: Salt,
     pub limit: Instant,
 }
@@ -55,13 +59,36 @@
     if sight.usable_weights(&ground.engine, now) != Some(ground.weights) {
         return Err(StartBar::EngineMoved);
     }
+    if !runs_on_its_adapter(sight, ground) {
+        return Err(StartBar::AdapterMoved);
+    }
     let wall = sight.state.wall_of(&ground.tenant);
-    if Salt::of(&ground.model, ground.weights, wall.id, wall.edition) != ground.salt {
+    let salt = Salt::of(&ground.model, ground.weights, wall.id, wall.edition);
+    if salt.under(ground.adapter.as_ref()) != ground.salt {
         return Err(StartBar::WallMoved);
     }
     Ok(())
 }
 
+/// Whether a shot is for the adapter that its tenant's requests run on now, if they run on one, and its
+/// engine holds exactly that warm.
+fn runs_on_its_adapter(sight: &FleetSight, ground: &Ground) -> bool {
+    if sight.state.adapter_for(&ground.tenant, &ground.model) != ground.adapter {
+        return false;
+    }
+    let Some(adapter) = &ground.adapter else { return true };
+    sight.state.adapters.is_warm(&ground.engine, adapter)
+}
+
+/// Whether an answer, or a piece of one, names the adapter that its shot was to run on.
+pub fn is_own_answer(adapter: Option<&AdapterId>, answered_on: Option<&str>) -> bool {
+    match (adapter, answered_on) {
+        (None, None) => true,
+        (Some(adapter), Some(named)) => AdapterId::read(named).as_ref() == Some(adapter),
+        _ => false,
+    }
+}
+
 /// Whether work for a key may go on. A router long without a lease cannot know of withdrawn keys.
 pub fn may_go_on(
     sight: &FleetSight,
--- a/crates/carriage/src/mind.rs
+++ b/crates/carriage/src/mind.rs
@@ -50,6 +50,8 @@
 pub enum PickOutcome {
     Placed(EngineName),
     NoEngine,
+    /// Engines serve, but none holds the adapter that the request runs on.
+    NoAdapter,
     /// A second shot would go over the retry budget.
     NoBudget,
     Overloaded,
@@ -141,6 +143,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GivenUpKind {
     NotServed,
+    /// No engine holds its adapter warm.
+    AdapterCold,
     LimitPassed,
     NoLease,
     KeyWithdrawn,
@@ -314,6 +318,9 @@
                 self.plan.push(CarriageEffect::Connect { shot: self.shot() });
             }
             PickOutcome::Overloaded => self.give_up(GivenUpKind::NotServed, "the router is overloaded".into()),
+            PickOutcome::NoAdapter => {
+                self.give_up(GivenUpKind::AdapterCold, "no engine holds its adapter warm; it is being seen to".into());
+            }
             PickOutcome::NoEngine | PickOutcome::NoBudget => {
                 self.give_up(GivenUpKind::NotServed, self.last_reason.clone());
             }
@@ -326,7 +333,7 @@
             StartBar::NoLease => self.stop_shot(Ran::No, reason, GivenUpKind::NoLease),
             StartBar::KeyWithdrawn => self.stop_shot(Ran::No, reason, GivenUpKind::KeyWithdrawn),
             StartBar::LimitPassed => self.stop_shot(Ran::No, reason, GivenUpKind::LimitPassed),
-            StartBar::EngineMoved | StartBar::WallMoved => {
+            StartBar::EngineMoved | StartBar::WallMoved | StartBar::AdapterMoved => {
                 self.note_fault(Ran::No, reason, false);
                 self.is_retry = false;
                 self.try_again();
--- a/crates/console/src/words.rs
+++ b/crates/console/src/words.rs
@@ -7,6 +7,7 @@
 Usage: console --door IP:PORT[,IP:PORT...] [--json] COMMAND
 
   fleet                              view, members, nodes, engines, duties
+  adapters                           revisions in force, copies at engines, requests by region
   desired-state [show]               the desired state and its edition
   desired-state put FILE             replace it whole (--base EDITION, or the present one)
   desired-state patch FILE           merge a patch into it (--base EDITION, or the present one)
@@ -118,6 +119,7 @@
     pub fn deed(&self) -> Result<Deed, Report> {
         let words: Vec<&str> = self.command.iter().map(String::as_str).collect();
         let deed = match words.as_slice() {
+            ["adapters"] => Deed::Show { path: "/v1/adapters".into() },
             ["fleet"] => Deed::Show { path: "/v1/fleet".into() },
             ["desired-state"] | ["desired-state", "show"] => Deed::Show { path: "/v1/desired-state".into() },
             ["desired-state", "put", file] => Deed::Change { method: Method::PUT, file: (*file).into() },
--- a/crates/contract/src/engines.rs
+++ b/crates/contract/src/engines.rs
@@ -4,6 +4,12 @@
 
 pub const SHOT_HEADER: &str = "x-haremount-shot";
 pub const WEIGHTS_HEADER: &str = "x-haremount-weights";
+/// The adapter that a request runs on, and that an answer was made on, as `name@revision`; without it the
+/// bare model.
+pub const ADAPTER_HEADER: &str = "x-haremount-adapter";
+/// The error type with which an engine refuses a request, without having begun it, because it does not hold
+/// that adapter in that revision.
+pub const NOT_RESIDENT: &str = "adapter_not_resident";
 /// How long the shot may be worked on, in milliseconds; the engine ends it then, unless more was allowed
 /// meanwhile by a `POST` to [`limit_page`].
 pub const LIMIT_HEADER: &str = "x-haremount-limit-ms";
@@ -57,6 +63,9 @@
     pub object: String,
     pub model: String,
     pub choices: Vec<Choice>,
+    /// The adapter it was made on, as `name@revision`; none for the bare model.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adapter: Option<String>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub usage: Option<Usage>,
 }
@@ -140,6 +149,12 @@
     pub running: u64,
     pub accepting: bool,
     pub highest_term: u64,
+    /// The adapters it holds, as `name@revision`.
+    #[serde(default)]
+    pub adapters: Vec<String>,
+    /// How many adapters it can hold.
+    #[serde(default)]
+    pub adapter_places: u64,
 }
 
 /// An order of the conductor; an engine refuses a term lower than the highest it has seen.
@@ -156,7 +171,17 @@
 pub enum OrderWish {
     Drain,
     Open,
-    LoadWeights { weights: u64 },
+    LoadWeights {
+        weights: u64,
+    },
+    /// Hold this adapter, as `name@revision`, in a place that is free; the engine goes on serving.
+    LoadAdapter {
+        adapter: String,
+    },
+    /// Hold this adapter no more; refused while a request runs on it.
+    UnloadAdapter {
+        adapter: String,
+    },
 }
 
 /// What an engine logs for whoever judges a run; instants are boot-time milliseconds.
@@ -196,6 +221,9 @@
     pub shot: String,
     pub salt: String,
     pub weights: u64,
+    /// The adapter it runs on, as `name@revision`; empty for the bare model.
+    #[serde(default)]
+    pub adapter: String,
     pub prompt_blocks: u64,
     pub cached_blocks: u64,
 }
@@ -206,3 +234,11 @@
     let piece_hash = BlockHash::over(&[b"piece", prompt.as_bytes(), shot.as_bytes(), &place.to_le_bytes()]);
     format!("{:06x} ", piece_hash.0 & 0xff_ffff)
 }
+
+/// The same under an adapter: any reader can tell which adapter and revision a piece was made on.
+pub fn adapted_piece(adapter: &str, prompt: &str, shot: &str, place: u64) -> String {
+    match adapter {
+        "" => stand_in_piece(prompt, shot, place),
+        adapter => stand_in_piece(&format!("{adapter}\n{prompt}"), shot, place),
+    }
+}
--- a/crates/courier/src/mind.rs
+++ b/crates/courier/src/mind.rs
@@ -29,6 +29,8 @@
         ticket: u64,
         submission: Submission,
     },
+    /// Where requests on adapters arrive.
+    Demand(DemandReport),
 }
 
 /// The agent to its router, over loopback.
@@ -180,6 +182,7 @@
             CourierInput::Router(RouterUp::Submit { ticket, submission }) => {
                 self.say_core(NodeUp::Submit { ticket, submission });
             }
+            CourierInput::Router(RouterUp::Demand(report)) => self.say_core(NodeUp::Demand(report)),
             CourierInput::Router(RouterUp::Applied { edition }) => {
                 let Some(router) = self.router.as_mut() else { return Vec::new() };
                 let is_first = router.applied.is_none();
--- a/crates/courier/src/prelude.rs
+++ b/crates/courier/src/prelude.rs
@@ -3,4 +3,4 @@
 pub use crate::mind::*;
 pub(crate) use serde::{Deserialize, Serialize};
 pub(crate) use units::prelude::*;
-pub(crate) use warden::prelude::{FleetState, NodeDown, NodeUp, RouterDoor, Settled, Submission, View};
+pub(crate) use warden::prelude::{DemandReport, FleetState, NodeDown, NodeUp, RouterDoor, Settled, Submission, View};
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod prelude;
 
+mod adapters;
 mod cost;
 mod memory;
 mod site;
--- a/crates/engine/src/main.rs
+++ b/crates/engine/src/main.rs
@@ -16,6 +16,8 @@
         setting("prefill_us", Kind::Whole(0, 1_000_000), Some("1500"), "cost of a prefill block, microseconds"),
         setting("decode_us", Kind::Whole(0, 1_000_000), Some("4000"), "cost of a token, microseconds"),
         setting("load_ms", Kind::Whole(0, 60_000), Some("500"), "how long loading weights takes"),
+        setting("adapter_places", Kind::Whole(0, 1024), Some("4"), "how many adapters it holds at once"),
+        setting("adapter_load_ms", Kind::Whole(0, 60_000), Some("300"), "how long loading an adapter takes"),
         setting("link_us", Kind::Whole(0, 1_000_000), Some("100"), "cost of fetching a block, microseconds"),
         setting("store", Kind::Address, None, "the prompt store, to which new blocks are put"),
         setting("starts", Kind::Path, None, "file to which each start is appended"),
--- a/crates/engine/src/prelude.rs
+++ b/crates/engine/src/prelude.rs
@@ -1,12 +1,13 @@
 //! The one import of this package's files, and of the store's.
 
+pub use crate::adapters::*;
 pub use crate::cost::*;
 pub use crate::memory::*;
 pub use crate::site::*;
 pub use blocks::prelude::*;
 pub use contract::prelude::*;
 pub use serde_json::{Value, json};
-pub(crate) use std::collections::{BTreeMap, HashMap, VecDeque};
+pub(crate) use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 pub(crate) use std::io::Write as _;
 pub use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 pub use std::sync::{Arc, Mutex};
--- a/crates/engine/src/site.rs
+++ b/crates/engine/src/site.rs
@@ -19,6 +19,8 @@
     pub refuse: bool,
     /// A slower link to fetch over, microseconds a block.
     pub link_us: Option<u64>,
+    /// Answer as if made on this adapter.
+    pub answers_as: Option<String>,
 }
 
 struct Weights {
@@ -31,6 +33,8 @@
     name: String,
     model: String,
     load_time: Duration,
+    adapter_load_time: Duration,
+    adapters: Mutex<AdapterPlaces>,
     link_block: Duration,
     store: Option<String>,
     fetched: AtomicU64,
@@ -81,6 +85,8 @@
             name: settings.text("name")?.to_owned(),
             model: settings.text("model")?.to_owned(),
             load_time: settings.millis("load_ms")?.as_duration(),
+            adapter_load_time: settings.millis("adapter_load_ms")?.as_duration(),
+            adapters: Mutex::new(AdapterPlaces::new(settings.whole("adapter_places")? as usize)),
             link_block: Duration::from_micros(settings.whole("link_us")?),
             store: settings.maybe("store").map(str::to_owned),
             fetched: AtomicU64::new(0),
@@ -148,6 +154,10 @@
 
     fn state(&self) -> EngineState {
         let boot = held(&self.memory).boot.clone();
+        let (adapters, adapter_places) = {
+            let places = held(&self.adapters);
+            (places.resident(), places.count())
+        };
         let weights = held(&self.weights);
         EngineState {
             boot,
@@ -156,6 +166,8 @@
             running: self.running.load(Ordering::SeqCst),
             accepting: weights.accepting,
             highest_term: weights.highest_term,
+            adapters,
+            adapter_places,
         }
     }
 
@@ -184,6 +196,7 @@
         faults.hide_events = wished["hide_events"] == true;
         faults.refuse = wished["refuse"] == true;
         faults.link_us = wished["link_us"].as_u64();
+        faults.answers_as = wished["answers_as"].as_str().map(str::to_owned);
         outcome_json(StatusCode::OK, &json!({}))
     }
 
@@ -233,19 +246,42 @@
                     return refuse(StatusCode::CONFLICT, "running", "requests still run");
                 }
                 held(&self.memory).clear();
+                held(&self.adapters).clear();
                 self.news.send_modify(|count| *count += 1);
                 let mut held_weights = held(&self.weights);
                 held_weights.edition = weights;
                 held_weights.accepting = !self.stopping.load(Ordering::SeqCst);
             }
+            OrderWish::LoadAdapter { adapter } => {
+                let Some(adapter) = AdapterId::read(&adapter) else { return bad_adapter() };
+                if let Err(refusal) = self.load_adapter(&adapter).await {
+                    return refuse(StatusCode::CONFLICT, refusal.kind(), &format!("{adapter} is not loaded"));
+                }
+            }
+            OrderWish::UnloadAdapter { adapter } => {
+                let Some(adapter) = AdapterId::read(&adapter) else { return bad_adapter() };
+                if let Err(refusal) = held(&self.adapters).unload(&adapter) {
+                    return refuse(StatusCode::CONFLICT, refusal.kind(), &format!("{adapter} is not unloaded"));
+                }
+            }
         }
         outcome_json(StatusCode::OK, &json!(self.state()))
     }
 
+    /// Loads an adapter beside what runs.
+    async fn load_adapter(&self, adapter: &AdapterId) -> Result<(), AdapterRefusal> {
+        if held(&self.adapters).begin_load(adapter)? {
+            tokio::time::sleep(self.adapter_load_time).await;
+            held(&self.adapters).finish_load(adapter);
+        }
+        Ok(())
+    }
+
     async fn complete(self: Arc<Self>, mut asked: Asked) -> WebOutcome {
         let shot = asked.header(SHOT_HEADER).unwrap_or("").to_owned();
         let limit = limit_of(&asked);
         let asked_weights = asked.header(WEIGHTS_HEADER).and_then(|text| text.parse::<u64>().ok());
+        let Ok(adapter) = adapter_of(&asked) else { return bad_adapter() };
         let Ok(body) = asked.read_body(MOST_REQUEST_BYTES * 2).await else {
             return refuse(StatusCode::BAD_REQUEST, "bad_request", "body unreadable");
         };
@@ -257,21 +293,24 @@
             return refuse(StatusCode::INTERNAL_SERVER_ERROR, "engine_fault", "told to refuse");
         }
         let names = cut(&Salt(request.cache_salt.clone()), request.prompt.as_bytes());
-        let weights = match self.admit(asked_weights) {
+        let weights = match self.admit(asked_weights, adapter.as_ref()) {
             Ok(weights) => weights,
             Err(refusal) => return *refusal,
         };
         let cached_blocks = held(&self.memory).overlap(&names) as u64;
-        self.log_start(&request, &shot, weights, cached_blocks);
+        let adapter_text = adapter.as_ref().map(AdapterId::to_string).unwrap_or_default();
+        self.log_start(&request, &shot, weights, &adapter_text, cached_blocks);
+        let told_adapter = faults.answers_as.clone().unwrap_or(adapter_text);
         let own_shot = shot.clone();
         let reported_shot = if faults.wrong_shot { "00000000".to_owned() } else { shot };
         if request.stream {
             let (pieces, answered) = outcome_pieces(StatusCode::OK, "text/event-stream", 16);
-            let answered = answered.with_header(SHOT_HEADER, &reported_shot);
+            let answered = name_adapter(answered.with_header(SHOT_HEADER, &reported_shot), &told_adapter);
             let this = Arc::clone(&self);
             tokio::spawn(async move {
-                let (running, time_over) = this.begin(own_shot, limit);
-                let work = Work { request: &request, names: &names, shot: &reported_shot, faults: &faults };
+                let (running, time_over) = this.begin(own_shot, adapter, limit);
+                let shot = &reported_shot;
+                let work = Work { request: &request, names: &names, shot, adapter: &told_adapter, faults: &faults };
                 tokio::select! {
                     _ = this.run(work, cached_blocks, &running, Some(&pieces)) => {}
                     () = pieces.gone() => {}
@@ -283,29 +322,32 @@
             });
             return answered;
         }
-        let (running, time_over) = self.begin(own_shot, limit);
-        let work = Work { request: &request, names: &names, shot: &reported_shot, faults: &faults };
+        let (running, time_over) = self.begin(own_shot, adapter, limit);
+        let shot = &reported_shot;
+        let work = Work { request: &request, names: &names, shot, adapter: &told_adapter, faults: &faults };
         let fetched_blocks = tokio::select! {
             fetched_blocks = self.run(work, cached_blocks, &running, None) => fetched_blocks,
             () = passed(time_over) => {
                 return refuse(StatusCode::GATEWAY_TIMEOUT, "limit_passed", "the shot's limit passed");
             }
         };
-        let whole_text: String =
-            (0..request.max_tokens).map(|place| stand_in_piece(&request.prompt, &reported_shot, place)).collect();
+        let piece = |place| adapted_piece(&told_adapter, &request.prompt, &reported_shot, place);
+        let whole_text: String = (0..request.max_tokens).map(piece).collect();
         drop(running);
         let completion = Completion {
             id: reported_shot.clone(),
             object: "text_completion".into(),
             model: self.model.clone(),
             choices: vec![Choice { index: 0, text: whole_text, finish_reason: Some("length".into()) }],
+            adapter: named(&told_adapter),
             usage: Some(usage(&request, cached_blocks + fetched_blocks, fetched_blocks)),
         };
-        outcome_json(StatusCode::OK, &json!(completion)).with_header(SHOT_HEADER, &reported_shot)
+        let answered = outcome_json(StatusCode::OK, &json!(completion)).with_header(SHOT_HEADER, &reported_shot);
+        name_adapter(answered, &told_adapter)
     }
 
-    /// Counts work in, if it may begin on the weights it asks for; the weights it begins on.
-    fn admit(&self, asked_weights: Option<u64>) -> Result<u64, Box<WebOutcome>> {
+    /// Counts work in, if it may begin on the weights and the adapter it asks for; the weights it begins on.
+    fn admit(&self, asked_weights: Option<u64>, adapter: Option<&AdapterId>) -> Result<u64, Box<WebOutcome>> {
         let weights = held(&self.weights);
         if !weights.accepting {
             let refusal = refuse(StatusCode::SERVICE_UNAVAILABLE, "not_accepting", "this engine starts nothing now");
@@ -315,15 +357,26 @@
             let refusal = refuse(StatusCode::CONFLICT, "other_weights", &format!("weights {}", weights.edition));
             return Err(Box::new(refusal));
         }
+        if let Some(adapter) = adapter
+            && let Err(refusal) = held(&self.adapters).enter(adapter)
+        {
+            let reason = format!("{adapter} is not held here");
+            return Err(Box::new(refuse(StatusCode::MISDIRECTED_REQUEST, refusal.kind(), &reason)));
+        }
         self.running.fetch_add(1, Ordering::SeqCst);
         Ok(weights.edition)
     }
 
     /// Begins to count a shot's run and its time.
-    fn begin(&self, shot: String, limit: Duration) -> (Running<'_>, tokio::sync::watch::Receiver<Instant>) {
+    fn begin(
+        &self,
+        shot: String,
+        adapter: Option<AdapterId>,
+        limit: Duration,
+    ) -> (Running<'_>, tokio::sync::watch::Receiver<Instant>) {
         let (allowed, time_over) = tokio::sync::watch::channel(boot_now() + Span::of(limit));
         held(&self.allowed).insert(shot.clone(), allowed);
-        (Running::new(self, shot), time_over)
+        (Running::new(self, shot, adapter), time_over)
     }
 
     /// Gives a shot under way more time; less is never taken.
@@ -338,13 +391,14 @@
         }
     }
 
-    fn log_start(&self, request: &EngineRequest, shot: &str, weights: u64, cached_blocks: u64) {
+    fn log_start(&self, request: &EngineRequest, shot: &str, weights: u64, adapter: &str, cached_blocks: u64) {
         self.log_line(&EngineLine::Start(StartLine {
             at: boot_now().0 / 1_000_000,
             engine: self.name.clone(),
             shot: shot.to_owned(),
             salt: request.cache_salt.clone(),
             weights,
+            adapter: adapter.to_owned(),
             prompt_blocks: blocks_of(request.prompt.len()).0,
             cached_blocks,
         }));
@@ -363,7 +417,7 @@
         running: &Running<'_>,
         pieces: Option<&PieceSender>,
     ) -> u64 {
-        let Work { request, names, shot, faults } = work;
+        let Work { request, names, shot, adapter, faults } = work;
         let prompt_blocks = blocks_of(request.prompt.len()).0;
         let _in_work = self.pace.begin(prompt_blocks);
         let fetched_blocks = self.fetch(&request.fetch, names, cached_blocks as usize).await;
@@ -386,9 +440,10 @@
                 model: self.model.clone(),
                 choices: vec![Choice {
                     index: 0,
-                    text: stand_in_piece(&request.prompt, shot, place),
+                    text: adapted_piece(adapter, &request.prompt, shot, place),
                     finish_reason: is_last.then(|| "length".into()),
                 }],
+                adapter: named(adapter),
                 usage: is_last.then(|| usage(request, cached_blocks, fetched_blocks)),
             };
             if !pieces.send(Bytes::from(format!("data: {}\n\n", json!(completion)))).await {
@@ -460,16 +515,18 @@
         let shot = asked.header(SHOT_HEADER).unwrap_or("").to_owned();
         let limit = limit_of(&asked);
         let asked_weights = asked.header(WEIGHTS_HEADER).and_then(|text| text.parse::<u64>().ok());
+        let Ok(adapter) = adapter_of(&asked) else { return bad_adapter() };
         let body = asked.read_body(MOST_REQUEST_BYTES * 2).await.unwrap_or_default();
         let Ok(request) = serde_json::from_slice::<PrefillRequest>(&body) else {
             return refuse(StatusCode::BAD_REQUEST, "bad_request", "no prefill request");
         };
         let names = cut(&Salt(request.cache_salt.clone()), request.prompt.as_bytes());
         let prompt_blocks = blocks_of(request.prompt.len()).0;
-        let (weights, _running) = match self.admit(asked_weights) {
+        let (weights, _running) = match self.admit(asked_weights, adapter.as_ref()) {
             Ok(weights) => (weights, Counted(&self.running)),
             Err(refusal) => return *refusal,
         };
+        let _on_adapter = AdapterUse { site: &self, adapter: adapter.clone() };
         let known_count = held(&self.memory).overlap(&names);
         self.log_line(&EngineLine::Prefill(StartLine {
             at: boot_now().0 / 1_000_000,
@@ -477,6 +534,7 @@
             shot,
             salt: request.cache_salt,
             weights,
+            adapter: adapter.as_ref().map(AdapterId::to_string).unwrap_or_default(),
             prompt_blocks,
             cached_blocks: known_count as u64,
         }));
@@ -490,6 +548,40 @@
     }
 }
 
+/// The adapter a request names, if it names one.
+fn adapter_of(asked: &Asked) -> Result<Option<AdapterId>, ()> {
+    let Some(text) = asked.header(ADAPTER_HEADER) else { return Ok(None) };
+    AdapterId::read(text).map(Some).ok_or(())
+}
+
+fn bad_adapter() -> WebOutcome {
+    refuse(StatusCode::BAD_REQUEST, "bad_request", "an adapter is written name@revision")
+}
+
+/// An adapter as an answer names it: not at all for the bare model.
+fn named(adapter: &str) -> Option<String> {
+    (!adapter.is_empty()).then(|| adapter.to_owned())
+}
+
+/// An answer's head names the adapter, if there is one.
+fn name_adapter(answered: WebOutcome, adapter: &str) -> WebOutcome {
+    if adapter.is_empty() { answered } else { answered.with_header(ADAPTER_HEADER, adapter) }
+}
+
+/// A request that runs on an adapter, until dropped.
+struct AdapterUse<'a> {
+    site: &'a EngineSite,
+    adapter: Option<AdapterId>,
+}
+
+impl Drop for AdapterUse<'_> {
+    fn drop(&mut self) {
+        if let Some(adapter) = &self.adapter {
+            held(&self.site.adapters).leave(adapter);
+        }
+    }
+}
+
 /// How long a shot may be worked on from now on.
 fn limit_of(asked: &Asked) -> Duration {
     let limit_ms = asked.header(LIMIT_HEADER).and_then(|text| text.parse::<u64>().ok());
@@ -554,6 +646,7 @@
     request: &'a EngineRequest,
     names: &'a [BlockHash],
     shot: &'a str,
+    adapter: &'a str,
     faults: &'a Faults,
 }
 
@@ -561,13 +654,15 @@
 struct Running<'a> {
     site: &'a EngineSite,
     shot: String,
+    _on_adapter: AdapterUse<'a>,
     pieces: AtomicU64,
     whole: AtomicBool,
 }
 
 impl<'a> Running<'a> {
-    fn new(site: &'a EngineSite, shot: String) -> Running<'a> {
-        Running { site, shot, pieces: AtomicU64::new(0), whole: AtomicBool::new(false) }
+    fn new(site: &'a EngineSite, shot: String, adapter: Option<AdapterId>) -> Running<'a> {
+        let _on_adapter = AdapterUse { site, adapter };
+        Running { site, shot, _on_adapter, pieces: AtomicU64::new(0), whole: AtomicBool::new(false) }
     }
 }
 
--- /dev/null
+++ b/crates/keeper/src/adapters_page.rs
@@ -0,0 +1,48 @@
+//! What operators are shown of adapters: which revision requests run on, where copies stand, and where
+//! requests arrive.
+
+use crate::prelude::*;
+
+/// Every adapter of the document with its copies, and the rates of its requests by region.
+pub(crate) fn show_adapters(state: &FleetState, heard: &[HeardDemand]) -> Value {
+    let adapters: Vec<Value> = state
+        .desired
+        .adapters
+        .iter()
+        .map(|(name, wish)| {
+            let owners: Vec<&str> = wish.owners.iter().map(TenantName::as_str).collect();
+            json!({"name": name.as_str(), "model": wish.model.as_str(), "owners": owners,
+                   "revision": wish.revision.0, "in_force": state.adapters.in_force.get(name).map(|known| known.0),
+                   "copies": show_copies(state, name), "requests_a_minute": show_demand(state, name, heard)})
+        })
+        .collect();
+    json!({ "adapters": adapters })
+}
+
+fn show_copies(state: &FleetState, name: &AdapterName) -> Vec<Value> {
+    let mut shown = Vec::new();
+    for (engine, copies) in &state.adapters.copies {
+        let zone = state.listing.engines.get(engine).map(|listed| listed.zone.clone()).unwrap_or_default();
+        for copy in copies.iter().filter(|copy| copy.adapter.name == *name) {
+            let stage = match copy.stage {
+                CopyStage::Loading => "loading",
+                CopyStage::Warm { .. } => "warm",
+                CopyStage::Leaving => "leaving",
+            };
+            shown.push(json!({"engine": engine.as_str(), "revision": copy.adapter.revision.0, "stage": stage,
+                              "zone": zone.as_str(), "region": state.desired.region_of(&zone).as_str()}));
+        }
+    }
+    shown
+}
+
+fn show_demand(state: &FleetState, name: &AdapterName, heard: &[HeardDemand]) -> Value {
+    let mut rates: BTreeMap<String, f64> = BTreeMap::new();
+    for HeardDemand { report, .. } in heard {
+        if let Some(rate) = report.rates.get(name) {
+            let region = state.desired.region_of(&report.zone);
+            *rates.entry(region.0).or_default() += *rate as f64 / RATE_UNIT;
+        }
+    }
+    json!(rates)
+}
--- a/crates/keeper/src/conducting.rs
+++ b/crates/keeper/src/conducting.rs
@@ -6,23 +6,51 @@
 const ROUND_EVERY: Duration = Duration::from_millis(300);
 const LOOK_LIMIT: Span = Span::millis(700);
 const ORDER_LIMIT: Span = Span::seconds(15);
+/// How often the conductor asks where requests on adapters arrive.
+const DEMAND_EVERY: Span = Span::seconds(1);
+
+/// What engines said of themselves, and when.
+#[derive(Default)]
+struct Looks {
+    observed: BTreeMap<EngineName, Observed>,
+    adapters: BTreeMap<EngineName, SeenEngine>,
+}
 
 pub async fn conduct(shelf: Shelf, desk: DeskAsker, me: NodeId) {
     let mut conductor = Conductor::default();
-    let mut observed = BTreeMap::new();
+    let mut planner = WarmingPlanner::default();
+    let mut planner_term = Term(0);
+    let mut demand_asked = Instant(0);
+    let mut looks = Looks::default();
     let mut pulse = tokio::time::interval(ROUND_EVERY);
     pulse.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut ordering: HashMap<EngineName, tokio::task::JoinHandle<()>> = HashMap::new();
     loop {
         pulse.tick().await;
         let Some((term, _)) = look(&shelf).conductor else {
-            observed.clear();
+            looks = Looks::default();
+            planner.forget();
             continue;
         };
-        look_at_engines(&look(&shelf).state, &mut observed).await;
+        look_at_engines(&look(&shelf).state, &mut looks).await;
+        if term != planner_term {
+            planner.forget();
+            planner_term = term;
+        }
+        let now = boot_now();
+        let has_adapters = !look(&shelf).state.desired.adapters.is_empty();
+        if has_adapters && now.since(demand_asked) >= DEMAND_EVERY {
+            demand_asked = now;
+            if let AskOutcome::Demand(heard) = desk.ask(Question::Demand, LOOK_LIMIT).await {
+                planner.demand.hear(heard, boot_now());
+            }
+        }
         let seen = look(&shelf);
         ordering.retain(|_, order| !order.is_finished());
-        for act in conductor.direct(&seen.state, &observed, boot_now()) {
+        for act in planner.direct(&seen.state, &looks.adapters, boot_now()) {
+            carry_out_warming(act, &shelf, &desk, &mut ordering, term, me);
+        }
+        for act in conductor.direct(&seen.state, &looks.observed, boot_now()) {
             match act {
                 Act::Stand { engine, standing } => {
                     event!(info, "engine_stands", engine = engine, closed = standing.closed, term = term);
@@ -50,6 +78,40 @@
     }
 }
 
+/// Does what the planner of adapters wants: the state is asked for one copy at a time, and an engine is
+/// given one order at a time.
+fn carry_out_warming(
+    act: WarmingAct,
+    shelf: &Shelf,
+    desk: &DeskAsker,
+    ordering: &mut HashMap<EngineName, tokio::task::JoinHandle<()>>,
+    term: Term,
+    me: NodeId,
+) {
+    match act {
+        WarmingAct::Place { engine, adapter, stage } => {
+            let naming = EngineName(format!("{engine} {adapter}"));
+            if !ordering.contains_key(&naming) {
+                event!(info, "adapter_placed", engine = engine, adapter = adapter, stage = format!("{stage:?}"));
+            }
+            submit_once(desk, ordering, naming, Command::PlaceCopy { term, engine, adapter, stage });
+        }
+        WarmingAct::UseRevision { adapter } => {
+            event!(info, "adapter_revision", adapter = adapter, term = term);
+            let naming = EngineName(format!("revision {}", adapter.name));
+            submit_once(desk, ordering, naming, Command::UseRevision { term, adapter });
+        }
+        WarmingAct::Load { engine, address, adapter } => {
+            let wish = OrderWish::LoadAdapter { adapter: adapter.to_string() };
+            give_order(shelf, ordering, engine, address, term, me, wish);
+        }
+        WarmingAct::Unload { engine, address, adapter } => {
+            let wish = OrderWish::UnloadAdapter { adapter: adapter.to_string() };
+            give_order(shelf, ordering, engine, address, term, me, wish);
+        }
+    }
+}
+
 /// Submits what the conductor wants for one engine or plan, unless an earlier wish is under way.
 fn submit_once(
     desk: &DeskAsker,
@@ -103,8 +165,9 @@
     ordering.insert(naming, tokio::spawn(ordering_task));
 }
 
-async fn look_at_engines(state: &FleetState, observed: &mut BTreeMap<EngineName, Observed>) {
-    observed.retain(|engine, _| state.listing.engines.contains_key(engine));
+async fn look_at_engines(state: &FleetState, looks: &mut Looks) {
+    looks.observed.retain(|engine, _| state.listing.engines.contains_key(engine));
+    looks.adapters.retain(|engine, _| state.listing.engines.contains_key(engine));
     let mut looking = tokio::task::JoinSet::new();
     for (engine, listed) in &state.listing.engines {
         let (engine, address) = (engine.clone(), listed.address.clone());
@@ -113,19 +176,32 @@
             let question = web::prelude::Question::get("/v1/state");
             let (_, _, body) = ask_whole(&address, question, LOOK_LIMIT, 1 << 16).await.ok()?;
             let engine_state: EngineState = serde_json::from_slice(&body).ok()?;
-            let seen = Observed {
-                boot: engine_state.boot,
-                weights: WeightsEdition(engine_state.weights),
-                running: engine_state.running,
-                accepting: engine_state.accepting,
-                at: asked_at,
-            };
-            Some((engine, seen))
+            Some((engine, engine_state, asked_at))
         });
     }
     while let Some(looked) = looking.join_next().await {
-        if let Ok(Some((engine, seen))) = looked {
-            observed.insert(engine, seen);
+        if let Ok(Some((engine, engine_state, asked_at))) = looked {
+            looks.adapters.insert(engine.clone(), seen_engine(&engine_state, asked_at));
+            looks.observed.insert(engine, observed(engine_state, asked_at));
         }
     }
 }
+
+fn seen_engine(told: &EngineState, at: Instant) -> SeenEngine {
+    SeenEngine {
+        boot: told.boot.clone(),
+        resident: told.adapters.iter().filter_map(|text| AdapterId::read(text)).collect(),
+        places: told.adapter_places,
+        at,
+    }
+}
+
+fn observed(told: EngineState, at: Instant) -> Observed {
+    Observed {
+        boot: told.boot,
+        weights: WeightsEdition(told.weights),
+        running: told.running,
+        accepting: told.accepting,
+        at,
+    }
+}
--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -76,7 +76,8 @@
     FleetState {
         edition: state.edition,
         desired_edition: state.desired_edition,
-        desired: DesiredState { models: state.desired.models.clone(), ..DesiredState::default() },
+        desired: glance_at_document(&state.desired),
+        adapters: state.adapters.clone(),
         listing: state.listing.clone(),
         listing_edition: state.listing_edition,
         standings: state.standings.clone(),
@@ -87,6 +88,16 @@
     }
 }
 
+fn glance_at_document(desired: &DesiredState) -> DesiredState {
+    DesiredState {
+        models: desired.models.clone(),
+        adapters: desired.adapters.clone(),
+        warming: desired.warming,
+        zones: desired.zones.clone(),
+        ..DesiredState::default()
+    }
+}
+
 struct LinkPlace {
     link: Link,
     hello: Hello,
--- a/crates/keeper/src/door.rs
+++ b/crates/keeper/src/door.rs
@@ -79,6 +79,10 @@
                 None => refuse(StatusCode::NOT_FOUND, "not_found", "no such policy"),
             },
             ("GET", ["v1", "fleet"]) => self.show_fleet(&state).await,
+            ("GET", ["v1", "adapters"]) => match self.desk.ask(Question::Demand, READ_LIMIT).await {
+                AskOutcome::Demand(heard) => outcome_json(StatusCode::OK, &show_adapters(&state, &heard)),
+                _ => no_core(),
+            },
             _ => no_such_page(),
         }
     }
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod prelude;
 
+mod adapters_page;
 mod bringing;
 mod census;
 mod conducting;
--- a/crates/keeper/src/prelude.rs
+++ b/crates/keeper/src/prelude.rs
@@ -1,5 +1,6 @@
 //! The one import of this package's files, and of programs that run a keeper.
 
+pub(crate) use crate::adapters_page::*;
 pub(crate) use crate::bringing::*;
 pub(crate) use crate::census::*;
 pub(crate) use crate::conducting::*;
@@ -12,11 +13,12 @@
 pub use crate::patience::*;
 pub use crate::ports::*;
 pub use crate::run::*;
+pub(crate) use adapters::prelude::{SeenEngine, WarmingAct, WarmingPlanner, RATE_UNIT};
 pub use conductor::prelude::OrderAnswer;
 pub(crate) use conductor::prelude::{Act, Bringer, Bringing, Conductor, Observed};
 pub(crate) use contract::prelude::*;
 pub(crate) use desired::prelude::{
-    Band, Bounds as TextBounds, ConfigurationChange, DOCUMENT_BOUNDS, DesiredState, JsonValue, Listed, ListedEngine,
+    Band, Bounds as TextBounds, ConfigurationChange, CopyStage, DOCUMENT_BOUNDS, DesiredState, JsonValue, Listed, ListedEngine,
     Plan, PlanStatus, Policy, Revision, Role, merge, parse_bounded, read_document, read_intent, write_sorted,
 };
 pub(crate) use ledger::prelude::{DiskFault, Folder, Row};
--- a/crates/measure/src/picks.rs
+++ b/crates/measure/src/picks.rs
@@ -46,6 +46,7 @@
         tenant: "t".into(),
         kind: "k".into(),
         model: "m".into(),
+        adapter: None,
         blocks: BlockCount(names.len() as u64),
         names: BTreeMap::from([(WeightsEdition(1), names)]),
         outcome_blocks: BlockCount(1),
--- a/crates/measure/src/scale/hollow_engines.rs
+++ b/crates/measure/src/scale/hollow_engines.rs
@@ -164,6 +164,8 @@
             running: 0,
             accepting: true,
             highest_term: 0,
+            adapters: Vec::new(),
+            adapter_places: 0,
         };
         let text = json!(state).to_string();
         self.shared.counts.state.add(text.len());
--- a/crates/measure/src/scale/hollow_nodes.rs
+++ b/crates/measure/src/scale/hollow_nodes.rs
@@ -368,6 +368,7 @@
         NodeUp::Renew { .. } => "renew",
         NodeUp::Submit { .. } => "submit",
         NodeUp::Applied { .. } => "applied",
+        NodeUp::Demand(_) => "demand",
     }
 }
 
--- a/crates/placement/src/picker.rs
+++ b/crates/placement/src/picker.rs
@@ -7,6 +7,7 @@
 const HISTORY_BLOCKS: usize = 8192;
 const COUNT_SPAN: Span = Span::seconds(3);
 const REST_AFTER_FAULT: Span = Span::millis(700);
+const REST_WHEN_COLD: Span = Span::millis(1500);
 const AWAIT_FACTOR: u64 = 10;
 
 /// A prompt to be placed.
@@ -15,6 +16,8 @@
     pub tenant: TenantName,
     pub kind: String,
     pub model: ModelName,
+    /// The adapter it runs on, alone; none for the bare model.
+    pub adapter: Option<AdapterId>,
     /// Its block names, under the salt of each edition in use.
     pub names: BTreeMap<WeightsEdition, Vec<BlockHash>>,
     pub blocks: BlockCount,
@@ -39,8 +42,11 @@
     pub by_events: bool,
     /// Could not be reached a moment ago; chosen only if every candidate is such.
     pub is_resting: bool,
-    /// Decodes in another zone than ours, which loses ties.
+    /// Decodes in another zone than ours, or stands in another zone with the adapter asked for, which loses
+    /// ties.
     pub is_far: bool,
+    /// What is added to the cost for standing in another region than ours, in blocks.
+    pub distance_blocks: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -81,6 +87,9 @@
     /// The engine's own coarse count of running requests, and when it was asked.
     counted: Option<(u64, Instant)>,
     rest_until: Instant,
+    /// Adapters that the engine said it does not hold, though the fleet state says so, and until when that is
+    /// gone by.
+    cold_until: BTreeMap<AdapterId, Instant>,
 }
 
 #[derive(Debug)]
@@ -202,6 +211,14 @@
         self.engine(engine).rest_until = now + REST_AFTER_FAULT;
     }
 
+    /// An engine refused a request for want of its adapter: it gets none for that adapter for a moment, by
+    /// when the conductor knows.
+    pub fn note_cold(&mut self, engine: &EngineName, adapter: &AdapterId, now: Instant) {
+        let known = self.engine(engine);
+        known.cold_until.retain(|_, until| now < *until);
+        known.cold_until.insert(adapter.clone(), now + REST_WHEN_COLD);
+    }
+
     /// The first piece came: the prompt's blocks are kept there now, and events should soon say so.
     pub fn note_kept(&mut self, engine: &EngineName, names: &[BlockHash], now: Instant) {
         let index = SourceIndex(self.engine(engine).index);
@@ -308,6 +325,8 @@
             .iter()
             .map(|(edition, names)| (*edition, self.tree.overlaps(names).into_iter().collect()))
             .collect();
+        let has_regions = !sight.state.desired.zones.is_empty();
+        let own_region = sight.state.desired.region_of(&self.zone);
         let mut scores = Vec::new();
         for (engine, listed) in &sight.state.listing.engines {
             let passes = listed.model == prompt.model && !prompt.tried.contains(engine);
@@ -315,6 +334,9 @@
             let Some(names) = prompt.names.get(&weights) else { continue };
             let unknown_engine = EngineSight::default();
             let known = self.engines.get(engine).unwrap_or(&unknown_engine);
+            if !holds_adapter(sight, engine, known, prompt.adapter.as_ref(), now) {
+                continue;
+            }
             let is_resting = now < known.rest_until;
             let index = SourceIndex(known.index);
             let by_events =
@@ -328,10 +350,14 @@
             let decode_blocks = self.decode_blocks(known, now);
             let prefill_blocks = BlockCount(prompt.blocks.0 - overlap.0.min(prompt.blocks.0));
             let weight = table.weight(&prompt.tenant, &prompt.kind, Band::of(decode_blocks));
+            let is_other_region = has_regions && sight.state.desired.region_of(&listed.zone) != own_region;
+            let distance_blocks = if is_other_region { routing.other_region_blocks } else { 0 };
             let cost = match listed.role {
                 Role::Decode => (decode_blocks.0 + prompt.blocks.0 + prompt.outcome_blocks.0) as f64,
                 _ => cost(weight, prefill_blocks, decode_blocks),
             };
+            let cost = cost + distance_blocks as f64;
+            let prefers_zone = listed.role == Role::Decode || prompt.adapter.is_some();
             scores.push(Score {
                 role: listed.role,
                 engine: engine.clone(),
@@ -342,7 +368,8 @@
                 cost,
                 by_events,
                 is_resting,
-                is_far: listed.role == Role::Decode && listed.zone != self.zone,
+                is_far: prefers_zone && listed.zone != self.zone,
+                distance_blocks,
             });
         }
         if scores.iter().any(|score| !score.is_resting) {
@@ -365,6 +392,20 @@
     }
 }
 
+/// Whether an engine may get a prompt for the sake of its adapter: a prompt that runs on one goes only where
+/// exactly that is warm.
+fn holds_adapter(
+    sight: &FleetSight,
+    engine: &EngineName,
+    known: &EngineSight,
+    adapter: Option<&AdapterId>,
+    now: Instant,
+) -> bool {
+    let Some(adapter) = adapter else { return true };
+    let is_cold = known.cold_until.get(adapter).is_some_and(|until| now < *until);
+    sight.state.adapters.is_warm(engine, adapter) && !is_cold
+}
+
 /// The prompt's first name under the lowest edition in use, by which ties are spread.
 fn tie_name(prompt: &Prompt) -> BlockHash {
     prompt.names.values().next().and_then(|names| names.first()).copied().unwrap_or(BlockHash(0))
@@ -414,6 +455,7 @@
             tenant: "t".into(),
             kind: "k".into(),
             model: "m".into(),
+            adapter: None,
             blocks: BlockCount(names.len() as u64),
             names: BTreeMap::from([(WeightsEdition(1), names)]),
             outcome_blocks: BlockCount(1),
--- a/crates/placement/src/sight.rs
+++ b/crates/placement/src/sight.rs
@@ -110,6 +110,11 @@
         may_use.then_some(*confirmed)
     }
 
+    /// Whether any engine in use holds an adapter warm.
+    pub fn is_warm_anywhere(&self, adapter: &AdapterId, now: Instant) -> bool {
+        self.state.adapters.warm_engines(adapter).any(|engine| self.usable_weights(engine, now).is_some())
+    }
+
     /// Until when weights that gave way may be used.
     fn old_weights_until(&self, model: &ModelName, weights: WeightsEdition) -> Instant {
         let since_commit = self.old_until.get(&(model.clone(), weights)).copied().unwrap_or_default();
--- a/crates/recording/src/lines.rs
+++ b/crates/recording/src/lines.rs
@@ -55,6 +55,9 @@
     /// A decoding engine is scored without overlap, and our own zone breaks its ties.
     pub decodes: bool,
     pub is_far: bool,
+    /// What the cost holds for another region, in blocks.
+    #[serde(default)]
+    pub distance_blocks: u64,
 }
 
 /// A line as it stands in the file, with its checksum.
--- a/crates/replay/src/offline.rs
+++ b/crates/replay/src/offline.rs
@@ -87,7 +87,7 @@
     let Some(table) = table.filter(|_| !score.decodes) else { return score.cost };
     let band = Band::of(BlockCount(score.decode_blocks));
     let weight = table.weight(&TenantName(run.tenant.clone()), &run.kind, band);
-    cost(weight, BlockCount(score.prefill_blocks), BlockCount(score.decode_blocks))
+    cost(weight, BlockCount(score.prefill_blocks), BlockCount(score.decode_blocks)) + score.distance_blocks as f64
 }
 
 fn place_again<'a>(
@@ -134,6 +134,7 @@
             by_events: true,
             decodes: false,
             is_far: false,
+            distance_blocks: 0,
         };
         let pick = RecordedPick {
             policy: "default".into(),
--- a/crates/router/src/carry.rs
+++ b/crates/router/src/carry.rs
@@ -8,6 +8,9 @@
 const CONNECT_LIMIT: Span = Span::millis(700);
 const MOST_WHOLE_BYTES: usize = 8 << 20;
 const PIECE_PLACES: usize = 32;
+/// When a caller is told to come back, in seconds: an adapter has to be loaded first.
+const USUAL_BACK_AFTER_S: &str = "1";
+const COLD_BACK_AFTER_S: &str = "2";
 
 /// The request as it is carried: the plan and what must be given back at its end.
 pub struct Run {
@@ -42,6 +45,8 @@
 struct Shot {
     placement: Box<Placement>,
     sight: Arc<FleetSight>,
+    /// The adapter it runs on; none for the bare model.
+    adapter: Option<AdapterId>,
     place: ShotPlace,
     stream: Option<OpenStream>,
     replied: Option<Replied>,
@@ -181,6 +186,7 @@
                 .header(SHOT_HEADER, shot_name)
                 .header(WEIGHTS_HEADER, ground.weights.to_string())
                 .header(LIMIT_HEADER, allowed_ms.to_string());
+        let question = name_adapter(question, ground.adapter.as_ref());
         let stand = Arc::clone(&self.stand);
         let ground = Ground { engine: prefill_place.engine.clone(), ..ground.clone() };
         let gate = Box::new(move || stand.may_start(&ground).map_err(|found| format!("{found:?}")));
@@ -319,6 +325,7 @@
     async fn pick(&mut self, tried: &[EngineName], is_retry: bool) -> Input {
         let sight = self.run.stand.sight();
         let prompt = self.run.plan.prompt(&sight, tried, boot_now());
+        let adapter = prompt.adapter.clone();
         let outcome = match self.run.table.pick(prompt, is_retry).await {
             None => PickOutcome::Overloaded,
             Some((Picked::Placed(placement), Some(place))) => {
@@ -326,10 +333,11 @@
                 self.engine = engine.clone();
                 self.policy = placement.policy.clone();
                 let (stream, replied, reader) = (None, None, EventReader::default());
-                self.shot = Some(Shot { placement, sight, place, stream, replied, reader, _allowing: None });
+                self.shot = Some(Shot { placement, sight, adapter, place, stream, replied, reader, _allowing: None });
                 PickOutcome::Placed(engine)
             }
             Some((Picked::NoBudget, _)) => PickOutcome::NoBudget,
+            Some((Picked::NoAdapter, _)) => PickOutcome::NoAdapter,
             Some(_) => PickOutcome::NoEngine,
         };
         Input::Picked(outcome)
@@ -367,6 +375,7 @@
             model: plan.model.clone(),
             engine: chosen.engine.clone(),
             weights: chosen.weights,
+            adapter: shot.adapter.clone(),
             salt,
             limit: plan.limit,
         };
@@ -381,6 +390,7 @@
             .header(SHOT_HEADER, shot_name)
             .header(WEIGHTS_HEADER, ground.weights.to_string())
             .header(LIMIT_HEADER, allowed_ms.to_string());
+        let question = name_adapter(question, ground.adapter.as_ref());
         let bar = Arc::new(Mutex::new(None));
         let gate = {
             let (stand, bar) = (Arc::clone(&self.run.stand), Arc::clone(&bar));
@@ -407,10 +417,13 @@
             let told: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
             let told_kind = told["error"]["type"].as_str().unwrap_or("").to_owned();
             let head = match told_kind.as_str() {
-                "not_accepting" | "other_weights" => Head::NotStarted,
+                "not_accepting" | "other_weights" | NOT_RESIDENT => Head::NotStarted,
                 "limit_passed" => Head::OutOfTime,
                 _ => Head::Refused,
             };
+            if told_kind == NOT_RESIDENT {
+                self.note_cold();
+            }
             return Input::Head { head, told: format!("engine answered {} {told_kind}", status.as_u16()) };
         }
         if let Some(shot) = self.shot.as_mut() {
@@ -428,14 +441,14 @@
         if !streams {
             let body = read_whole(&mut replied.body, MOST_WHOLE_BYTES, Duration::from_secs(10)).await;
             return match body {
-                Ok(body) => read_piece(&String::from_utf8_lossy(&body)),
+                Ok(body) => read_piece(&String::from_utf8_lossy(&body), shot.adapter.as_ref()),
                 Err(fault) => Input::Broken(format!("answer: {fault:?}")),
             };
         }
         loop {
             match shot.reader.next_data() {
                 Some(data) if data == STREAM_END => return Input::EndMark,
-                Some(data) => return read_piece(&data),
+                Some(data) => return read_piece(&data, shot.adapter.as_ref()),
                 None if is_marked && !shot.reader.is_empty() => {
                     return Input::Broken("something came after the end mark".into());
                 }
@@ -464,6 +477,9 @@
             let names = cut(&salt, self.run.plan.prompt_text.as_bytes());
             self.run.table.tell(TableCommand::Kept { engine: chosen.engine.clone(), names });
             self.run.count_blocks(&shot.placement);
+            if shot.adapter.is_some() {
+                self.run.stand.counts.note_adapter_place(chosen.distance_blocks, chosen.is_far);
+            }
         }
         if !self.run.plan.streams {
             return None;
@@ -478,7 +494,7 @@
             }
         };
         self.sink = Some(Arc::new(sink));
-        Some(answered.with_header(RUN_HEADER, &plan.run))
+        Some(self.named_after_adapter(answered.with_header(RUN_HEADER, &plan.run)))
     }
 
     fn send_piece(&mut self, completion: Completion) {
@@ -494,9 +510,22 @@
         Counts::add(&self.run.stand.counts.whole, 1);
         self.run.record("whole", self.first_ms);
         event!(info, "request_ended", run = plan.run, tenant = plan.tenant, outcome = "whole");
-        outcome_json(StatusCode::OK, &shape_whole(completion, &plan.run, plan.form))
+        let adapter = completion.adapter.clone();
+        let answered = outcome_json(StatusCode::OK, &shape_whole(completion, &plan.run, plan.form))
             .with_header(RUN_HEADER, &plan.run)
-            .with_header(OUTCOME_HEADER, "whole")
+            .with_header(OUTCOME_HEADER, "whole");
+        match adapter {
+            Some(adapter) => answered.with_header(ADAPTER_HEADER, &adapter),
+            None => answered,
+        }
+    }
+
+    /// The head of a stream names the adapter that it is made on.
+    fn named_after_adapter(&self, answered: WebOutcome) -> WebOutcome {
+        match self.shot.as_ref().and_then(|shot| shot.adapter.as_ref()) {
+            Some(adapter) => answered.with_header(ADAPTER_HEADER, &adapter.to_string()),
+            None => answered,
+        }
     }
 
     /// Ends the stream; whole only once every piece and the end mark have been taken.
@@ -558,13 +587,26 @@
             (GivenUpKind::LimitPassed, _) => (StatusCode::GATEWAY_TIMEOUT, outcome, "the limit passed"),
             (GivenUpKind::NoLease, _) => (StatusCode::SERVICE_UNAVAILABLE, "no_lease", "this router holds no lease"),
             (GivenUpKind::KeyWithdrawn, _) => (StatusCode::UNAUTHORIZED, "unknown_key", "the key was withdrawn"),
+            (GivenUpKind::AdapterCold, false) => (StatusCode::SERVICE_UNAVAILABLE, "adapter_cold", reason.as_str()),
             (_, true) => (StatusCode::BAD_GATEWAY, outcome, reason.as_str()),
             (_, false) => (StatusCode::SERVICE_UNAVAILABLE, outcome, reason.as_str()),
         };
+        let back_after = if kind == GivenUpKind::AdapterCold { COLD_BACK_AFTER_S } else { USUAL_BACK_AFTER_S };
+        if kind == GivenUpKind::AdapterCold {
+            Counts::add(&counts.adapter_cold, 1);
+        }
         refuse(status, error_type, told)
             .with_header(OUTCOME_HEADER, outcome)
             .with_header(RUN_HEADER, &plan.run)
-            .with_header("retry-after", "1")
+            .with_header("retry-after", back_after)
+    }
+
+    /// The engine does not hold the adapter, whatever the state says.
+    fn note_cold(&self) {
+        let Some(shot) = &self.shot else { return };
+        let Some(adapter) = shot.adapter.clone() else { return };
+        Counts::add(&self.run.stand.counts.adapter_refusals, 1);
+        self.run.table.tell(TableCommand::Cold { engine: shot.place.engine.clone(), adapter });
     }
 
     fn note_fault(&self, reason: &str, ran: Ran, rests: bool) {
@@ -600,8 +642,20 @@
     }
 }
 
-fn read_piece(data: &str) -> Input {
+/// A question about a prompt names the adapter that the prompt runs on.
+fn name_adapter(question: Question, adapter: Option<&AdapterId>) -> Question {
+    match adapter {
+        Some(adapter) => question.header(ADAPTER_HEADER, adapter.to_string()),
+        None => question,
+    }
+}
+
+/// A piece, or a whole answer, if it was made on the adapter of its shot.
+fn read_piece(data: &str, adapter: Option<&AdapterId>) -> Input {
     match serde_json::from_str::<Completion>(data) {
+        Ok(completion) if !is_own_answer(adapter, completion.adapter.as_deref()) => {
+            Input::Broken("an answer of another adapter".into())
+        }
         Ok(completion) => {
             let finished = !completion.choices.is_empty()
                 && completion.choices.iter().all(|choice| choice.finish_reason.is_some());
--- /dev/null
+++ b/crates/router/src/demand.rs
@@ -0,0 +1,19 @@
+//! Tells the core, through the agent, which adapters' requests arrive here. What is lost on the way is said
+//! again a moment later; a router without such requests says nothing.
+
+use crate::prelude::*;
+
+const TELL_EVERY: Duration = Duration::from_secs(1);
+
+/// Tells as long as the program runs.
+pub async fn keep_demand(stand: Arc<Stand>, core_line: Arc<CoreLine>, router: NodeId, zone: Zone) {
+    let mut pulse = tokio::time::interval(TELL_EVERY);
+    pulse.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        pulse.tick().await;
+        let rates = stand.demand(boot_now());
+        if !rates.is_empty() {
+            core_line.say(&RouterUp::Demand(DemandReport { router, zone: zone.clone(), rates }));
+        }
+    }
+}
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -137,7 +137,11 @@
             .map_err(|fault| Refusal::new(StatusCode::BAD_REQUEST, "bad_request", fault.to_string()))?;
         let run_number = self.next_run.fetch_add(1, Ordering::SeqCst);
         let run = (format!("{}.{run_number}", self.router), run_number);
-        let plan = Plan::make(request, form, &headers, &self.stand.sight(), run, now)?;
+        let sight = self.stand.sight();
+        let plan = Plan::make(request, form, &headers, &sight, run, now)?;
+        if let Some(adapter) = plan.adapter(&sight) {
+            self.stand.note_demand(&adapter.name, now);
+        }
         let overloaded = || {
             let reason = "the router is overloaded";
             Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "overloaded", reason).retry_after(1)
@@ -179,6 +183,11 @@
             ("reused_blocks_total", &counts.reused_blocks),
             ("fetch_blocks_total", &counts.fetch_blocks),
             ("history_picks_total", &counts.history_picks),
+            ("adapter_own_zone_total", &counts.adapter_own_zone),
+            ("adapter_own_region_total", &counts.adapter_own_region),
+            ("adapter_other_region_total", &counts.adapter_other_region),
+            ("adapter_cold_total", &counts.adapter_cold),
+            ("adapter_refusals_total", &counts.adapter_refusals),
         ];
         for (name, counter) in counters {
             text.push_str(&format!("haremount_router_{name} {}\n", counter.load(Ordering::Relaxed)));
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -16,7 +16,7 @@
 const CLAIM_LIMIT: Duration = Duration::from_millis(2500);
 
 impl CoreLine {
-    fn say(&self, message: &RouterUp) {
+    pub(crate) fn say(&self, message: &RouterUp) {
         if let Some(link) = self.link.lock().expect("no holder of this lock panics").as_ref() {
             link.say(message);
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod allowing;
 mod carry;
+mod demand;
 mod entry;
 mod feed;
 mod followers;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -30,7 +30,8 @@
     let address = listener.local_addr().map_err(|fault| miette!("listen: {fault}"))?;
     let router = NodeId::random();
     let stand = Arc::new(Stand::default());
-    let table = start_table(router, Zone(settings.text("zone")?.to_owned()), Arc::clone(&stand));
+    let zone = Zone(settings.text("zone")?.to_owned());
+    let table = start_table(router, zone.clone(), Arc::clone(&stand));
     let core_line = Arc::new(CoreLine::default());
     keep_feed(FeedPlan {
         agent_address,
@@ -49,6 +50,7 @@
     };
     let runtime = small_runtime(settings.whole("threads")? as usize).map_err(|fault| miette!("{fault}"))?;
     runtime.spawn(keep_followers(Arc::clone(&stand), table.clone()));
+    runtime.spawn(keep_demand(Arc::clone(&stand), Arc::clone(&core_line), router, zone));
     let entry = Arc::new(Entry {
         router,
         stand: Arc::clone(&stand),
--- a/crates/router/src/pieces.rs
+++ b/crates/router/src/pieces.rs
@@ -55,6 +55,9 @@
     let object = if form == Form::Chat { "chat.completion.chunk" } else { "text_completion" };
     let mut shaped =
         json!({"id": run, "shot": completion.id, "object": object, "model": completion.model, "choices": choices});
+    if let Some(adapter) = completion.adapter {
+        shaped["adapter"] = json!(adapter);
+    }
     if let Some(usage) = completion.usage {
         shaped["usage"] = json!(usage);
     }
--- a/crates/router/src/plan.rs
+++ b/crates/router/src/plan.rs
@@ -131,10 +131,15 @@
         })
     }
 
-    /// The salt of this tenant's memory under an edition of the weights.
+    /// The adapter it runs on; none for the bare model.
+    pub fn adapter(&self, sight: &FleetSight) -> Option<AdapterId> {
+        sight.state.adapter_for(&self.tenant, &self.model)
+    }
+
+    /// The salt of this tenant's memory under an edition of the weights and its adapter.
     pub fn salt(&self, sight: &FleetSight, weights: WeightsEdition) -> Salt {
         let wall = sight.state.wall_of(&self.tenant);
-        Salt::of(&self.model, weights, wall.id, wall.edition)
+        Salt::of(&self.model, weights, wall.id, wall.edition).under(self.adapter(sight).as_ref())
     }
 
     /// What the picker is asked: block names under every edition in use.
@@ -148,6 +153,7 @@
             tenant: self.tenant.clone(),
             kind: self.kind.clone(),
             model: self.model.clone(),
+            adapter: self.adapter(sight),
             names,
             blocks: blocks_of(self.prompt_text.len()),
             outcome_blocks: BlockCount(self.max_tokens.div_ceil(BLOCK_TOKENS as u64)),
--- a/crates/router/src/prelude.rs
+++ b/crates/router/src/prelude.rs
@@ -2,6 +2,7 @@
 
 pub use crate::allowing::*;
 pub use crate::carry::*;
+pub use crate::demand::*;
 pub use crate::entry::*;
 pub use crate::feed::*;
 pub use crate::followers::*;
@@ -11,6 +12,7 @@
 pub use crate::runs::*;
 pub use crate::stand::*;
 pub use crate::table::*;
+pub use adapters::prelude::{DemandMeter, DemandReport};
 pub use admission::prelude::{RetryBudget, Shares};
 pub use blocks::prelude::{BLOCK_TOKENS, Salt, blocks_of, cut};
 pub use carriage::prelude::*;
@@ -22,7 +24,7 @@
 pub use recording::prelude::{DayWriter, RecordedPick, RecordedRun, RecordedScore};
 pub use rings::prelude::*;
 pub use serde_json::{Value, json};
-pub use std::collections::{HashMap, VecDeque};
+pub use std::collections::{BTreeMap, HashMap, VecDeque};
 pub use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 pub use std::sync::{Arc, Mutex, RwLock};
 pub use std::time::Duration;
--- a/crates/router/src/recorder.rs
+++ b/crates/router/src/recorder.rs
@@ -57,6 +57,7 @@
                 by_events: score.by_events,
                 decodes: score.role == Role::Decode,
                 is_far: score.is_far,
+                distance_blocks: score.distance_blocks,
             })
             .collect();
         RecordedPick {
--- a/crates/router/src/stand.rs
+++ b/crates/router/src/stand.rs
@@ -17,6 +17,7 @@
     /// Where the bound on old weights is counted in undisturbed time: when the core was last disturbed.
     disturbed: std::sync::OnceLock<Arc<AtomicU64>>,
     policies: Mutex<PolicyBook>,
+    demand: Mutex<DemandMeter>,
 }
 
 /// Counters for `/metrics`.
@@ -36,12 +37,31 @@
     pub reused_blocks: AtomicU64,
     pub fetch_blocks: AtomicU64,
     pub history_picks: AtomicU64,
+    /// Requests on adapters whose first piece came from our own zone, from another of our region, from
+    /// another region.
+    pub adapter_own_zone: AtomicU64,
+    pub adapter_own_region: AtomicU64,
+    pub adapter_other_region: AtomicU64,
+    /// Requests refused because their adapter was warm nowhere.
+    pub adapter_cold: AtomicU64,
+    /// Shots that an engine refused for want of the adapter.
+    pub adapter_refusals: AtomicU64,
 }
 
 impl Counts {
     pub fn add(counter: &AtomicU64, count: u64) {
         counter.fetch_add(count, Ordering::Relaxed);
     }
+
+    /// How near the engine was that served a request on an adapter.
+    pub fn note_adapter_place(&self, distance_blocks: u64, is_far: bool) {
+        let counter = match (distance_blocks, is_far) {
+            (0, false) => &self.adapter_own_zone,
+            (0, true) => &self.adapter_own_region,
+            _ => &self.adapter_other_region,
+        };
+        Counts::add(counter, 1);
+    }
 }
 
 impl Stand {
@@ -81,6 +101,18 @@
         self.policies().tell()
     }
 
+    /// Counts a request for the adapter it runs on, whether it is served or not.
+    pub fn note_demand(&self, adapter: &AdapterName, now: Instant) {
+        let span = self.sight().state.desired.warming.demand_span;
+        self.demand.lock().expect("no holder of this lock panics").note(adapter, span, now);
+    }
+
+    /// The rates of requests for adapters, as the core is told them.
+    pub fn demand(&self, now: Instant) -> BTreeMap<AdapterName, u64> {
+        let span = self.sight().state.desired.warming.demand_span;
+        self.demand.lock().expect("no holder of this lock panics").tell(span, now)
+    }
+
     pub fn know_doors(&self, doors: Vec<RouterDoor>) {
         *self.doors.write().expect("no holder of this lock panics") = Arc::new(doors);
     }
--- a/crates/router/src/table.rs
+++ b/crates/router/src/table.rs
@@ -31,6 +31,11 @@
     Fault {
         engine: EngineName,
     },
+    /// An engine refused a request, as it does not hold its adapter.
+    Cold {
+        engine: EngineName,
+        adapter: AdapterId,
+    },
     Place {
         engine: EngineName,
         reply: oneshot::Sender<Option<SourcePlace>>,
@@ -59,6 +64,8 @@
     Placed(Box<Placement>),
     /// No engine passes now.
     NoEngine,
+    /// Engines pass, but none holds the adapter warm.
+    NoAdapter,
     /// A second shot would go over the retry budget.
     NoBudget,
 }
@@ -170,6 +177,7 @@
             TableCommand::EndShot { engine, blocks } => self.picker.end_shot(&engine, blocks),
             TableCommand::Kept { engine, names } => self.picker.note_kept(&engine, &names, now),
             TableCommand::Fault { engine } => self.picker.note_fault(&engine, now),
+            TableCommand::Cold { engine, adapter } => self.picker.note_cold(&engine, &adapter, now),
             TableCommand::Place { engine, reply } => {
                 let _ = reply.send(self.picker.place_of(&engine));
             }
@@ -186,7 +194,9 @@
 
     fn pick(&mut self, prompt: &Prompt, is_retry: bool, now: Instant) -> Picked {
         let sight = self.stand.sight();
-        let Some(placement) = self.picker.pick(&sight, prompt, now) else { return Picked::NoEngine };
+        let Some(placement) = self.picker.pick(&sight, prompt, now) else {
+            return unplaced(&sight, prompt, now);
+        };
         if is_retry {
             if !self.budget.spend() {
                 return Picked::NoBudget;
@@ -201,3 +211,9 @@
         Picked::Placed(Box::new(placement))
     }
 }
+
+/// Why no engine passes.
+fn unplaced(sight: &FleetSight, prompt: &Prompt, now: Instant) -> Picked {
+    let is_cold = prompt.adapter.as_ref().is_some_and(|adapter| !sight.is_warm_anywhere(adapter, now));
+    if is_cold { Picked::NoAdapter } else { Picked::NoEngine }
+}
--- a/crates/warden/src/asks.rs
+++ b/crates/warden/src/asks.rs
@@ -79,6 +79,7 @@
                 AskOutcome::Configuration { revision: configuration.revision, source: configuration.source.clone() }
             }
             Question::State => AskOutcome::State(Box::new(self.log.state().without_claims())),
+            Question::Demand => AskOutcome::Demand(self.heard_demand(now)),
             Question::Nodes => {
                 let Some(tail) = &self.tail else { return };
                 let reports = tail
--- a/crates/warden/src/messages.rs
+++ b/crates/warden/src/messages.rs
@@ -60,6 +60,8 @@
     Settled(RequestId),
     State,
     Nodes,
+    /// Where requests on adapters arrive, as far as nodes told the tail.
+    Demand,
     /// The operators' configuration alone.
     Configuration,
 }
@@ -69,6 +71,7 @@
     Settled(Settled),
     State(Box<FleetState>),
     Nodes(Vec<NodeReport>),
+    Demand(Vec<HeardDemand>),
     Configuration {
         revision: Revision,
         source: String,
@@ -113,6 +116,8 @@
     Applied {
         edition: Edition,
     },
+    /// Which adapters' requests arrive at the router behind it; said again and again, and not answered.
+    Demand(DemandReport),
 }
 
 /// From a keeper to a node's agent.
--- a/crates/warden/src/prelude.rs
+++ b/crates/warden/src/prelude.rs
@@ -5,6 +5,7 @@
 pub use crate::mind::*;
 pub(crate) use crate::tailing::*;
 pub use crate::viewing::list_ids;
+pub use adapters::prelude::{DemandReport, HeardDemand};
 pub use chain::prelude::{ChainMessage, Log, Mark, Record};
 pub use desired::prelude::{
     CLAIM_SPAN, Command, Complaint, Duty, DutyKind, FleetState, Listing, Revision, Settled, Standing, Submission,
--- a/crates/warden/src/tailing.rs
+++ b/crates/warden/src/tailing.rs
@@ -26,6 +26,8 @@
     pub(crate) doors_told: Instant,
     /// The turn of the book of claims, and since when this tail has seen it.
     pub(crate) claim_turn: (u64, Instant),
+    /// What each node told last of the requests on adapters, and when.
+    pub(crate) demand: BTreeMap<NodeId, (DemandReport, Instant)>,
 }
 
 /// A linked node: the life of the router behind it, and the edition it was pushed last.
@@ -98,6 +100,7 @@
             doors_number: 0,
             doors_told: Instant(0),
             claim_turn: (u64::MAX, Instant(0)),
+            demand: BTreeMap::new(),
         }
     }
 
@@ -370,7 +373,7 @@
         let applied_edition = match &message {
             NodeUp::Renew { applied, .. } => applied.unwrap_or_default(),
             NodeUp::Applied { edition } => *edition,
-            NodeUp::Submit { .. } => Edition(0),
+            NodeUp::Submit { .. } | NodeUp::Demand(_) => Edition(0),
         };
         if let NodeUp::Submit { ticket, submission } = message {
             self.hear_claim(node, ticket, submission, now);
@@ -386,6 +389,9 @@
                 tail.leases.note_applied(node, edition.min(last_edition));
             }
             NodeUp::Submit { .. } => {}
+            NodeUp::Demand(report) => {
+                tail.demand.insert(node, (report, now));
+            }
             NodeUp::Renew { sent, applied, life, door } => {
                 let known_edition = applied.filter(|edition| *edition <= last_edition);
                 let fresh_place = PushPlace { life, pushed: known_edition, doors: 0 };
@@ -415,6 +421,15 @@
         }
     }
 
+    /// What nodes with a lease told of the requests on adapters.
+    pub(crate) fn heard_demand(&mut self, now: Instant) -> Vec<HeardDemand> {
+        let Some(tail) = self.tail.as_mut() else { return Vec::new() };
+        let leased: BTreeSet<NodeId> = tail.leases.nodes().map(|(node, _)| *node).collect();
+        tail.demand.retain(|node, _| leased.contains(node));
+        let told = tail.demand.values();
+        told.map(|(report, at)| HeardDemand { report: report.clone(), age: now.since(*at) }).collect()
+    }
+
     /// When a core machine was last seen to come or go: this one's own start, a peer's return, or the last
     /// word of one that is silent.
     fn last_disturbance(&self, now: Instant) -> Instant {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -3,7 +3,7 @@
 use crate::prelude::*;
 
 /// The number of this wire format; a process that speaks another is refused with both named.
-pub const FORMAT: u64 = 3;
+pub const FORMAT: u64 = 4;
 pub const MOST_FRAME_BYTES: usize = 64 << 20;
 const MAGIC: [u8; 4] = *b"HARE";
 
@@ -94,7 +94,7 @@
         let foreign_frame = encode(&"GET / HTTP/1.1").unwrap();
         assert!(read_frame::<CoreMessage>(&mut &foreign_frame[..]).unwrap_err().starts_with("unknown frame"));
         let other_format = Hello { format: 9, ..Hello::new(FleetId(1), NodeId(2), Purpose::Keeper) };
-        assert_eq!(other_format.check().unwrap_err(), "wire format 9 met, 3 spoken here");
+        assert_eq!(other_format.check().unwrap_err(), format!("wire format 9 met, {FORMAT} spoken here"));
     }
 
     #[test]
