--- a/crates/carriage/src/mind.rs
+++ b/crates/carriage/src/mind.rs
@@ -319,7 +319,10 @@
             }
             PickOutcome::Overloaded => self.give_up(GivenUpKind::NotServed, "the router is overloaded".into()),
             PickOutcome::NoAdapter => {
-                self.give_up(GivenUpKind::AdapterCold, "no engine holds its adapter warm; it is being seen to".into());
+                self.give_up(
+                    GivenUpKind::AdapterCold,
+                    "no engine holds its adapter warm; it is being seen to".into(),
+                );
             }
             PickOutcome::NoEngine | PickOutcome::NoBudget => {
                 self.give_up(GivenUpKind::NotServed, self.last_reason.clone());
--- a/crates/keeper/src/prelude.rs
+++ b/crates/keeper/src/prelude.rs
@@ -13,13 +13,14 @@
 pub use crate::patience::*;
 pub use crate::ports::*;
 pub use crate::run::*;
-pub(crate) use adapters::prelude::{SeenEngine, WarmingAct, WarmingPlanner, RATE_UNIT};
+pub(crate) use adapters::prelude::{RATE_UNIT, SeenEngine, WarmingAct, WarmingPlanner};
 pub use conductor::prelude::OrderAnswer;
 pub(crate) use conductor::prelude::{Act, Bringer, Bringing, Conductor, Observed};
 pub(crate) use contract::prelude::*;
 pub(crate) use desired::prelude::{
-    Band, Bounds as TextBounds, ConfigurationChange, CopyStage, DOCUMENT_BOUNDS, DesiredState, JsonValue, Listed, ListedEngine,
-    Plan, PlanStatus, Policy, Revision, Role, merge, parse_bounded, read_document, read_intent, write_sorted,
+    Band, Bounds as TextBounds, ConfigurationChange, CopyStage, DOCUMENT_BOUNDS, DesiredState, JsonValue, Listed,
+    ListedEngine, Plan, PlanStatus, Policy, Revision, Role, merge, parse_bounded, read_document, read_intent,
+    write_sorted,
 };
 pub(crate) use ledger::prelude::{DiskFault, Folder, Row};
 pub(crate) use links::prelude::{Hello, Link, LinkEvent, LinkId, Post, Purpose, accept_links};
--- a/crates/simulator/src/callers.rs
+++ b/crates/simulator/src/callers.rs
@@ -8,7 +8,7 @@
 
 pub struct SimCaller {
     pub line: CallerLine,
-    request: SimRequest,
+    pub request: SimRequest,
     is_done: bool,
     /// Its stream is broken; it comes back for the rest.
     is_away: bool,
@@ -80,7 +80,7 @@
         self.ask_router(node, request);
     }
 
-    fn draw_request(&mut self) -> SimRequest {
+    pub fn draw_request(&mut self) -> SimRequest {
         let is_long = self.draw.chance(8);
         let place = match self.draw.chance(if is_long { 30 } else { 70 }) {
             true => self.draw.below(TENANTS as u64) as usize,
@@ -106,13 +106,15 @@
             resumes,
             idempotency_key,
             limit,
+            question: None,
         }
     }
 
-    fn ask_router(&mut self, node: usize, request: SimRequest) {
+    pub fn ask_router(&mut self, node: usize, request: SimRequest) {
         let at = self.millis();
         let leaves_after = (request.streams && self.draw.chance(if request.resumes { 60 } else { 5 }))
-            .then(|| self.draw.below(request.tokens));
+            .then(|| self.draw.below(request.tokens))
+            .filter(|_| request.question.is_none());
         let line = CallerLine {
             at,
             ended: at,
@@ -122,6 +124,7 @@
             kind: if request.streams { "streamed".into() } else { "whole".into() },
             repeatable: request.repeatable,
             streams: request.streams,
+            question: request.question.map(|(number, _)| format!("q{number}")).unwrap_or_default(),
             idempotency: request.idempotency_key.map(|key| key.to_string()).unwrap_or_default(),
             ..CallerLine::default()
         };
@@ -186,6 +189,7 @@
                 caller.line.shot = piece.shot.clone();
                 caller.line.last_at = at;
                 caller.line.pieces = piece.place;
+                caller.line.adapter = written(piece.adapter.as_ref());
                 if !piece.shot.starts_with(&format!("{}.", caller.line.run)) {
                     caller.line.wrong = format!("the answer of shot {}", piece.shot);
                 } else if piece.place != caller.request.tokens {
@@ -218,11 +222,14 @@
         if line.pieces == 0 {
             line.first_ms = Some(at - line.at);
             line.shot = piece.shot.clone();
+            line.adapter = written(piece.adapter.as_ref());
         }
         let fault = if !piece.shot.starts_with(&format!("{}.", line.run)) {
             Some(format!("a piece of shot {}", piece.shot))
         } else if piece.shot != line.shot {
             Some(format!("joins shots {} and {}", line.shot, piece.shot))
+        } else if written(piece.adapter.as_ref()) != line.adapter {
+            Some("joins two adapters".into())
         } else if piece.place != line.pieces {
             Some(format!("piece {} where {} was due", piece.place, line.pieces))
         } else {
@@ -271,6 +278,8 @@
         caller.line.outcome = outcome.to_owned();
         let line = caller.line.clone();
         self.record.callers.push(line);
+        self.ask_question_again(number, outcome);
+        let caller = &mut self.callers[number];
         let asks_again = caller.request.idempotency_key.is_some()
             && matches!(outcome, "unknown" | "no_answer" | "cut" | "not_run")
             && !std::mem::replace(&mut caller.asked_again, true);
--- a/crates/simulator/src/carrying.rs
+++ b/crates/simulator/src/carrying.rs
@@ -13,6 +13,8 @@
 pub struct SimPiece {
     pub shot: String,
     pub place: u64,
+    /// The adapter it names.
+    pub adapter: Option<AdapterId>,
 }
 
 pub struct SimRun {
@@ -40,6 +42,8 @@
     pub resumes: bool,
     pub idempotency_key: Option<u64>,
     pub limit: Span,
+    /// What is asked, however often, and by when it must be answered.
+    pub question: Option<(u64, Instant)>,
 }
 
 struct SimShot {
@@ -83,6 +87,10 @@
         let Some(tenant) = router.sight.tenants_by_key.get(&request.key_hash).cloned() else {
             return self.caller_gets(caller, CallerNews::Final { status: 401, outcome: "not_run" });
         };
+        if let Some(adapter) = router.sight.state.adapter_for(&tenant, &ModelName(MODEL.into())) {
+            let span = router.sight.state.desired.warming.demand_span;
+            router.meter.note(&adapter.name, span, local_now);
+        }
         router.next_run += 1;
         let number = router.next_run;
         let run_name = format!("{}.{number}", router.id);
@@ -130,8 +138,15 @@
         let (key_hash, tenant) = (&run.request.key_hash, &run.request.tenant);
         let input = match may_go_on(&router.sight, router.lease_until, key_hash, tenant, local_now) {
             Err(bar) => CarriageInput::WorkBarred(bar),
-            Ok(()) => input,
+            Ok(()) => own_answer(run, input),
         };
+        let is_cold = matches!(&input, CarriageInput::Head { told, .. } if told == NOT_RESIDENT);
+        let adapter =
+            run.shot.as_ref().and_then(|shot| Some((shot.ground.engine.clone(), shot.ground.adapter.clone()?)));
+        if let (true, Some((engine, adapter)), Some(router)) = (is_cold, adapter, self.nodes[to.node].router.as_mut())
+        {
+            router.picker.note_cold(&engine, &adapter, local_now);
+        }
         self.drive(to.node, to.router, to.run, input);
     }
 
@@ -246,8 +261,8 @@
                     GivenUpKind::KeyWithdrawn => 401,
                     GivenUpKind::LimitPassed => 504,
                     GivenUpKind::NoLease => 503,
-                    GivenUpKind::NotServed if given_up.ran == Ran::No => 503,
-                    GivenUpKind::NotServed => 502,
+                    GivenUpKind::NotServed | GivenUpKind::AdapterCold if given_up.ran == Ran::No => 503,
+                    GivenUpKind::NotServed | GivenUpKind::AdapterCold => 502,
                 };
                 self.feed_caller(run, CallerNews::Final { status, outcome });
             }
@@ -272,7 +287,8 @@
         let sight = &router.sight;
         let model = ModelName(MODEL.into());
         let wall = sight.state.wall_of(&run.request.tenant);
-        let salt_on = |weights| Salt::of(&model, weights, wall.id, wall.edition);
+        let adapter = sight.state.adapter_for(&run.request.tenant, &model);
+        let salt_on = |weights| Salt::of(&model, weights, wall.id, wall.edition).under(adapter.as_ref());
         let names: BTreeMap<WeightsEdition, Vec<BlockHash>> = sight
             .editions_in_use(&model, local_now)
             .into_iter()
@@ -282,13 +298,17 @@
             tenant: run.request.tenant.clone(),
             kind: "k".into(),
             model: model.clone(),
+            adapter: adapter.clone(),
             names,
             blocks: blocks_of(run.request.text.len()),
             outcome_blocks: BlockCount(run.request.tokens.div_ceil(16)),
             lot: 0,
             tried,
         };
-        let Some(placement) = router.picker.pick(sight, &prompt, local_now) else { return PickOutcome::NoEngine };
+        let Some(placement) = router.picker.pick(sight, &prompt, local_now) else {
+            let is_cold = adapter.is_some_and(|adapter| !sight.is_warm_anywhere(&adapter, local_now));
+            return if is_cold { PickOutcome::NoAdapter } else { PickOutcome::NoEngine };
+        };
         if is_retry {
             if !router.budget.spend() {
                 return PickOutcome::NoBudget;
@@ -307,6 +327,7 @@
             model: model.clone(),
             engine: engine_name.clone(),
             weights,
+            adapter: adapter.clone(),
             salt: salt_on(weights),
             limit: run.limit,
         };
@@ -351,6 +372,7 @@
                     to: to.clone(),
                     tenant: run.request.tenant.clone(),
                     weights: ground.weights,
+                    adapter: ground.adapter.clone(),
                     salt: ground.salt.clone(),
                     names: shot.names.clone(),
                     fetches: Vec::new(),
@@ -376,6 +398,7 @@
             to,
             tenant: run.request.tenant.clone(),
             weights: shot.ground.weights,
+            adapter: shot.ground.adapter.clone(),
             salt: shot.ground.salt.clone(),
             names: shot.names.clone(),
             fetches: shot.placement.fetches.clone(),
@@ -583,3 +606,14 @@
         }
     }
 }
+
+/// What an engine tells, if it names the adapter that the shot was to run on.
+fn own_answer(run: &SimRun, input: CarriageInput<SimPiece>) -> CarriageInput<SimPiece> {
+    let CarriageInput::Piece { piece, .. } = &input else { return input };
+    let adapter = run.shot.as_ref().and_then(|shot| shot.ground.adapter.as_ref());
+    let named = piece.adapter.as_ref().map(AdapterId::to_string);
+    match is_own_answer(adapter, named.as_deref()) {
+        true => input,
+        false => CarriageInput::Broken("an answer of another adapter".into()),
+    }
+}
--- a/crates/simulator/src/cast.rs
+++ b/crates/simulator/src/cast.rs
@@ -33,6 +33,9 @@
     /// When it read the platform's listing last.
     pub census_read: Instant,
     pub conductor: Conductor,
+    pub planner: WarmingPlanner,
+    /// When it asked last where requests on adapters arrive.
+    pub demand_asked: Instant,
     pub submitted: BTreeMap<EngineName, Instant>,
 }
 
@@ -60,6 +63,8 @@
     pub doors: Vec<RouterDoor>,
     pub shots: u64,
     pub retries: u64,
+    /// Requests for adapters that arrived here.
+    pub meter: DemandMeter,
 }
 
 impl SimRouter {
@@ -75,6 +80,7 @@
             doors: Vec::new(),
             shots: 0,
             retries: 0,
+            meter: DemandMeter::default(),
         }
     }
 }
@@ -94,6 +100,25 @@
 pub struct SimOrder {
     pub holder: String,
     pub term: Term,
-    /// The weights to load; none for an order to open.
-    pub weights: Option<WeightsEdition>,
+    pub wish: SimWish,
+}
+
+/// What an engine is ordered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SimWish {
+    Open,
+    LoadWeights(WeightsEdition),
+    LoadAdapter(AdapterId),
+    UnloadAdapter(AdapterId),
+}
+
+impl SimWish {
+    pub fn name(&self) -> &'static str {
+        match self {
+            SimWish::Open => "open",
+            SimWish::LoadWeights(_) => "load",
+            SimWish::LoadAdapter(_) => "load adapter",
+            SimWish::UnloadAdapter(_) => "unload adapter",
+        }
+    }
 }
--- a/crates/simulator/src/keepers.rs
+++ b/crates/simulator/src/keepers.rs
@@ -15,6 +15,8 @@
         keeper.busy_until = now;
         keeper.frozen_until = now;
         keeper.conductor = Conductor::default();
+        keeper.planner = WarmingPlanner::default();
+        keeper.demand_asked = Instant(0);
         keeper.submitted.clear();
         keeper.census_since = None;
         let wishes = Wishes { has_census: true, core_size: KEEPERS, seeds, ..Wishes::default() };
@@ -181,6 +183,9 @@
         }
         if let Some((term, _)) = conductor_term {
             self.conduct(number, term, &state, local_now);
+            self.keep_adapters_warm(number, term, &state, local_now);
+        } else {
+            self.keepers[number].planner.forget();
         }
     }
 
@@ -239,8 +244,10 @@
                         Some(means),
                     );
                 }
-                Act::Load { engine, weights, .. } => self.order(number, term, engine, Some(weights)),
-                Act::Open { engine, .. } => self.order(number, term, engine, None),
+                Act::Load { engine, weights, .. } => {
+                    self.order(number, term, engine.clone(), engine, SimWish::LoadWeights(weights));
+                }
+                Act::Open { engine, .. } => self.order(number, term, engine.clone(), engine, SimWish::Open),
                 Act::DoStep { plan, step } => self.step_plan(number, plan, Command::DoStep { term, plan, step }),
                 Act::EndPlan { plan, halted } => {
                     self.step_plan(number, plan, Command::EndPlan { term, plan, halted });
@@ -250,13 +257,13 @@
     }
 
     /// Gives an order, unless an earlier wish for this engine is under way.
-    fn order(&mut self, number: usize, term: Term, naming: EngineName, weights: Option<WeightsEdition>) {
-        let Some(engine) = self.engines.iter().position(|engine| engine.name == naming) else { return };
+    pub fn order(&mut self, number: usize, term: Term, engine: EngineName, naming: EngineName, wish: SimWish) {
+        let Some(engine) = self.engines.iter().position(|known| known.name == engine) else { return };
         if self.keepers[number].submitted.contains_key(&naming) {
             return;
         }
         self.keepers[number].submitted.insert(naming, self.now + Span::millis(700));
-        let order = SimOrder { holder: self.keepers[number].id.to_string(), term, weights };
+        let order = SimOrder { holder: self.keepers[number].id.to_string(), term, wish };
         let life = self.keepers[number].life;
         let delay = self.net.delay(&mut self.draw);
         self.later(delay, Happening::OrderLeaves { keeper: number, life, engine, order });
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod prelude;
 
+mod adapted;
 mod callers;
 mod carrying;
 mod cast;
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -20,6 +20,12 @@
             "a cut that stays to the end",
         ),
         setting("disorder", Kind::Flag, None, "the core alone, with everything in any order"),
+        setting(
+            "adapters",
+            Kind::Choice(&["nothing", "trouble", "shift"]),
+            Some("nothing"),
+            "requests on adapters: under all faults, or in a shift between regions with losses",
+        ),
         setting("notes", Kind::Flag, None, "print what happened"),
     ],
 };
@@ -32,12 +38,25 @@
             "one-way" => Lasting::OneWay,
             _ => Lasting::Nothing,
         };
+        let adapters = match settings.text("adapters")? {
+            "trouble" => AdapterPlay::Trouble,
+            "shift" => AdapterPlay::Shift,
+            _ => AdapterPlay::Nothing,
+        };
         let disorder = settings.flag("disorder");
         let first_seed = settings.whole("seed")?;
         let trouble = Span::seconds(settings.whole("trouble_s")?);
         let keeps_notes = settings.flag("notes");
         let plans: Vec<RunPlan> = (first_seed..first_seed + settings.whole("count")?)
-            .map(|seed| RunPlan { trouble, fault_pause_ms, lasting, keeps_notes, disorder, ..RunPlan::of(seed) })
+            .map(|seed| RunPlan {
+                trouble,
+                fault_pause_ms,
+                lasting,
+                keeps_notes,
+                disorder,
+                adapters,
+                ..RunPlan::of(seed)
+            })
             .collect();
         let mut sums = Sums::default();
         for batch in plans.chunks(64) {
@@ -82,6 +101,8 @@
     /// By how many runs each rule was broken.
     rules: BTreeMap<u8, usize>,
     kinds: BTreeMap<&'static str, usize>,
+    warmed: Vec<Span>,
+    loads: u64,
 }
 
 impl Sums {
@@ -90,6 +111,8 @@
         self.broken_count += usize::from(!outcome.violations.is_empty());
         self.starts += outcome.starts;
         self.recoveries.extend(outcome.recovery);
+        self.warmed.extend(outcome.warmed_after);
+        self.loads += outcome.loads;
         for rule in outcome.broken_rules() {
             *self.rules.entry(rule).or_default() += 1;
         }
@@ -109,6 +132,19 @@
         let most = self.recoveries.last().map_or(0, |span| span.as_millis());
         println!("runs {} starts {} recovered {}", self.runs, self.starts, self.recoveries.len());
         println!("recovery ms: p50 {} p90 {} p99 {} most {most}", at(50), at(90), at(99));
+        if self.loads > 0 {
+            self.warmed.sort();
+            let warmed =
+                |share: usize| self.warmed.get(self.warmed.len() * share / 100).map_or(0, |span| span.as_millis());
+            let most = self.warmed.last().map_or(0, |span| span.as_millis());
+            println!(
+                "adapters: {} loads; warm in the new region in {} runs, ms after the shift began: p50 {} p90 {} most {most}",
+                self.loads,
+                self.warmed.len(),
+                warmed(50),
+                warmed(90)
+            );
+        }
         println!("outcomes {:?}", self.outcomes);
         println!("faults {:?}", self.kinds);
         for (rule, count) in &self.rules {
--- a/crates/simulator/src/nodes.rs
+++ b/crates/simulator/src/nodes.rs
@@ -214,11 +214,13 @@
         };
         let edition = sight.state.edition;
         let last_settled = sight.state.settled.back().map(|(request, _)| *request);
+        let in_force = sight.state.adapters.in_force.clone();
         router.sight = sight;
         router.picker.keep_only(&router.sight);
         if let Some(request) = last_settled {
             self.see_committed(edition, request, &format!("n{number}"));
         }
+        self.note_in_force(&in_force);
         self.tell_node(number, CourierInput::Router(RouterUp::Applied { edition }));
         self.look_at_work(number);
     }
--- a/crates/simulator/src/operators.rs
+++ b/crates/simulator/src/operators.rs
@@ -4,6 +4,9 @@
 
 impl World {
     pub fn take_outcome(&mut self, ticket: u64, outcome: AskOutcome) {
+        if self.hear_demand(ticket, &outcome) {
+            return;
+        }
         let Some(asked) = self.asked.remove(&ticket) else { return };
         if let Some(Meaning::Stands { keeper, engine }) = &asked.means {
             self.keepers[*keeper].submitted.remove(engine);
@@ -126,7 +129,7 @@
         self.change(keeper, patch, Meaning::Weights(self.wanted_weights));
     }
 
-    fn change(&mut self, keeper: usize, patch: String, means: Meaning) {
+    pub fn change(&mut self, keeper: usize, patch: String, means: Meaning) {
         self.note(format!("operator via k{keeper}: {patch}"));
         let request = RequestId(self.draw.number());
         self.ask(keeper, Submission { request, command: Command::Merge { base: None, patch } }, Some(means));
--- a/crates/simulator/src/pool.rs
+++ b/crates/simulator/src/pool.rs
@@ -10,6 +10,8 @@
 pub struct Made {
     pub weights: WeightsEdition,
     pub tenant: TenantName,
+    /// The adapter it was made under; none for the bare model.
+    pub adapter: Option<AdapterId>,
 }
 
 /// Kept blocks and the numbered news of them.
@@ -125,6 +127,8 @@
     pub hides_until: Instant,
     /// It keeps its blocks over the next load of weights, as it must not.
     pub keeps_on_load: bool,
+    pub resident: BTreeSet<AdapterId>,
+    pub loading: BTreeSet<AdapterId>,
 }
 
 #[derive(Clone, Debug)]
@@ -133,6 +137,7 @@
     pub tokens: u64,
     place: u64,
     streams: bool,
+    adapter: Option<AdapterId>,
     begins_at: Instant,
     limit: Instant,
     manner: Manner,
@@ -141,6 +146,13 @@
     headed: bool,
 }
 
+impl EngineShot {
+    /// The adapter it runs on; none for the bare model.
+    pub fn runs_on(&self) -> Option<&AdapterId> {
+        self.adapter.as_ref()
+    }
+}
+
 /// Where a shot's news go.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ShotPlaceName {
@@ -156,6 +168,7 @@
     pub to: ShotPlaceName,
     pub tenant: TenantName,
     pub weights: WeightsEdition,
+    pub adapter: Option<AdapterId>,
     pub salt: Salt,
     pub names: Vec<BlockHash>,
     pub fetches: Vec<FetchRun>,
@@ -184,6 +197,9 @@
         if engine.weights != ask.weights {
             return self.tell_run(&ask.to, answer_at, head(Head::NotStarted, "other_weights"));
         }
+        if !engine.holds(ask.adapter.as_ref()) {
+            return self.tell_run(&ask.to, answer_at, head(Head::NotStarted, NOT_RESIDENT));
+        }
         let (at, manner) = (self.millis(), if engine.manner_until > now { engine.manner } else { Manner::Good });
         let own_count = engine.memory.overlap(&ask.names);
         let line = start_line(at, engine, &ask, own_count);
@@ -198,6 +214,7 @@
             place: 0,
             begins_at,
             streams: ask.streams,
+            adapter: ask.adapter.clone(),
             limit: now + ask.limit,
             manner,
             told_until: begins_at,
@@ -216,7 +233,7 @@
         let at = self.millis();
         let engine = &self.engines[number];
         let told = Happening::Prefilled { to: ask.to.clone() };
-        if !engine.up || !engine.accepting || engine.weights != ask.weights {
+        if !engine.up || !engine.accepting || engine.weights != ask.weights || !engine.holds(ask.adapter.as_ref()) {
             return self.later(delay, told);
         }
         let own_count = engine.memory.overlap(&ask.names);
@@ -272,8 +289,17 @@
                     made_for: made.tenant.0.clone(),
                 });
             }
+            if made.adapter != ask.adapter {
+                self.record.world.push(WorldLine::AdapterMemoryUsed {
+                    at,
+                    shot: ask.to.shot.clone(),
+                    adapter: written(ask.adapter.as_ref()),
+                    made_under: written(made.adapter.as_ref()),
+                });
+            }
         }
-        let fresh = ask.names[used.len()..].iter().map(|name| (*name, Made { weights, tenant: ask.tenant.clone() }));
+        let made = || Made { weights, tenant: ask.tenant.clone(), adapter: ask.adapter.clone() };
+        let fresh = ask.names[used.len()..].iter().map(|name| (*name, made()));
         let kept: Vec<(BlockHash, Made)> = used.iter().cloned().chain(fresh).collect();
         self.store.keep(kept.clone());
         self.engines[number].memory.keep(kept);
@@ -318,7 +344,8 @@
             let input = CarriageInput::Head { head: Head::Good, told: String::new() };
             self.tell_run(&to, told_at, input);
         }
-        let piece = |place, shot: &str| SimPiece { shot: shot.into(), place };
+        let adapter = shot.adapter.clone();
+        let piece = |place, shot: &str| SimPiece { shot: shot.into(), place, adapter: adapter.clone() };
         let half = shot.tokens / 2;
         let cut = match shot.manner {
             Manner::Breaks(after) => (shot.place >= after).then(|| CarriageInput::Broken("reset".into())),
@@ -403,6 +430,8 @@
             engine.accepting = true;
             engine.highest_term = 0;
             engine.memory.restart();
+            engine.resident.clear();
+            engine.loading.clear();
         }
     }
 
@@ -415,7 +444,7 @@
         }
         engine.highest_term = engine.highest_term.max(order.term.0);
         let taken = order.term.0 >= engine.highest_term;
-        let named = if order.weights.is_some() { "load" } else { "open" };
+        let named = order.wish.name();
         self.record.engines.push(EngineLine::Order {
             at,
             engine: engine.name.0.clone(),
@@ -426,15 +455,17 @@
         });
         self.note(format!("e{number} ordered by {} term {}: {named}", self.record_holder(), order.term));
         let engine = &mut self.engines[number];
-        match order.weights {
+        match order.wish {
             _ if !taken => {}
-            Some(weights) => {
+            SimWish::LoadAdapter(adapter) => self.begin_adapter_load(number, adapter),
+            SimWish::UnloadAdapter(adapter) => engine.unload(&adapter),
+            SimWish::LoadWeights(weights) => {
                 engine.accepting = false;
                 let boot = engine.memory.boot;
                 let span = Span::millis(self.draw.between(100, 600));
                 self.later(span, Happening::EngineLoads { engine: number, boot, weights });
             }
-            None => engine.accepting = true,
+            SimWish::Open => engine.accepting = true,
         }
     }
 
@@ -453,6 +484,8 @@
         }
         engine.weights = weights;
         engine.accepting = true;
+        engine.resident.clear();
+        engine.loading.clear();
         if !std::mem::take(&mut engine.keeps_on_load) {
             engine.memory.clear();
         }
@@ -490,6 +523,7 @@
         shot: ask.to.shot.clone(),
         salt: ask.salt.0.clone(),
         weights: engine.weights.0,
+        adapter: written(ask.adapter.as_ref()),
         prompt_blocks: ask.names.len() as u64,
         cached_blocks: own_count as u64,
     }
--- a/crates/simulator/src/prelude.rs
+++ b/crates/simulator/src/prelude.rs
@@ -1,5 +1,6 @@
 //! The one import of this package's files.
 
+pub use crate::adapted::*;
 pub use crate::callers::*;
 pub use crate::carrying::*;
 pub use crate::cast::*;
@@ -10,11 +11,12 @@
 pub use crate::pool::*;
 pub use crate::run::*;
 pub use crate::world::*;
+pub(crate) use adapters::prelude::{DemandMeter, DemandReport, SeenEngine, WarmingAct, WarmingPlanner};
 pub(crate) use admission::prelude::RetryBudget;
 pub(crate) use blocks::prelude::{Salt, blocks_of, cut};
 pub(crate) use carriage::prelude::*;
 pub(crate) use conductor::prelude::{Act, Conductor, Observed};
-pub(crate) use contract::prelude::{EngineLine, StartLine};
+pub(crate) use contract::prelude::{EngineLine, NOT_RESIDENT, StartLine};
 pub(crate) use courier::prelude::{Courier, CourierEffect, CourierInput, RouterDown, RouterUp};
 pub(crate) use desired::prelude::{Intent, Listed, ListedEngine, Role};
 pub(crate) use placement::prelude::{
@@ -23,5 +25,5 @@
 pub(crate) use std::cmp::Reverse;
 pub(crate) use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 pub(crate) use units::prelude::*;
-pub(crate) use verdict::prelude::{CallerLine, Record, Violation, WorldLine, judge};
+pub(crate) use verdict::prelude::{CallerLine, Record, Violation, WorldLine, judge, judge_questions};
 pub(crate) use warden::prelude::*;
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -17,6 +17,19 @@
     pub lasting: Lasting,
     /// The core alone, with everything in any order.
     pub disorder: bool,
+    /// What is played of adapters.
+    pub adapters: AdapterPlay,
+}
+
+/// What a run plays of adapters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdapterPlay {
+    Nothing,
+    /// Requests on adapters under all the faults.
+    Trouble,
+    /// A shift of the load between regions, with the loss of an engine, a node and the conductor; every
+    /// question must be answered.
+    Shift,
 }
 
 /// What stays cut.
@@ -38,6 +51,7 @@
             keeps_notes: false,
             lasting: Lasting::Nothing,
             disorder: false,
+            adapters: AdapterPlay::Nothing,
         }
     }
 }
@@ -63,6 +77,10 @@
     pub notes: Vec<String>,
     /// From the end of the last fault until every node served again.
     pub recovery: Option<Span>,
+    /// From the beginning of a shift of the load until the adapter was warm where it went.
+    pub warmed_after: Option<Span>,
+    /// Loads of adapters that engines finished.
+    pub loads: u64,
 }
 
 /// Plays many seeds on all of the machine's cores; the outcomes in the order of the plans.
@@ -93,7 +111,12 @@
     if plan.disorder {
         return play_disorder(plan.seed);
     }
-    let mut world = World::new(plan.seed);
+    if plan.adapters == AdapterPlay::Shift {
+        return play_shift(plan);
+    }
+    let scenario = (plan.adapters == AdapterPlay::Trouble)
+        .then(|| Scenario::new(Instant(0) + FORM_SPAN + Span(plan.trouble.0 / 2), Span::seconds(5)));
+    let mut world = World::with(plan.seed, scenario);
     world.keeps_notes = plan.keeps_notes;
     let formed_at = world.now + FORM_SPAN;
     world.run_until(formed_at);
@@ -170,7 +193,7 @@
         .all(|node| node.router.as_ref().is_some_and(|router| node.clock.read(world.now) < router.lease_until))
 }
 
-fn finish(mut world: World, recovery: Option<Span>) -> RunOutcome {
+pub(crate) fn finish(mut world: World, recovery: Option<Span>) -> RunOutcome {
     world.sum_shots();
     if world.keeps_notes {
         let unserved: Vec<String> = world
@@ -205,6 +228,8 @@
         outcomes,
         notes: world.notes,
         recovery,
+        warmed_after: None,
+        loads: 0,
     }
 }
 
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -34,6 +34,11 @@
     OrderLeaves { keeper: usize, life: u64, engine: usize, order: SimOrder },
     Ordered { engine: usize, order: SimOrder },
     EngineLoads { engine: usize, boot: u64, weights: WeightsEdition },
+    AdapterLoads { engine: usize, boot: u64, adapter: AdapterId },
+    TellsDemand { node: usize },
+    AdapterLoss(Loss),
+    Returns(Returning),
+    RaisesRevision,
     Polls { node: usize, life: u64 },
     WorkLook { node: usize, life: u64 },
     ClaimAgain { node: usize, router: NodeId, ticket: u64, submission: Submission, until: Instant },
@@ -103,6 +108,10 @@
     pub fault_kinds: Vec<&'static str>,
     /// Unwallings asked for and not answered, and the edition of the last one answered, by tenant.
     pub unwallings: BTreeMap<String, (u64, Edition)>,
+    /// Requests run on adapters, and their load moves between regions.
+    pub scenario: Option<Scenario>,
+    /// Questions about demand: ticket, keeper and its life.
+    pub demand_asks: BTreeMap<u64, (usize, u64)>,
     pub notes: Vec<String>,
     pub keeps_notes: bool,
 }
@@ -142,6 +151,11 @@
 
 impl World {
     pub fn new(seed: u64) -> World {
+        World::with(seed, None)
+    }
+
+    /// A world whose tenants run on adapters, if there is a scenario for them.
+    pub fn with(seed: u64, scenario: Option<Scenario>) -> World {
         let mut draw = Draw::new(seed);
         let keepers = (0..KEEPERS)
             .map(|number| SimKeeper {
@@ -157,6 +171,8 @@
                 census_since: None,
                 census_read: Instant(0),
                 conductor: Conductor::default(),
+                planner: WarmingPlanner::default(),
+                demand_asked: Instant(0),
                 submitted: BTreeMap::new(),
             })
             .collect();
@@ -193,6 +209,8 @@
                 manner_until: Instant(0),
                 hides_until: Instant(0),
                 keeps_on_load: false,
+                resident: BTreeSet::new(),
+                loading: BTreeSet::new(),
             })
             .collect();
         let keys = (0..TENANTS).map(|tenant| (format!("{:064x}", tenant + 1), format!("t{tenant}"))).collect();
@@ -233,6 +251,8 @@
             caller_distance,
             fault_kinds: Vec::new(),
             unwallings: BTreeMap::new(),
+            scenario,
+            demand_asks: BTreeMap::new(),
             notes: Vec::new(),
             keeps_notes: false,
         };
@@ -249,6 +269,9 @@
             world.later(Span::millis(number as u64), Happening::Traffic { node: number });
         }
         world.later(Span::millis(100), Happening::Sample);
+        if world.scenario.is_some() {
+            (0..NODES).for_each(|node| world.later(Span::seconds(1), Happening::TellsDemand { node }));
+        }
         world
     }
 
@@ -272,6 +295,7 @@
         self.record.world.push(WorldLine::Walled { at, tenant: "t5".into() });
         let command = Command::Replace { base: None, text: document };
         state.apply(&Submission { request: RequestId(1), command });
+        self.found_adapters(&mut state);
         let founder = self.member(0);
         for stored in Warden::founding(&founder, FleetId(77), state) {
             keep(&mut self.keepers[0].disk, stored);
@@ -355,7 +379,10 @@
             Happening::PumpDown { link } => self.pump(link, false),
             Happening::LinkEnds { link } => self.finish_link(link),
             Happening::Traffic { node } => {
-                self.call(node);
+                match self.scenario {
+                    Some(_) => self.call_adapted(node),
+                    None => self.call(node),
+                }
                 let pause = Span::millis(self.draw.between(40, 260));
                 self.later(pause, Happening::Traffic { node });
             }
@@ -370,6 +397,11 @@
             Happening::OrderLeaves { keeper, life, engine, order } => self.order_leaves(keeper, life, engine, order),
             Happening::Ordered { engine, order } => self.engine_ordered(engine, order),
             Happening::EngineLoads { engine, boot, weights } => self.engine_loads(engine, boot, weights),
+            Happening::AdapterLoads { engine, boot, adapter } => self.engine_holds(engine, boot, adapter),
+            Happening::TellsDemand { node } => self.tell_demand(node),
+            Happening::AdapterLoss(loss) => self.lose(loss),
+            Happening::Returns(returning) => self.hear_returns(returning),
+            Happening::RaisesRevision => self.raise_revision(),
             Happening::Polls { node, life } => self.poll_sources(node, life),
             Happening::WorkLook { node, life } => self.work_pulse(node, life),
             Happening::ClaimAgain { node, router, ticket, submission, until } => {
--- /dev/null
+++ b/crates/verdict/src/adapted.rs
@@ -0,0 +1,212 @@
+//! Judges of requests that run on adapters: by their own alone, and each answered once, whole and in time.
+
+use crate::prelude::*;
+
+/// A revision that gave way may still be begun on for so long: by a router whose lease lasts, and what passed
+/// it before.
+pub const ADAPTER_FLIGHT_MS: u64 = 3_000;
+
+/// The adapters that a tenant's requests ran on, one after the other, and since when.
+type Bindings<'a> = BTreeMap<&'a str, Vec<(u64, &'a str)>>;
+
+fn bindings(record: &Record) -> Bindings<'_> {
+    let mut bound: Bindings<'_> = BTreeMap::new();
+    for line in &record.world {
+        if let WorldLine::AdapterInForce { at, tenant, adapter } = line {
+            bound.entry(tenant).or_default().push((*at, adapter));
+        }
+    }
+    bound
+}
+
+/// Whether what began at some moment may run on an adapter: on that in force then, on one that gave way a
+/// moment before, or on one that takes over a moment later.
+fn may_run_on(bound: &[(u64, &str)], adapter: &str, at: u64) -> bool {
+    bound.iter().enumerate().any(|(place, (since, known))| {
+        let until = bound.get(place + 1).map_or(u64::MAX, |(next, _)| next + ADAPTER_FLIGHT_MS);
+        *known == adapter && at + ADAPTER_FLIGHT_MS >= *since && at <= until
+    })
+}
+
+/// Work of a bound tenant runs on its adapter alone, that of others on none; answers name what they ran on;
+/// no kept block crosses between adapters.
+pub(crate) fn adapters_are_own(record: &Record) -> Vec<String> {
+    let bound = bindings(record);
+    let tenants: BTreeMap<&str, &str> =
+        record.callers.iter().map(|caller| (caller.run.as_str(), caller.tenant.as_str())).collect();
+    let mut found = Vec::new();
+    let mut ran_on: BTreeMap<&str, &str> = BTreeMap::new();
+    for work in record.works() {
+        ran_on.insert(&work.shot, &work.adapter);
+        let Some(tenant) = tenants.get(run_of(&work.shot)) else { continue };
+        let is_own = match bound.get(tenant) {
+            None => work.adapter.is_empty(),
+            Some(own) => may_run_on(own, &work.adapter, work.at),
+        };
+        if !is_own {
+            found.push(format!("shot {} of {tenant} ran on adapter {:?} at {}", work.shot, work.adapter, work.at));
+        }
+    }
+    for caller in record.callers.iter().filter(|caller| caller.outcome == "whole" && !caller.shot.is_empty()) {
+        let Some(adapter) = ran_on.get(caller.shot.as_str()) else { continue };
+        if caller.adapter != *adapter {
+            found.push(format!("run {} was answered as {:?}, made on {adapter:?}", caller.run, caller.adapter));
+        }
+    }
+    for line in &record.world {
+        if let WorldLine::AdapterMemoryUsed { shot, adapter, made_under, .. } = line {
+            found.push(format!("shot {shot} on adapter {adapter:?} used memory made under {made_under:?}"));
+        }
+    }
+    found
+}
+
+/// Every question must have been answered whole exactly once, within so long after it was first asked. One
+/// that may not be repeated may end without an answer only if the engine or the router that it ran on was
+/// lost meanwhile.
+pub fn judge_questions(record: &Record, limit_ms: u64) -> Vec<String> {
+    let mut asked: BTreeMap<&str, Vec<&CallerLine>> = BTreeMap::new();
+    for caller in record.callers.iter().filter(|caller| !caller.question.is_empty()) {
+        asked.entry(&caller.question).or_default().push(caller);
+    }
+    let engines: BTreeMap<&str, &str> =
+        record.starts().map(|start| (run_of(&start.shot), start.engine.as_str())).collect();
+    let mut found = Vec::new();
+    for (question, lines) in asked {
+        let whole: Vec<&&CallerLine> = lines.iter().filter(|line| line.outcome == "whole").collect();
+        let first_asked = lines.iter().map(|line| line.at).min().unwrap_or_default();
+        match whole.as_slice() {
+            [answer] if answer.ended <= first_asked + limit_ms => {}
+            [answer] => {
+                found.push(format!("question {question} was answered after {} ms", answer.ended - first_asked))
+            }
+            [] if lines.iter().any(|line| is_excused(record, &engines, line)) => {}
+            [] => {
+                let ends: Vec<&str> = lines.iter().map(|line| line.outcome.as_str()).collect();
+                found.push(format!("question {question} of {} was not answered: {ends:?}", lines[0].tenant));
+            }
+            several => found.push(format!("question {question} was answered {} times", several.len())),
+        }
+    }
+    found
+}
+
+/// Whether an attempt may have run, may not be repeated, and lost its engine or router under way. One that
+/// no engine began was on its way to an engine as that was lost.
+fn is_excused(record: &Record, engines: &BTreeMap<&str, &str>, line: &CallerLine) -> bool {
+    let may_have_run = matches!(line.outcome.as_str(), "unknown" | "cut" | "no_answer");
+    let began_at = engines.get(line.run.as_str()).copied();
+    let is_its_engine = |what: &str| match began_at {
+        Some(engine) => what == engine,
+        None => engines.values().any(|engine| what == *engine),
+    };
+    let is_lost = record.world.iter().any(|lost| match lost {
+        WorldLine::Lost { at, what } => {
+            let in_time = *at <= line.ended && *at + ADAPTER_FLIGHT_MS >= line.at;
+            in_time && (is_its_engine(what) || *what == line.router)
+        }
+        _ => false,
+    });
+    may_have_run && !line.repeatable && is_lost
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    fn start(at: u64, shot: &str, adapter: &str) -> EngineLine {
+        EngineLine::Start(StartLine {
+            at,
+            engine: "e1".into(),
+            shot: shot.into(),
+            salt: "w1.x".into(),
+            weights: 1,
+            adapter: adapter.into(),
+            prompt_blocks: 1,
+            cached_blocks: 0,
+        })
+    }
+
+    fn asked(run: &str, tenant: &str, adapter: &str) -> CallerLine {
+        CallerLine {
+            at: 1_000,
+            ended: 2_000,
+            run: run.into(),
+            tenant: tenant.into(),
+            outcome: "whole".into(),
+            shot: format!("{run}.1"),
+            adapter: adapter.into(),
+            question: format!("q{run}"),
+            router: "n1".into(),
+            pieces: 1,
+            ..CallerLine::default()
+        }
+    }
+
+    fn in_force(at: u64, tenant: &str, adapter: &str) -> WorldLine {
+        WorldLine::AdapterInForce { at, tenant: tenant.into(), adapter: adapter.into() }
+    }
+
+    /// One tenant on `x@1` and, from 10,000 on, `x@2`; one on `y@1`; one on the bare model.
+    fn clean_record() -> Record {
+        Record {
+            callers: vec![asked("r.1", "a", "x@1"), asked("r.2", "b", "y@1"), asked("r.3", "c", "")],
+            engines: vec![start(1_000, "r.1.1", "x@1"), start(1_000, "r.2.1", "y@1"), start(1_000, "r.3.1", "")],
+            world: vec![in_force(0, "a", "x@1"), in_force(10_000, "a", "x@2"), in_force(0, "b", "y@1")],
+            ..Record::default()
+        }
+    }
+
+    fn rules(record: &Record) -> Vec<u8> {
+        judge(record).iter().map(|violation| violation.rule).collect()
+    }
+
+    type Change = fn(&mut Record);
+
+    #[test]
+    fn each_foreign_stale_or_bare_answer_is_caught() {
+        assert_eq!(rules(&clean_record()), [0u8; 0]);
+        let changes: [Change; 8] = [
+            |record| record.engines[0] = start(1_000, "r.1.1", "y@1"),
+            |record| record.engines[0] = start(1_000, "r.1.1", ""),
+            |record| record.engines[2] = start(1_000, "r.3.1", "x@1"),
+            |record| record.engines[0] = start(1_000, "r.1.1", "x@2"),
+            |record| record.engines[0] = start(13_001, "r.1.1", "x@1"),
+            |record| record.callers[0].adapter = "y@1".into(),
+            |record| record.callers[0].adapter = String::new(),
+            |record| {
+                let (adapter, made_under) = ("x@1".into(), "y@1".into());
+                record.world.push(WorldLine::AdapterMemoryUsed { at: 1, shot: "r.1.1".into(), adapter, made_under });
+            },
+        ];
+        for (place, change) in changes.iter().enumerate() {
+            let mut record = clean_record();
+            change(&mut record);
+            let broken = rules(&record);
+            assert!(!broken.is_empty() && broken.iter().all(|rule| *rule == 13), "change {place}: {broken:?}");
+        }
+    }
+
+    #[test]
+    fn each_question_unanswered_late_or_answered_twice_is_caught() {
+        let limit_ms = 5_000;
+        assert_eq!(judge_questions(&clean_record(), limit_ms), [""; 0]);
+        let changes: [Change; 4] = [
+            |record| record.callers[0].ended = 6_001,
+            |record| record.callers[0].outcome = "not_run".into(),
+            |record| record.callers.push(CallerLine { run: "r.9".into(), ..record.callers[0].clone() }),
+            |record| record.callers[0].outcome = "cut".into(),
+        ];
+        for change in changes {
+            let mut record = clean_record();
+            change(&mut record);
+            assert_eq!(judge_questions(&record, limit_ms).len(), 1);
+        }
+        let mut lost = clean_record();
+        lost.callers[0].outcome = "unknown".into();
+        lost.world.push(WorldLine::Lost { at: 1_500, what: "e1".into() });
+        assert_eq!(judge_questions(&lost, limit_ms), [""; 0], "it ran on the engine that was lost");
+        lost.callers[0].repeatable = true;
+        assert_eq!(judge_questions(&lost, limit_ms).len(), 1, "it could have been asked again");
+    }
+}
--- a/crates/verdict/src/judge.rs
+++ b/crates/verdict/src/judge.rs
@@ -1,4 +1,4 @@
-//! One judge for each of the twelve rules.
+//! One judge for each of the rules.
 
 use crate::prelude::*;
 
@@ -27,7 +27,7 @@
 /// Everything that broke a rule; empty for a clean run.
 pub fn judge(record: &Record) -> Vec<Violation> {
     let mut violations = Vec::new();
-    let judges: [(u8, Judge); 12] = [
+    let judges: [(u8, Judge); 13] = [
         (1, runs_once),
         (2, answers_are_whole),
         (3, streams_are_whole),
@@ -40,6 +40,7 @@
         (10, one_holder_orders),
         (11, retries_are_few),
         (12, service_returns),
+        (13, adapters_are_own),
     ];
     for (rule, judge_rule) in judges {
         violations.extend(judge_rule(record).into_iter().map(|what| Violation { rule, what }));
@@ -401,6 +402,7 @@
             shot: shot.into(),
             salt: format!("w{weights}.x"),
             weights,
+            adapter: String::new(),
             prompt_blocks: 1,
             cached_blocks: 0,
         })
--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod prelude;
 
+mod adapted;
 mod judge;
 mod lines;
--- a/crates/verdict/src/lines.rs
+++ b/crates/verdict/src/lines.rs
@@ -30,6 +30,12 @@
     pub cached_blocks: u64,
     /// What is wrong with the answer; empty if nothing.
     pub wrong: String,
+    /// The adapter that the answer names, as `name@revision`; empty if none.
+    #[serde(default)]
+    pub adapter: String,
+    /// What is asked, however often its caller asks again; empty where that is not told.
+    #[serde(default)]
+    pub question: String,
 }
 
 /// What else happened, and was acknowledged when.
@@ -74,6 +80,24 @@
         tenant: String,
         made_for: String,
     },
+    /// From here on, and a moment before, the tenant's requests run on this adapter, as `name@revision`.
+    AdapterInForce {
+        at: u64,
+        tenant: String,
+        adapter: String,
+    },
+    /// A kept block that was made under one adapter served a shot under another; empty for the bare model.
+    AdapterMemoryUsed {
+        at: u64,
+        shot: String,
+        adapter: String,
+        made_under: String,
+    },
+    /// A machine or process was lost, by the name that callers and shots know it by.
+    Lost {
+        at: u64,
+        what: String,
+    },
     /// A router seen holding a lease with this edition in force.
     Sample {
         at: u64,
