Whole programs: a shift between two regions with a node and an engine lost; engines wait for their last copy's successor

Now an engine that holds the last one is closed only when another holds it, at the latest after 8 s; copies go to engines on the wanted weights first. A conductor looks at engines while it waits for the one before it, so it acts at once when it may.

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod prelude;
 
 mod allotment;
+mod closing;
 mod demand;
 mod meter;
 mod planner;
--- a/crates/adapters/src/planner.rs
+++ b/crates/adapters/src/planner.rs
@@ -43,6 +43,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct WarmingPlanner {
     pub demand: DemandBook,
+    pub closings: ClosingGuard,
     began: Option<Instant>,
     /// Since when a copy has stood in its present stage here.
     stages: BTreeMap<CopyName, (CopyStage, Instant)>,
--- a/crates/adapters/src/pool.rs
+++ b/crates/adapters/src/pool.rs
@@ -28,6 +28,8 @@
     pub(crate) zone: Zone,
     pub(crate) region: Region,
     pub(crate) places: usize,
+    /// It has other weights than the wanted ones: it will be closed, and lose what it holds.
+    pub(crate) is_outdated: bool,
 }
 
 /// What engines share that may stand in for each other.
@@ -50,6 +52,7 @@
             name: name.clone(),
             zone: listed.zone.clone(),
             region: state.desired.region_of(&listed.zone),
+            is_outdated: is_outdated(state, name, model.weights),
             places: model.adapter_places.min(told.places) as usize,
         };
         pools.entry((listed.model.clone(), listed.role)).or_default().push(engine);
@@ -58,8 +61,13 @@
 }
 
 /// Whether an engine is listed open and neither drained nor closed for new weights.
-fn serves(state: &FleetState, name: &EngineName, listed: &ListedEngine) -> bool {
+pub(crate) fn serves(state: &FleetState, name: &EngineName, listed: &ListedEngine) -> bool {
     let standing = state.standings.get(name);
     let is_confirmed = standing.is_some_and(|standing| standing.confirmed.is_some() && !standing.closed);
     listed.listed == Listed::Open && is_confirmed && !state.drained.contains(name)
 }
+
+fn is_outdated(state: &FleetState, name: &EngineName, wanted: WeightsEdition) -> bool {
+    let confirmed = state.standings.get(name).and_then(|standing| standing.confirmed.as_ref());
+    confirmed.is_some_and(|(weights, _)| *weights != wanted)
+}
--- a/crates/adapters/src/prelude.rs
+++ b/crates/adapters/src/prelude.rs
@@ -1,6 +1,7 @@
 //! The one import of this package's files.
 
 pub(crate) use crate::allotment::*;
+pub use crate::closing::*;
 pub use crate::demand::*;
 pub use crate::meter::*;
 pub use crate::planner::*;
--- a/crates/keeper/src/conducting.rs
+++ b/crates/keeper/src/conducting.rs
@@ -27,7 +27,7 @@
     let mut ordering: HashMap<EngineName, tokio::task::JoinHandle<()>> = HashMap::new();
     loop {
         pulse.tick().await;
-        let Some((term, _)) = look(&shelf).conductor else {
+        let Some((term, _)) = look(&shelf).named_conductor else {
             looks = Looks::default();
             planner.forget();
             continue;
@@ -47,11 +47,22 @@
         }
         let seen = look(&shelf);
         ordering.retain(|_, order| !order.is_finished());
-        for act in planner.direct(&seen.state, &looks.adapters, boot_now()) {
+        let warming = planner.direct(&seen.state, &looks.adapters, boot_now());
+        // While the holder before may still have orders on their way, this one looks and gives none.
+        if seen.conductor.is_none_or(|(acting, _)| acting != term) {
+            continue;
+        }
+        for act in warming {
             carry_out_warming(act, &shelf, &desk, &mut ordering, term, me);
         }
         for act in conductor.direct(&seen.state, &looks.observed, boot_now()) {
             match act {
+                Act::Stand { engine, standing }
+                    if standing.closed
+                        && !planner.closings.may_close(&seen.state, &looks.adapters, &engine, boot_now()) =>
+                {
+                    event!(debug, "engine_waits", engine = engine, reason = "it holds the last copy of an adapter");
+                }
                 Act::Stand { engine, standing } => {
                     event!(info, "engine_stands", engine = engine, closed = standing.closed, term = term);
                     let naming = engine.clone();
--- a/crates/simulator/src/adapted.rs
+++ b/crates/simulator/src/adapted.rs
@@ -197,25 +197,23 @@
 
     // The conductor's part.
 
-    pub fn keep_adapters_warm(&mut self, number: usize, term: Term, state: &FleetState, local_now: Instant) {
+    /// With the duty named but not held yet, it looks and does nothing.
+    pub fn keep_adapters_warm(
+        &mut self,
+        number: usize,
+        term: Term,
+        may_act: bool,
+        state: &FleetState,
+        local_now: Instant,
+    ) {
         if self.scenario.is_none() {
             return;
         }
         self.ask_demand(number, local_now);
-        let up = self.engines.iter().filter(|engine| engine.up);
-        let seen: BTreeMap<EngineName, SeenEngine> = up
-            .map(|engine| {
-                let told = SeenEngine {
-                    boot: engine.memory.boot.to_string(),
-                    resident: engine.resident.iter().cloned().collect(),
-                    places: ADAPTER_PLACES as u64,
-                    at: local_now,
-                };
-                (engine.name.clone(), told)
-            })
-            .collect();
+        let seen = self.seen_adapters(local_now);
         for act in self.keepers[number].planner.direct(state, &seen, local_now) {
             match act {
+                _ if !may_act => {}
                 WarmingAct::Place { engine, adapter, stage } => {
                     let naming = EngineName(format!("{engine} {adapter}"));
                     self.submit_once(number, naming, Command::PlaceCopy { term, engine, adapter, stage });
@@ -236,6 +234,30 @@
         }
     }
 
+    fn seen_adapters(&self, local_now: Instant) -> BTreeMap<EngineName, SeenEngine> {
+        let up = self.engines.iter().filter(|engine| engine.up);
+        let told = up.map(|engine| {
+            let told = SeenEngine {
+                boot: engine.memory.boot.to_string(),
+                resident: engine.resident.iter().cloned().collect(),
+                places: ADAPTER_PLACES as u64,
+                at: local_now,
+            };
+            (engine.name.clone(), told)
+        });
+        told.collect()
+    }
+
+    /// Whether an engine may be closed for new weights for the sake of the adapters it holds.
+    pub fn may_close(&mut self, number: usize, state: &FleetState, engine: &EngineName) -> bool {
+        if self.scenario.is_none() {
+            return true;
+        }
+        let local_now = self.keepers[number].clock.read(self.now);
+        let seen = self.seen_adapters(local_now);
+        self.keepers[number].planner.closings.may_close(state, &seen, engine, local_now)
+    }
+
     fn submit_once(&mut self, number: usize, naming: EngineName, command: Command) {
         if self.keepers[number].submitted.contains_key(&naming) {
             return;
--- a/crates/simulator/src/keepers.rs
+++ b/crates/simulator/src/keepers.rs
@@ -166,6 +166,7 @@
         let state = warden.state().clone();
         let census = warden.holds_duty(DutyKind::Census, local_now);
         let conductor_term = warden.holds_duty(DutyKind::Conductor, local_now);
+        let named_term = warden.is_named_for(DutyKind::Conductor, local_now);
         if reads_now {
             self.later(Span::millis(3), Happening::KeeperInput { keeper: number, life: Some(life), input: reading });
         }
@@ -183,9 +184,12 @@
         }
         if let Some((term, _)) = conductor_term {
             self.conduct(number, term, &state, local_now);
-            self.keep_adapters_warm(number, term, &state, local_now);
-        } else {
-            self.keepers[number].planner.forget();
+        }
+        match named_term {
+            Some((term, _)) => {
+                self.keep_adapters_warm(number, term, conductor_term.is_some(), &state, local_now);
+            }
+            None => self.keepers[number].planner.forget(),
         }
     }
 
@@ -229,6 +233,7 @@
         let acts = self.keepers[number].conductor.direct(state, &observed, local_now);
         for act in acts {
             match act {
+                Act::Stand { engine, standing } if standing.closed && !self.may_close(number, state, &engine) => {}
                 Act::Stand { engine, standing } => {
                     let now = self.now;
                     let waits = self.keepers[number].submitted.get(&engine).is_some_and(|until| now < *until);
