--- a/crates/adapters/src/closing.rs
+++ b/crates/adapters/src/closing.rs
@@ -51,7 +51,8 @@
         let mut others = state.adapters.warm_engines(adapter).filter(|other| *other != engine);
         others.any(|other| {
             let Some(listed) = state.listing.engines.get(other) else { return false };
-            let is_heard = seen.get(other).is_some_and(|told| now.since(told.at) < SILENT_AFTER && told.holds(adapter));
+            let is_heard =
+                seen.get(other).is_some_and(|told| now.since(told.at) < SILENT_AFTER && told.holds(adapter));
             listed.role == own.role && is_heard && serves(state, other, listed) && !self.closing.contains_key(other)
         })
     }
--- a/crates/adapters/tests/planner.rs
+++ b/crates/adapters/tests/planner.rs
@@ -371,6 +371,50 @@
     }
 }
 
+#[test]
+fn new_weights_go_round_without_a_gap() {
+    let mut fleet = Fleet::new(8, 2, 3, QUICK);
+    let demand = [("a", "x0"), ("b", "x1"), ("c", "x2")];
+    fleet.run_with(60, &demand);
+    submit(&mut fleet.state, Command::Merge { base: None, patch: r#"{"models":{"m":{"weights":2}}}"#.into() });
+    let names: Vec<EngineName> = fleet.engines.keys().cloned().collect();
+    let mut loads_until: BTreeMap<EngineName, u64> = BTreeMap::new();
+    for _ in 0..300 {
+        let seen = fleet.seen();
+        for name in &names {
+            let standing = fleet.state.standings[name].clone();
+            let is_done = standing.confirmed == Some((WeightsEdition(2), "x".into()));
+            if is_done || standing.closed {
+                continue;
+            }
+            let closed = fleet.state.standings.values().filter(|standing| standing.closed).count();
+            if closed < 4 && fleet.planner.closings.may_close(&fleet.state, &seen, name, fleet.now) {
+                fleet.state.standings.insert(name.clone(), Standing { closed: true, ..standing });
+                loads_until.insert(name.clone(), fleet.steps + 3);
+            }
+        }
+        for (name, until) in loads_until.clone() {
+            if fleet.steps >= until {
+                loads_until.remove(&name);
+                fleet.engines.get_mut(&name).unwrap().resident.clear();
+                let confirmed = Some((WeightsEdition(2), "x".into()));
+                fleet.state.standings.insert(name, Standing { confirmed, closed: false });
+            }
+        }
+        fleet.run_with(1, &demand);
+        for adapter in ["x0", "x1", "x2"] {
+            let serving = fleet.warm(adapter).into_iter().filter(|name| !fleet.state.standings[name].closed);
+            assert!(serving.count() > 0, "{adapter} is served nowhere");
+        }
+    }
+    assert!(fleet.state.standings.values().all(|standing| !standing.closed));
+    let confirmed = Some((WeightsEdition(2), "x".to_owned()));
+    assert!(
+        fleet.state.standings.values().all(|standing| standing.confirmed == confirmed),
+        "the round comes to its end"
+    );
+}
+
 #[test]
 fn copies_follow_the_load_and_do_not_flap() {
     let mut fleet = Fleet::new(12, 1, 1, QUICK);
--- a/crates/carriage/src/gate.rs
+++ b/crates/carriage/src/gate.rs
@@ -105,3 +105,81 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+    use desired::prelude::{
+        AdapterCopy, Command, CopyStage, FleetState, ListedEngine, Listing, Standing, Submission,
+    };
+
+    const NOW: Instant = Instant(1_000_000_000_000);
+
+    /// A fleet of one engine, which holds `x@1` warm; tenant `a` is bound to it, `b` to nothing.
+    fn fleet() -> FleetState {
+        let mut state = FleetState::default();
+        let document = r#"{"models":{"m":{"adapter_places":1}},"tenants":{"a":{"keys":{"k":"KEY"},"adapters":["x"]},"b":{}},
+            "adapters":{"x":{"model":"m","owners":["a"]}}}"#;
+        let patch = document.replace("KEY", &"0".repeat(64));
+        state.apply(&Submission { request: RequestId(1), command: Command::Merge { base: None, patch } });
+        let listed = ListedEngine { model: "m".into(), ..ListedEngine::default() };
+        let engines = [("e".into(), listed)].into();
+        let listing = Listing { boot: "b".into(), number: ListingNumber(1), engines };
+        state.apply(&Submission { request: RequestId(2), command: Command::List(listing) });
+        let standing = Standing { confirmed: Some((WeightsEdition(1), "b".into())), closed: false };
+        state.standings.insert("e".into(), standing);
+        let copy = AdapterCopy { adapter: AdapterId::new("x", 1), stage: CopyStage::Warm { boot: "b".into() } };
+        state.adapters.copies.insert("e".into(), vec![copy]);
+        state
+    }
+
+    fn ground(adapter: Option<AdapterId>) -> Ground {
+        let salt = Salt::of(&"m".into(), WeightsEdition(1), WallId(0), WallEdition(0)).under(adapter.as_ref());
+        Ground {
+            key_hash: "0".repeat(64),
+            tenant: "a".into(),
+            model: "m".into(),
+            engine: "e".into(),
+            weights: WeightsEdition(1),
+            adapter,
+            salt,
+            limit: NOW + Span::seconds(5),
+        }
+    }
+
+    fn starts(state: FleetState, ground: &Ground) -> Result<(), StartBar> {
+        let sight = FleetSight::default().following(state, None, NOW);
+        may_start(&sight, NOW + Span::seconds(1), ground, NOW)
+    }
+
+    #[test]
+    fn a_shot_starts_only_on_the_adapter_in_force_where_it_is_warm() {
+        let own = AdapterId::new("x", 1);
+        assert_eq!(starts(fleet(), &ground(Some(own.clone()))), Ok(()));
+        for foreign in [None, Some(AdapterId::new("x", 2)), Some(AdapterId::new("y", 1))] {
+            assert_eq!(starts(fleet(), &ground(foreign)), Err(StartBar::AdapterMoved));
+        }
+        let mut cold = fleet();
+        cold.adapters.copies.clear();
+        assert_eq!(starts(cold, &ground(Some(own.clone()))), Err(StartBar::AdapterMoved));
+        let mut leaving = fleet();
+        leaving.adapters.copies.get_mut(&"e".into()).unwrap()[0].stage = CopyStage::Leaving;
+        assert_eq!(starts(leaving, &ground(Some(own.clone()))), Err(StartBar::AdapterMoved));
+        let mut unbound = fleet();
+        unbound.desired.tenants.get_mut(&"a".into()).unwrap().adapters.clear();
+        assert_eq!(starts(unbound.clone(), &ground(Some(own.clone()))), Err(StartBar::AdapterMoved));
+        assert_eq!(starts(unbound, &ground(None)), Ok(()));
+        let bare_salt = Ground { salt: ground(None).salt, ..ground(Some(own)) };
+        assert_eq!(starts(fleet(), &bare_salt), Err(StartBar::WallMoved));
+    }
+
+    #[test]
+    fn an_answer_is_own_if_it_names_exactly_the_adapter() {
+        let own = AdapterId::new("x", 1);
+        assert!(is_own_answer(Some(&own), Some("x@1")) && is_own_answer(None, None));
+        for named in [None, Some("x@2"), Some("y@1"), Some("x")] {
+            assert!(!is_own_answer(Some(&own), named));
+        }
+        assert!(!is_own_answer(None, Some("x@1")));
+    }
+}
--- a/crates/engine/src/site.rs
+++ b/crates/engine/src/site.rs
@@ -526,7 +526,7 @@
             Ok(weights) => (weights, Counted(&self.running)),
             Err(refusal) => return *refusal,
         };
-        let _on_adapter = AdapterUse { site: &self, adapter: adapter.clone() };
+        let _on_adapter = AdapterUse { site: self, adapter: adapter.clone() };
         let known_count = held(&self.memory).overlap(&names);
         self.log_line(&EngineLine::Prefill(StartLine {
             at: boot_now().0 / 1_000_000,
--- a/crates/placement/src/picker.rs
+++ b/crates/placement/src/picker.rs
@@ -420,7 +420,7 @@
 mod tests {
     use crate::prelude::*;
     use blocks::prelude::{Salt, cut};
-    use desired::prelude::{Command, ListedEngine, Listing, Settled, Standing, Submission};
+    use desired::prelude::{AdapterCopy, Command, CopyStage, ListedEngine, Listing, Settled, Standing, Submission};
 
     const NOW: Instant = Instant(1_000_000_000_000);
 
@@ -627,6 +627,34 @@
         assert_eq!(picker.pick(&sight, &asked_prompt, NOW).unwrap().chosen.engine, "far".into());
     }
 
+    #[test]
+    fn a_prompt_on_an_adapter_goes_only_where_exactly_that_is_warm_and_rather_near() {
+        let document = r#"{"models":{"m":{"weights":1,"adapter_places":2}},"tenants":{"t":{"adapters":["x"]}},
+            "adapters":{"x":{"model":"m","owners":["t"],"revision":2}},"zones":{"a":"north","b":"north","c":"south"}}"#;
+        let sight = fleet(&["bare", "far", "near", "stale"], document);
+        let mut state = (*sight.state).clone();
+        for (name, zone, revision) in [("far", "c", 2), ("near", "b", 2), ("stale", "a", 1)] {
+            state.listing.engines.get_mut(&name.into()).unwrap().zone = zone.into();
+            let stage = CopyStage::Warm { boot: "x".into() };
+            let copy = AdapterCopy { adapter: AdapterId::new("x", revision), stage };
+            state.adapters.copies.insert(name.into(), vec![copy]);
+        }
+        let sight = sight.following(state, None, NOW);
+        let mut picker = Picker::new(NodeId(1), "a".into());
+        let adapted = Prompt { adapter: Some(AdapterId::new("x", 2)), ..prompt(&"a".repeat(640)) };
+        let chosen = |picker: &mut Picker, prompt: &Prompt| {
+            picker.pick(&sight, prompt, NOW).map(|placement| placement.chosen.engine)
+        };
+        assert_eq!(chosen(&mut picker, &adapted), Some("near".into()));
+        picker.begin_shot(&"near".into(), BlockCount(500));
+        assert_eq!(chosen(&mut picker, &adapted), Some("far".into()), "a farther one that is idle");
+        picker.note_cold(&"far".into(), &AdapterId::new("x", 2), NOW);
+        assert_eq!(chosen(&mut picker, &adapted), Some("near".into()), "the far one said it does not hold it");
+        let both = Prompt { tried: vec!["near".into()], ..adapted.clone() };
+        assert_eq!(chosen(&mut picker, &both), None, "never the bare model, another revision or a cold engine");
+        assert!(chosen(&mut picker, &prompt("bare")).is_some());
+    }
+
     /// Whatever a policy says, the pick is an engine that passes, or nobody.
     #[test]
     fn no_policy_gets_past_closed_drained_leaving_or_foreign_engines() {
--- a/crates/simulator/tests/seeds.rs
+++ b/crates/simulator/tests/seeds.rs
@@ -83,6 +83,27 @@
     assert!(acks > 50_000, "little was committed: {acks}");
 }
 
+/// Every question is answered whole, once, within ten seconds and by its own adapter, though the load moves
+/// between the regions and an engine, a router's node and the conductor are lost meanwhile.
+#[test]
+fn a_shift_between_regions_with_losses_leaves_no_question_open() {
+    let adapters = AdapterPlay::Shift;
+    let outcomes = play_clean((5000..5200).map(|seed| RunPlan { adapters, ..RunPlan::of(seed) }).collect());
+    assert!(count(&outcomes, "whole") > 200_000, "{} answers", count(&outcomes, "whole"));
+    assert!(outcomes.iter().all(|outcome| outcome.faults == 3), "each run has its three losses");
+    let warmed: Vec<Span> = outcomes.iter().filter_map(|outcome| outcome.warmed_after).collect();
+    assert!(warmed.len() >= 195, "the new region was warmed in {} runs", warmed.len());
+    let longest = warmed.iter().max().copied().unwrap_or_default();
+    assert!(longest < Span::seconds(20), "warming took {} ms", longest.as_millis());
+}
+
+#[test]
+fn requests_on_adapters_under_all_faults_break_no_rule() {
+    let adapters = AdapterPlay::Trouble;
+    let outcomes = play_clean((5500..5560).map(|seed| RunPlan { adapters, ..RunPlan::of(seed) }).collect());
+    assert!(count(&outcomes, "whole") > 120_000, "{} answers", count(&outcomes, "whole"));
+}
+
 #[test]
 fn the_same_seed_gives_the_same_run() {
     let plan = RunPlan { keeps_notes: true, ..RunPlan::of(42) };
