--- a/crates/yard/tests/adapters.rs
+++ b/crates/testbed/tests/adapters.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use testbed::prelude::*;
 use units::prelude::*;
 use web::prelude::{Question, Replied, open_stream, read_whole, small_runtime};
-use yard::prelude::*;
 
 const QUESTION_MS: u64 = 10_000;
 const ATTEMPT_MS: u64 = 3_500;
@@ -56,11 +56,11 @@
             }
             let home = if self.moved.load(Ordering::SeqCst) { SOUTH } else { NORTH };
             let mut asked = vec![(ENGRAVER, home)];
-            if tick % 2 == 0 {
+            if tick.is_multiple_of(2) {
                 asked.push((CLINIC, SOUTH));
             }
-            if tick % 4 == 0 {
-                asked.push((BARE, if tick % 8 == 0 { NORTH } else { SOUTH }));
+            if tick.is_multiple_of(4) {
+                asked.push((BARE, if tick.is_multiple_of(8) { NORTH } else { SOUTH }));
             }
             for (tenant, region) in asked {
                 let number = self.next_question.fetch_add(1, Ordering::SeqCst);
@@ -77,7 +77,7 @@
     /// One question, asked again at the region's other router while that is right and there is time.
     async fn ask(&self, number: u64, tenant: usize, region: [usize; 2]) {
         let asked_at = boot_millis();
-        let repeatable = number % 3 != 0;
+        let repeatable = !number.is_multiple_of(3);
         for attempt in 0.. {
             let left = (asked_at + QUESTION_MS).saturating_sub(boot_millis());
             if left < 300 {
@@ -89,9 +89,9 @@
                 router: format!("n{router}"),
                 tenant: self.tenants[tenant].0.clone(),
                 key: self.tenants[tenant].1.clone(),
-                kind: if number % 2 == 0 { "streamed".into() } else { "whole".into() },
+                kind: if number.is_multiple_of(2) { "streamed".into() } else { "whole".into() },
                 repeatable,
-                streams: number % 2 == 0,
+                streams: number.is_multiple_of(2),
                 question: format!("q{number}"),
                 ..CallerLine::default()
             };
