--- a/crates/attempts/src/messages.rs
+++ b/crates/attempts/src/messages.rs
@@ -53,6 +53,8 @@
     Placed(EngineName),
     /// No engine passes.
     NoEngine,
+    /// Engines serve, but none holds the adapter that the request runs on.
+    NoAdapter,
     /// A second shot would go over the retry budget.
     NoBudget,
     /// The router takes nothing more.
@@ -186,6 +188,8 @@
 pub enum GivenUpKind {
     /// No engine served it.
     NotServed,
+    /// No engine holds its adapter warm.
+    AdapterCold,
     /// Its own limit passed.
     LimitPassed,
     /// The router holds no lease.
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -11,6 +11,8 @@
     pub kind: String,
     /// The model asked for.
     pub model: ModelName,
+    /// The adapter it runs on, alone; none for the bare model.
+    pub adapter: Option<AdapterId>,
     /// Its block names, under the salt of each edition in use.
     pub names: BTreeMap<WeightsEdition, Vec<BlockHash>>,
     /// How many blocks it has.
@@ -44,8 +46,11 @@
     pub by_events: bool,
     /// Could not be reached a moment ago; chosen only if every candidate is such.
     pub is_resting: bool,
-    /// Decodes in another zone than ours, which loses ties.
+    /// Decodes in another zone than ours, or stands in another zone with the adapter asked for, which loses
+    /// ties.
     pub is_far: bool,
+    /// What is added to the cost for standing in another region than ours, in blocks.
+    pub distance_blocks: u64,
 }
 
 /// Where a prompt goes, and why.
--- a/crates/simulator/src/founding.rs
+++ b/crates/simulator/src/founding.rs
@@ -18,6 +18,9 @@
             self.later(Span::millis(number as u64), SimEvent::Traffic { node: number });
         }
         self.later(Span::millis(100), SimEvent::Sample);
+        if self.scenario.is_some() {
+            (0..NODES).for_each(|node| self.later(Span::seconds(1), SimEvent::TellsDemand { node }));
+        }
     }
 
     fn found(&mut self) {
@@ -40,6 +43,7 @@
         self.record.world.push(WorldLine::Walled { at, tenant: "t5".into() });
         let command = Command::Replace { base: None, text: document };
         state.apply(&Submission { request: RequestId(1), command });
+        self.found_adapters(&mut state);
         let founder = self.member(0);
         for stored in Warden::founding(&founder, FleetId(77), state) {
             keep(&mut self.keepers[0].disk, stored);
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod prelude;
 
+mod adapted;
 mod bounds;
 mod callers;
 mod claims;
--- a/crates/simulator/src/machines.rs
+++ b/crates/simulator/src/machines.rs
@@ -37,6 +37,9 @@
     /// When it read the platform's listing last.
     pub census_read: Instant,
     pub conductor: Conductor,
+    pub planner: WarmingPlanner,
+    /// When it asked last where requests on adapters arrive.
+    pub demand_asked: Instant,
     pub submitted: BTreeMap<EngineName, Instant>,
 }
 
@@ -56,6 +59,8 @@
             census_since: None,
             census_read: Instant(0),
             conductor: Conductor::default(),
+            planner: WarmingPlanner::default(),
+            demand_asked: Instant(0),
             submitted: BTreeMap::new(),
         }
     }
@@ -101,6 +106,8 @@
     pub doors: Vec<RouterDoor>,
     pub shots: u64,
     pub retries: u64,
+    /// Requests for adapters that arrived here.
+    pub meter: DemandMeter,
 }
 
 impl SimRouter {
@@ -116,6 +123,7 @@
             doors: Vec::new(),
             shots: 0,
             retries: 0,
+            meter: DemandMeter::default(),
         }
     }
 }
@@ -135,6 +143,25 @@
 pub struct SimOrder {
     pub holder: String,
     pub term: Term,
-    /// The weights to load; none for an order to open.
-    pub weights: Option<WeightsEdition>,
+    pub wish: SimWish,
+}
+
+/// What an engine is ordered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SimWish {
+    Open,
+    LoadWeights(WeightsEdition),
+    LoadAdapter(AdapterId),
+    UnloadAdapter(AdapterId),
+}
+
+impl SimWish {
+    pub fn name(&self) -> &'static str {
+        match self {
+            SimWish::Open => "open",
+            SimWish::LoadWeights(_) => "load",
+            SimWish::LoadAdapter(_) => "load adapter",
+            SimWish::UnloadAdapter(_) => "unload adapter",
+        }
+    }
 }
--- a/crates/simulator/src/runs.rs
+++ b/crates/simulator/src/runs.rs
@@ -9,6 +9,8 @@
 pub struct SimPiece {
     pub shot: String,
     pub place: u64,
+    /// The adapter it names.
+    pub adapter: Option<AdapterId>,
 }
 
 pub struct SimRun {
@@ -36,6 +38,8 @@
     pub resumes: bool,
     pub idempotency_key: Option<u64>,
     pub limit: Span,
+    /// What is asked, however often, and by when it must be answered.
+    pub question: Option<(u64, Instant)>,
 }
 
 pub(crate) struct SimShot {
@@ -79,6 +83,10 @@
         let Some(tenant) = router.sight.tenants_by_key.get(&request.key_hash).cloned() else {
             return self.caller_gets(caller, CallerNews::Final { status: 401, outcome: "not_run" });
         };
+        if let Some(adapter) = router.sight.state.adapter_for(&tenant, &ModelName(MODEL.into())) {
+            let span = router.sight.state.desired.warming.demand_span;
+            router.meter.note(&adapter.name, span, local_now);
+        }
         router.next_run += 1;
         let number = router.next_run;
         let run_name = format!("{}.{number}", router.id);
@@ -126,8 +134,15 @@
         let (key_hash, tenant) = (&run.request.key_hash, &run.request.tenant);
         let input = match may_go_on(&router.sight, router.lease_until, key_hash, tenant, local_now) {
             Err(bar) => CarriageInput::WorkBarred(bar),
-            Ok(()) => input,
+            Ok(()) => own_answer(run, input),
         };
+        let is_cold = matches!(&input, CarriageInput::Head { told, .. } if told == NOT_RESIDENT);
+        let adapter =
+            run.shot.as_ref().and_then(|shot| Some((shot.ground.engine.clone(), shot.ground.adapter.clone()?)));
+        if let (true, Some((engine, adapter)), Some(router)) = (is_cold, adapter, self.nodes[to.node].router.as_mut())
+        {
+            router.picker.note_cold(&engine, &adapter, local_now);
+        }
         self.drive(to.node, to.router, to.run, input);
     }
 
@@ -163,3 +178,14 @@
         }
     }
 }
+
+/// What an engine tells, if it names the adapter that the shot was to run on.
+fn own_answer(run: &SimRun, input: CarriageInput<SimPiece>) -> CarriageInput<SimPiece> {
+    let CarriageInput::Piece { piece, .. } = &input else { return input };
+    let adapter = run.shot.as_ref().and_then(|shot| shot.ground.adapter.as_ref());
+    let named = piece.adapter.as_ref().map(AdapterId::to_string);
+    match is_own_answer(adapter, named.as_deref()) {
+        true => input,
+        false => CarriageInput::Broken("an answer of another adapter".into()),
+    }
+}
--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod prelude;
 
+mod adapted;
 mod answers;
 mod judge;
 mod lines;
--- a/crates/verdict/src/lines.rs
+++ b/crates/verdict/src/lines.rs
@@ -43,6 +43,12 @@
     pub cached_blocks: u64,
     /// What is wrong with the answer; empty if nothing.
     pub wrong: String,
+    /// The adapter that the answer names, as `name@revision`; empty if none.
+    #[serde(default)]
+    pub adapter: String,
+    /// What is asked, however often its caller asks again; empty where that is not told.
+    #[serde(default)]
+    pub question: String,
 }
 
 /// What else happened, and was acknowledged when.
@@ -113,6 +119,33 @@
         /// The tenant the block was made for.
         made_for: String,
     },
+    /// From here on, and a moment before, the tenant's requests run on this adapter, as `name@revision`.
+    AdapterInForce {
+        /// When.
+        at: u64,
+        /// The tenant.
+        tenant: String,
+        /// The adapter.
+        adapter: String,
+    },
+    /// A kept block that was made under one adapter served a shot under another; empty for the bare model.
+    AdapterMemoryUsed {
+        /// When.
+        at: u64,
+        /// The attempt it served.
+        shot: String,
+        /// The adapter the attempt ran on.
+        adapter: String,
+        /// The adapter the block was made under.
+        made_under: String,
+    },
+    /// A machine or process was lost, by the name that callers and shots know it by.
+    Lost {
+        /// When.
+        at: u64,
+        /// The engine, router or machine.
+        what: String,
+    },
     /// A router seen holding a lease with this edition in force.
     Sample {
         /// When.
--- a/crates/verdict/tests/judge.rs
+++ b/crates/verdict/tests/judge.rs
@@ -10,6 +10,7 @@
         shot: shot.into(),
         salt: format!("w{weights}.x"),
         weights,
+        adapter: String::new(),
         prompt_blocks: 1,
         cached_blocks: 0,
     })
