--- a/crates/adapters/tests/planner.rs
+++ b/crates/adapters/tests/planner.rs
@@ -59,7 +59,8 @@
         let listing = names.iter().enumerate().map(|(number, name)| (name.clone(), listed(number))).collect();
         submit(&mut state, Command::List(Listing { boot: "b".into(), number: ListingNumber(1), engines: listing }));
         for name in &names {
-            let standing = Standing { confirmed: Some((WeightsEdition(1), "x".into())), closed: false };
+            let standing =
+                Standing { confirmed: Some((WeightsEdition(1), "x".into())), closed: false, ..Standing::default() };
             state.standings.insert(name.clone(), standing);
         }
         let empty = || SimEngine { up: true, boot: 1, resident: BTreeSet::new(), loading: BTreeMap::new() };
@@ -398,7 +399,7 @@
                 loads_until.remove(&name);
                 fleet.engines.get_mut(&name).unwrap().resident.clear();
                 let confirmed = Some((WeightsEdition(2), "x".into()));
-                fleet.state.standings.insert(name, Standing { confirmed, closed: false });
+                fleet.state.standings.insert(name, Standing { confirmed, closed: false, ..Standing::default() });
             }
         }
         fleet.run_with(1, &demand);
--- a/crates/attempts/src/gate.rs
+++ b/crates/attempts/src/gate.rs
@@ -140,7 +140,8 @@
         let engines = [("e".into(), listed)].into();
         let listing = Listing { boot: "b".into(), number: ListingNumber(1), engines };
         state.apply(&Submission { request: RequestId(2), command: Command::List(listing) });
-        let standing = Standing { confirmed: Some((WeightsEdition(1), "b".into())), closed: false };
+        let standing =
+            Standing { confirmed: Some((WeightsEdition(1), "b".into())), closed: false, ..Standing::default() };
         state.standings.insert("e".into(), standing);
         let copy = AdapterCopy { adapter: AdapterId::new("x", 1), stage: CopyStage::Warm { boot: "b".into() } };
         state.adapters.copies.insert("e".into(), vec![copy]);
--- a/crates/keeper/src/desk.rs
+++ b/crates/keeper/src/desk.rs
@@ -18,59 +18,6 @@
     Stop,
 }
 
-/// What the desk lets the other duties of this process see.
-#[derive(Clone, Default)]
-pub struct Seen {
-    pub view: View,
-    pub state: Arc<FleetState>,
-    pub tail_active: bool,
-    pub alive: Vec<NodeId>,
-    /// Terms of the duties held, and until when.
-    pub census: Option<(Term, Instant)>,
-    pub conductor: Option<(Term, Instant)>,
-    /// The conductor's term, also while the one before may still have orders on their way.
-    pub named_conductor: Option<(Term, Instant)>,
-    pub last_sync_micros: u64,
-    /// The disk takes nothing for now, and the desk waits.
-    pub disk_refuses: bool,
-}
-
-/// What the desk shows, and the bell it rings when state or duties have changed.
-#[derive(Default)]
-pub struct Shown {
-    seen: RwLock<Arc<Seen>>,
-    changed: tokio::sync::Notify,
-}
-
-pub type Shelf = Arc<Shown>;
-
-impl Shown {
-    fn put(&self, seen: Arc<Seen>) -> Arc<Seen> {
-        let mut shown = self.seen.write().expect("no holder of this lock panics");
-        std::mem::replace(&mut *shown, seen)
-    }
-
-    /// While the disk refuses, this keeper holds no duty, and hears nobody.
-    fn put_refusal(&self) {
-        let earlier = Arc::clone(&self.seen.read().expect("no holder of this lock panics"));
-        if !earlier.disk_refuses {
-            let (tail_active, alive, census, conductor) = (false, Vec::new(), None, None);
-            let seen = Seen { tail_active, alive, census, conductor, disk_refuses: true, ..(*earlier).clone() };
-            self.put(Arc::new(seen));
-            self.changed.notify_waiters();
-        }
-    }
-}
-
-pub fn look(shelf: &Shelf) -> Arc<Seen> {
-    Arc::clone(&shelf.seen.read().expect("no holder of this lock panics"))
-}
-
-/// Waits until the desk shows something new, or the limit passes.
-pub async fn await_change(shelf: &Shelf, limit: Span) {
-    let _ = tokio::time::timeout(limit.as_duration(), shelf.changed.notified()).await;
-}
-
 /// What other duties need of the state: not the operators' words, of which there may be much.
 fn glance(state: &FleetState) -> FleetState {
     FleetState {
@@ -119,6 +66,8 @@
     shown_edition: Option<Edition>,
     shown_state: Arc<FleetState>,
     last_sync_micros: u64,
+    /// Planned when the machine heard what was not sent; carried out with the next batch.
+    replanned: Vec<Effect>,
 }
 
 impl Desk {
@@ -147,6 +96,7 @@
             shown_edition: None,
             shown_state: Arc::default(),
             last_sync_micros: 0,
+            replanned: Vec::new(),
         }
     }
 
@@ -155,7 +105,7 @@
         let mut stops_at: Option<Instant> = None;
         loop {
             let Some(batch) = self.patience.next(self.pause(stops_at), BATCH) else { return Ok(()) };
-            let mut plan = Vec::new();
+            let mut plan = std::mem::take(&mut self.replanned);
             for command in batch {
                 match command {
                     DeskCommand::Link(link_event) => self.take_link_event(link_event, &mut plan),
@@ -198,6 +148,9 @@
     /// How long nothing is due.
     fn pause(&self, stops_at: Option<Instant>) -> Duration {
         let now = boot_now();
+        if !self.replanned.is_empty() {
+            return Duration::ZERO;
+        }
         let due = self.last_pulse + self.warden.pulse_span(now);
         let due = stops_at.map_or(due, |stops_at| due.min(stops_at));
         due.since(now).as_duration()
@@ -225,6 +178,7 @@
                 let node = place.hello.speaker;
                 if self.nodes.get(&node) == Some(&id) {
                     self.nodes.remove(&node);
+                    drop_tells(plan, node);
                     plan.extend(self.warden.step(Input::NodeGone { node }, boot_now()));
                 }
             }
@@ -252,6 +206,7 @@
                 if let Some(earlier) = self.links.get(&earlier_id) {
                     earlier.link.close();
                 }
+                drop_tells(plan, node);
                 plan.extend(self.warden.step(Input::NodeGone { node }, boot_now()));
             }
         }
@@ -279,8 +234,14 @@
             }
             self.last_sync_micros = boot_now().since(sync_began).0 / 1000;
         }
+        let mut dispatch = Dispatch::default();
         for effect in sent_effects {
-            self.send_out(effect);
+            if let Some(effect) = dispatch.admit(effect, boot_now()) {
+                self.send_out(effect);
+            }
+        }
+        for input in dispatch.into_inputs() {
+            self.replanned.extend(self.warden.step(input, boot_now()));
         }
         Ok(true)
     }
@@ -288,17 +249,12 @@
     fn send_out(&mut self, effect: Effect) {
         match effect {
             Effect::Store(_) => {}
-            Effect::Send { address, message, until, .. } => {
-                if until.is_none_or(|until| boot_now() < until) {
-                    self.post.send(&address, &Inbound::Core(message));
-                }
+            Effect::Send { address, message, .. } | Effect::Knock { address, message } => {
+                self.post.send(&address, &Inbound::Core(message));
             }
-            Effect::Knock { address, message } => self.post.send(&address, &Inbound::Core(message)),
-            Effect::Tell { node, message, until } => {
+            Effect::Tell { node, message, .. } => {
                 let Some(place) = self.nodes.get(&node).and_then(|id| self.links.get(id)) else { return };
-                if until.is_none_or(|until| boot_now() < until) {
-                    place.link.say(&message);
-                }
+                place.link.say(&message);
             }
             Effect::Outcome { ticket, outcome } => {
                 if let Some(reply) = self.replies.remove(&ticket) {
@@ -342,18 +298,18 @@
         };
         let seen = Arc::new(seen);
         let earlier = self.shelf.put(Arc::clone(&seen));
-        let term = |held: Option<(Term, Instant)>| held.map(|(term, _)| term);
-        let has_changed = seen.state.edition != earlier.state.edition
-            || term(seen.census) != term(earlier.census)
-            || term(seen.conductor) != term(earlier.conductor)
-            || term(seen.named_conductor) != term(earlier.named_conductor);
-        if has_changed {
+        if seen.is_news_after(&earlier, now) {
             self.shelf.changed.notify_waiters();
         }
         Ok(true)
     }
 }
 
+/// What was planned for a node's earlier link must not go out on the next one: the node begins anew there.
+fn drop_tells(plan: &mut Vec<Effect>, to: NodeId) {
+    plan.retain(|effect| !matches!(effect, Effect::Tell { node, .. } if *node == to));
+}
+
 /// Whoever waits for an answer that has not come by then is told that nothing is known.
 fn refused(shelf: &Shelf, replies: &mut HashMap<u64, oneshot::Sender<AskOutcome>>, waited: Span) {
     shelf.put_refusal();
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -16,3 +16,4 @@
 mod patience;
 mod ports;
 mod run;
+mod shelf;
--- a/crates/keeper/src/prelude.rs
+++ b/crates/keeper/src/prelude.rs
@@ -13,6 +13,8 @@
 pub use crate::patience::*;
 pub use crate::ports::*;
 pub use crate::run::*;
+pub use crate::shelf::Seen;
+pub(crate) use crate::shelf::*;
 pub(crate) use adapters::prelude::{RATE_UNIT, SeenEngine, WarmingAct, WarmingPlanner};
 pub use conductor::prelude::OrderAnswer;
 pub(crate) use conductor::prelude::{Act, Bringer, Bringing, Conductor, Observed};
--- a/crates/simulator/src/events.rs
+++ b/crates/simulator/src/events.rs
@@ -6,7 +6,7 @@
 pub enum SimEvent {
     KeeperPulse { keeper: usize, life: u64 },
     KeeperInput { keeper: usize, life: Option<u64>, input: Input },
-    CarryOut { keeper: usize, life: u64, plan: Vec<Effect> },
+    Synced { keeper: usize, life: u64 },
     NodePulse { node: usize, life: u64 },
     NodeInput { node: usize, life: u64, input: SubscriptionInput },
     RouterDials { node: usize, life: u64, router: NodeId },
@@ -14,6 +14,7 @@
     Dialled { node: usize, life: u64, address: String },
     PumpUp { link: usize },
     PumpDown { link: usize },
+    TakesUp { link: usize },
     LinkEnds { link: usize },
     Traffic { node: usize },
     Enters { node: usize, caller: usize, request: SimRequest },
@@ -64,7 +65,7 @@
                 self.later(Span::millis(50), SimEvent::KeeperPulse { keeper, life });
             }
             SimEvent::KeeperInput { keeper, life, input } => self.step_keeper(keeper, life, input),
-            SimEvent::CarryOut { keeper, life, plan } => self.carry_out(keeper, life, plan),
+            SimEvent::Synced { keeper, life } => self.end_sync(keeper, life),
             SimEvent::NodePulse { node, life } => {
                 if self.nodes[node].life == life && self.nodes[node].subscription.is_some() {
                     self.step_node(node, life, SubscriptionInput::Pulse);
@@ -77,6 +78,7 @@
             SimEvent::Dialled { node, life, address } => self.connect(node, life, &address),
             SimEvent::PumpUp { link } => self.pump(link, true),
             SimEvent::PumpDown { link } => self.pump(link, false),
+            SimEvent::TakesUp { link } => self.take_up(link),
             SimEvent::LinkEnds { link } => self.finish_link(link),
             SimEvent::Traffic { node } => {
                 match self.scenario {
--- a/crates/simulator/src/machines.rs
+++ b/crates/simulator/src/machines.rs
@@ -33,6 +33,8 @@
     /// While the disk syncs, inputs wait.
     pub busy_until: Instant,
     pub sync_span: Span,
+    /// What was planned and waits for its sync; nothing else is taken up before it is carried out.
+    pub syncing: Option<Vec<Effect>>,
     pub census_since: Option<Instant>,
     /// When it read the platform's listing last.
     pub census_read: Instant,
@@ -55,6 +57,7 @@
             life: 0,
             frozen_until: Instant(0),
             busy_until: Instant(0),
+            syncing: None,
             sync_span: Span::millis(2),
             census_since: None,
             census_read: Instant(0),
@@ -64,6 +67,11 @@
             submitted: BTreeMap::new(),
         }
     }
+
+    /// When it takes something up again: it is frozen or its disk syncs until then.
+    pub fn free_at(&self) -> Instant {
+        self.frozen_until.max(self.busy_until)
+    }
 }
 
 pub struct SimNode {
@@ -134,6 +142,8 @@
     pub keeper: usize,
     pub keeper_life: u64,
     pub open: bool,
+    /// Whether the keeper has taken the stream up; until then it still writes to the one before.
+    pub taken_up: bool,
     pub up: VecDeque<NodeUp>,
     pub down: VecDeque<NodeDown>,
 }
--- a/crates/subscription/src/machine.rs
+++ b/crates/subscription/src/machine.rs
@@ -17,103 +17,6 @@
 /// A keeper that names the tail is believed after so short a time.
 const REDIRECT_SPAN: Span = Span::millis(60);
 
-/// The router to its agent, over loopback.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum RouterUp {
-    /// Who the router is and where callers reach it; said first.
-    Here(RouterDoor),
-    /// A state is in force at the router.
-    Applied {
-        /// Its number.
-        edition: Edition,
-    },
-    /// A command for the core.
-    Submit {
-        /// By which the router knows its outcome again.
-        ticket: u64,
-        /// The command, named so that it counts once.
-        submission: Submission,
-    },
-    /// Where requests on adapters arrive.
-    Demand(DemandReport),
-}
-
-/// The agent to its router, over loopback.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum RouterDown {
-    /// The whole state, and when each edition of weights lately given up gave way.
-    Snapshot {
-        /// The state.
-        state: Box<FleetState>,
-        /// Weights lately given up, and when.
-        gave_way: Vec<(ModelName, WeightsEdition, Instant)>,
-    },
-    /// The next change, and when it was committed, if that is known: never later than it was.
-    Push {
-        /// The number of the change.
-        number: Edition,
-        /// The change.
-        submission: Submission,
-        /// When it was committed, if that is known.
-        committed: Option<Instant>,
-    },
-    /// The lease, and when the core was last disturbed: never later than it was.
-    Lease {
-        /// Until when the router may start anything.
-        until: Instant,
-        /// When the core was last disturbed.
-        disturbed: Instant,
-    },
-    /// What became of a command.
-    Settled {
-        /// The router's own ticket.
-        ticket: u64,
-        /// What became of it.
-        outcome: Settled,
-    },
-    /// Where the other routers are reached.
-    Doors(Vec<RouterDoor>),
-}
-
-/// What the state machine is told.
-#[derive(Clone, Debug)]
-pub enum SubscriptionInput {
-    /// Time has passed.
-    Pulse,
-    /// The stream to the core is up.
-    CoreUp,
-    /// The stream to the core is gone.
-    CoreDown,
-    /// A message from the core.
-    Core(NodeDown),
-    /// A router has connected.
-    RouterUp,
-    /// The router's stream is gone.
-    RouterDown,
-    /// A message from the router.
-    Router(RouterUp),
-    /// Other addresses at which the core may be found.
-    Seeds(Vec<String>),
-}
-
-/// What the state machine orders.
-#[derive(Clone, Debug, PartialEq)]
-pub enum SubscriptionEffect {
-    /// Drop the stream to the core, if there is one, and dial this address.
-    Dial(String),
-    /// Send a message to the core.
-    SayCore(NodeUp),
-    /// Send a message to the router.
-    SayRouter(RouterDown),
-    /// Log an event.
-    Note {
-        /// The event's name.
-        event: &'static str,
-        /// What is to be known of it, as key=value.
-        detail: String,
-    },
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CoreStream {
     Down,
@@ -126,6 +29,9 @@
     life: u64,
     applied: Option<Edition>,
     door: Option<RouterDoor>,
+    /// It has a state that changes can follow: its own, or a snapshot that is on its way to it. What was
+    /// pushed for the router before it can follow nothing.
+    has_state: bool,
 }
 
 /// An agent's hold on the core, for its router.
@@ -206,7 +112,7 @@
             }
             SubscriptionInput::RouterUp => {
                 self.lives += 1;
-                self.router = Some(RouterPlace { life: self.lives, applied: None, door: None });
+                self.router = Some(RouterPlace { life: self.lives, applied: None, door: None, has_state: false });
                 self.renew(now);
             }
             SubscriptionInput::RouterDown => self.router = None,
@@ -223,6 +129,7 @@
                 let Some(router) = self.router.as_mut() else { return Vec::new() };
                 let is_first = router.applied.is_none();
                 router.applied = Some(edition);
+                router.has_state = true;
                 self.say_core(NodeUp::Applied { edition });
                 if is_first {
                     self.renew(now);
@@ -254,7 +161,7 @@
                 let behind_too_long = self.behind_since.is_some_and(|since| now.since(since) >= BEHIND_LIMIT);
                 let granted_nothing = self.router.is_some() && now.since(self.last_granted) >= GRANT_LIMIT;
                 if silent_too_long || behind_too_long || granted_nothing {
-                    self.dial_another(now);
+                    self.leave(now);
                     return;
                 }
                 if now.since(self.last_renewed) >= self.pause(now) {
@@ -264,12 +171,19 @@
             CoreStream::Down => self.dial_another(now),
             CoreStream::Dialling { since } => {
                 if now.since(since) >= SILENCE_LIMIT {
-                    self.dial_another(now);
+                    self.leave(now);
                 }
             }
         }
     }
 
+    /// Gives up the present keeper for another. The same one again would cost its whole limit once more: a
+    /// tail that the other keepers cannot reach still answers, and still takes itself for the tail.
+    fn leave(&mut self, now: Instant) {
+        let left = self.target.clone();
+        self.dial_one(now, |address| address != left);
+    }
+
     /// Between two renewals.
     fn pause(&self, now: Instant) -> Span {
         let is_leased = now + self.renew_span < self.lease_until;
@@ -290,14 +204,22 @@
         due.max(now + SHORTEST_PAUSE)
     }
 
-    /// The tail first, then everybody in turn.
+    /// Everybody in turn.
     fn dial_another(&mut self, now: Instant) {
+        self.dial_one(now, |_| true);
+    }
+
+    /// The next in turn of those wanted, or of all if none is.
+    fn dial_one(&mut self, now: Instant, is_wanted: impl Fn(&str) -> bool) {
         if now < self.next_dial {
             return;
         }
         let mut addresses: Vec<String> = self.view.members.iter().map(|member| member.address.clone()).collect();
         addresses.extend(self.seeds.iter().cloned());
         addresses.dedup();
+        if addresses.iter().any(|address| is_wanted(address)) {
+            addresses.retain(|address| is_wanted(address));
+        }
         if addresses.is_empty() {
             return;
         }
@@ -342,11 +264,17 @@
                 }
             }
             NodeDown::Snapshot { state, gave_way } => {
+                if let Some(router) = self.router.as_mut() {
+                    router.has_state = true;
+                }
                 let gave_way = gave_way.into_iter().map(|(model, weights, age)| (model, weights, self.when(age)));
                 let message = RouterDown::Snapshot { state, gave_way: gave_way.collect() };
                 self.plan.push(SubscriptionEffect::SayRouter(message));
             }
             NodeDown::Push { number, submission, age } => {
+                if !self.router.as_ref().is_some_and(|router| router.has_state) {
+                    return;
+                }
                 let committed = age.map(|age| self.when(age));
                 self.plan.push(SubscriptionEffect::SayRouter(RouterDown::Push { number, submission, committed }));
             }
@@ -410,6 +338,7 @@
         subscription.step(SubscriptionInput::Pulse, at(1));
         subscription.step(SubscriptionInput::CoreUp, at(1));
         subscription.step(SubscriptionInput::RouterUp, at(1));
+        subscription.step(SubscriptionInput::Router(RouterUp::Applied { edition: Edition(0) }), at(1));
         let granted = |sent| {
             SubscriptionInput::Core(NodeDown::Granted {
                 sent,
