--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -18,5 +18,6 @@
 mod operators;
 mod pool;
 mod run;
+mod shift;
 mod trouble;
 mod world;
--- a/crates/simulator/src/prelude.rs
+++ b/crates/simulator/src/prelude.rs
@@ -10,6 +10,7 @@
 pub use crate::net::*;
 pub use crate::pool::*;
 pub use crate::run::*;
+pub use crate::shift::*;
 pub use crate::world::*;
 pub(crate) use adapters::prelude::{DemandMeter, DemandReport, SeenEngine, WarmingAct, WarmingPlanner};
 pub(crate) use admission::prelude::RetryBudget;
