--- a/crates/adapters/src/closing.rs
+++ b/crates/adapters/src/closing.rs
@@ -1,10 +1,12 @@
-//! Engines that are to be closed for new weights, which takes their adapters from them: one that holds the
-//! last warm copy of an adapter waits until another engine holds it.
+//! Engines that are to be closed for new weights, which takes their adapters from them: one that holds a
+//! warm copy of an adapter waits until enough others hold it that the loss of one more leaves it warm.
 
 use crate::prelude::*;
 
 /// An engine is held back no longer than this: the weights it has are given up soon after.
 const LONGEST_WAIT: Span = Span::seconds(8);
+/// So many other copies are enough; fewer are where there were not so many to begin with.
+const ENOUGH_COPIES: usize = 2;
 /// How long a closing that was let go counts, until it shows in the state.
 const CLOSING_SPAN: Span = Span::seconds(3);
 
@@ -28,7 +30,10 @@
         self.waiting.retain(|name, _| state.listing.engines.contains_key(name));
         let copies = state.adapters.copies_at(engine).iter();
         let mut in_use = copies.filter(|copy| copy.is_warm() && state.is_in_force(&copy.adapter));
-        let is_replaced = in_use.all(|copy| self.is_elsewhere(state, seen, engine, &copy.adapter, now));
+        let is_replaced = in_use.all(|copy| {
+            let held_before = state.adapters.warm_engines(&copy.adapter).count();
+            self.count_elsewhere(state, seen, engine, &copy.adapter, now) >= held_before.min(ENOUGH_COPIES)
+        });
         let since = *self.waiting.entry(engine.clone()).or_insert(now);
         if !is_replaced && now.since(since) < LONGEST_WAIT {
             return false;
@@ -38,22 +43,23 @@
         true
     }
 
-    /// Whether another engine of the same role serves the adapter, and stays.
-    fn is_elsewhere(
+    /// How many other engines of the same role serve the adapter, and stay.
+    fn count_elsewhere(
         &self,
         state: &FleetState,
         seen: &BTreeMap<EngineName, SeenEngine>,
         engine: &EngineName,
         adapter: &AdapterId,
         now: Instant,
-    ) -> bool {
-        let Some(own) = state.listing.engines.get(engine) else { return true };
-        let mut others = state.adapters.warm_engines(adapter).filter(|other| *other != engine);
-        others.any(|other| {
-            let Some(listed) = state.listing.engines.get(other) else { return false };
-            let is_heard =
-                seen.get(other).is_some_and(|told| now.since(told.at) < SILENT_AFTER && told.holds(adapter));
-            listed.role == own.role && is_heard && serves(state, other, listed) && !self.closing.contains_key(other)
-        })
+    ) -> usize {
+        let Some(own) = state.listing.engines.get(engine) else { return ENOUGH_COPIES };
+        let others = state.adapters.warm_engines(adapter).filter(|other| *other != engine);
+        let staying = others.filter(|other| {
+            let Some(listed) = state.listing.engines.get(*other) else { return false };
+            let told = seen.get(*other).filter(|told| now.since(told.at) < SILENT_AFTER);
+            let is_heard = told.is_some_and(|told| told.holds(adapter));
+            listed.role == own.role && is_heard && serves(state, other, listed) && !self.closing.contains_key(*other)
+        });
+        staying.count()
     }
 }
