Adapters: after 8 s one other copy is enough for a closing, after 16 s none

Cause: the planner's test of a round of weights: after 8 s every waiting engine was let go at once, and an adapter was served nowhere. Also, an engine that nobody asks about any more does not go on waiting.

--- a/crates/adapters/src/closing.rs
+++ b/crates/adapters/src/closing.rs
@@ -3,8 +3,12 @@
 
 use crate::prelude::*;
 
-/// An engine is held back no longer than this: the weights it has are given up soon after.
-const LONGEST_WAIT: Span = Span::seconds(8);
+/// After so long one other copy is enough.
+const PATIENT_SPAN: Span = Span::seconds(8);
+/// An engine is held back no longer than this: by then the weights it has are given up, and nothing runs on it.
+const LONGEST_WAIT: Span = Span::seconds(16);
+/// An engine that was not asked about for so long does not wait any more.
+const FORGOTTEN_AFTER: Span = Span::seconds(3);
 /// So many other copies are enough; fewer are where there were not so many to begin with.
 const ENOUGH_COPIES: usize = 2;
 /// How long a closing that was let go counts, until it shows in the state.
@@ -14,7 +18,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ClosingGuard {
     closing: BTreeMap<EngineName, Instant>,
-    waiting: BTreeMap<EngineName, Instant>,
+    /// Since when each waits, and when it was asked about last.
+    waiting: BTreeMap<EngineName, (Instant, Instant)>,
 }
 
 impl ClosingGuard {
@@ -27,15 +32,18 @@
         now: Instant,
     ) -> bool {
         self.closing.retain(|_, since| now.since(*since) < CLOSING_SPAN);
-        self.waiting.retain(|name, _| state.listing.engines.contains_key(name));
+        self.waiting.retain(|_, (_, asked)| now.since(*asked) < FORGOTTEN_AFTER);
+        let (since, asked) = self.waiting.entry(engine.clone()).or_insert((now, now));
+        *asked = now;
+        let waited = now.since(*since);
+        let enough = if waited < PATIENT_SPAN { ENOUGH_COPIES } else { 1 };
         let copies = state.adapters.copies_at(engine).iter();
         let mut in_use = copies.filter(|copy| copy.is_warm() && state.is_in_force(&copy.adapter));
         let is_replaced = in_use.all(|copy| {
             let held_before = state.adapters.warm_engines(&copy.adapter).count();
-            self.count_elsewhere(state, seen, engine, &copy.adapter, now) >= held_before.min(ENOUGH_COPIES)
+            self.count_elsewhere(state, seen, engine, &copy.adapter, now) >= held_before.min(enough)
         });
-        let since = *self.waiting.entry(engine.clone()).or_insert(now);
-        if !is_replaced && now.since(since) < LONGEST_WAIT {
+        if !is_replaced && waited < LONGEST_WAIT {
             return false;
         }
         self.waiting.remove(engine);
