--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -31,5 +31,6 @@
 mod run;
 mod runs;
 mod sampling;
+mod shift;
 mod trouble;
 mod world;
--- a/crates/simulator/src/prelude.rs
+++ b/crates/simulator/src/prelude.rs
@@ -13,6 +13,7 @@
 pub(crate) use crate::net::*;
 pub use crate::run::*;
 pub(crate) use crate::runs::*;
+pub(crate) use crate::shift::*;
 pub(crate) use crate::world::*;
 pub(crate) use adapters::prelude::{DemandMeter, DemandReport, SeenEngine, WarmingAct, WarmingPlanner};
 pub(crate) use admission::prelude::RetryBudget;
