--- a/crates/keeper/src/prelude.rs
+++ b/crates/keeper/src/prelude.rs
@@ -1,5 +1,6 @@
 //! The one import of this package's files, and of programs that run a keeper.
 
+pub(crate) use crate::adapters_page::*;
 pub(crate) use crate::bringing::*;
 pub(crate) use crate::census::*;
 pub(crate) use crate::conducting::*;
@@ -14,13 +15,15 @@
 pub use crate::run::*;
 pub use crate::shelf::Seen;
 pub(crate) use crate::shelf::*;
+pub(crate) use adapters::prelude::{RATE_UNIT, SeenEngine, WarmingAct, WarmingPlanner};
 pub use conductor::prelude::OrderAnswer;
 pub(crate) use conductor::prelude::{Act, Bringer, Bringing, Conductor, Observed};
 pub(crate) use contract::prelude::*;
 pub(crate) use coordinator::prelude::*;
 pub(crate) use desired::prelude::{
-    Band, Bounds as TextBounds, ConfigurationChange, DOCUMENT_BOUNDS, DesiredState, JsonValue, Listed, ListedEngine,
-    Plan, PlanStatus, Policy, Revision, Role, merge, parse_bounded, read_document, read_intent, write_sorted,
+    Band, Bounds as TextBounds, ConfigurationChange, CopyStage, DOCUMENT_BOUNDS, DesiredState, JsonValue, Listed,
+    ListedEngine, Plan, PlanStatus, Policy, Revision, Role, merge, parse_bounded, read_document, read_intent,
+    write_sorted,
 };
 pub(crate) use ledger::prelude::{DiskFault, Folder, Row};
 pub(crate) use links::prelude::{Hello, Link, LinkEvent, LinkId, Post, Purpose, accept_links};
--- a/crates/placement/src/known_engine.rs
+++ b/crates/placement/src/known_engine.rs
@@ -20,6 +20,9 @@
     /// The engine's own coarse count of running requests, and when it was asked.
     pub(crate) counted: Option<(u64, Instant)>,
     pub(crate) rest_until: Instant,
+    /// Adapters that the engine said it does not hold, though the fleet state says so, and until when that is
+    /// gone by.
+    pub(crate) cold_until: BTreeMap<AdapterId, Instant>,
 }
 
 impl KnownEngine {
--- a/crates/placement/src/pick.rs
+++ b/crates/placement/src/pick.rs
@@ -123,6 +123,9 @@
         let names = prompt.names.get(&weights)?;
         let unknown_engine = KnownEngine::default();
         let known = self.picker.engines.get(engine).unwrap_or(&unknown_engine);
+        if !self.holds_adapter(engine, known) {
+            return None;
+        }
         let by_events = self.goes_by_events(known);
         let overlap = self.overlap(known, listed.role, by_events, weights, names);
         let decode_blocks = known.decode_blocks(self.picker.usual_blocks, self.now);
@@ -132,6 +135,8 @@
             Role::Decode => (decode_blocks.0 + prompt.blocks.0 + prompt.outcome_blocks.0) as f64,
             _ => cost(weight, prefill_blocks, decode_blocks),
         };
+        let distance_blocks = self.distance_blocks(listed);
+        let prefers_zone = listed.role == Role::Decode || prompt.adapter.is_some();
         Some(Score {
             role: listed.role,
             engine: engine.clone(),
@@ -139,13 +144,30 @@
             prefill_blocks,
             decode_blocks,
             weight,
-            cost,
+            cost: cost + distance_blocks as f64,
             by_events,
             is_resting: self.now < known.rest_until,
-            is_far: listed.role == Role::Decode && listed.zone != self.picker.zone,
+            is_far: prefers_zone && listed.zone != self.picker.zone,
+            distance_blocks,
         })
     }
 
+    /// Whether an engine may get the prompt for the sake of its adapter: a prompt that runs on one goes only
+    /// where exactly that is warm.
+    fn holds_adapter(&self, engine: &EngineName, known: &KnownEngine) -> bool {
+        let Some(adapter) = &self.prompt.adapter else { return true };
+        let is_cold = known.cold_until.get(adapter).is_some_and(|until| self.now < *until);
+        self.sight.state.adapters.is_warm(engine, adapter) && !is_cold
+    }
+
+    /// What an engine's cost grows by for standing in another region than ours, in blocks.
+    fn distance_blocks(&self, listed: &ListedEngine) -> u64 {
+        let desired = &self.sight.state.desired;
+        let has_regions = !desired.zones.is_empty();
+        let is_other_region = has_regions && desired.region_of(&listed.zone) != desired.region_of(&self.picker.zone);
+        if is_other_region { desired.routing.other_region_blocks } else { 0 }
+    }
+
     fn goes_by_events(&self, known: &KnownEngine) -> bool {
         let routing = &self.sight.state.desired.routing;
         routing.sight == Sight::Events && !known.events_are_late(routing.events_late, self.now)
--- a/crates/placement/src/picker.rs
+++ b/crates/placement/src/picker.rs
@@ -6,6 +6,7 @@
 pub const STORE_SOURCE: &str = "@store";
 const HISTORY_BLOCKS: usize = 8192;
 const REST_AFTER_FAULT: Span = Span::millis(700);
+const REST_WHEN_COLD: Span = Span::millis(1500);
 
 /// Places prompts: owns what this router knows of each engine, and picks by it.
 #[derive(Debug)]
@@ -131,6 +132,14 @@
         self.engine(engine).rest_until = now + REST_AFTER_FAULT;
     }
 
+    /// An engine refused a request for want of its adapter: it gets none for that adapter for a moment, by
+    /// when the conductor knows.
+    pub fn note_cold(&mut self, engine: &EngineName, adapter: &AdapterId, now: Instant) {
+        let known = self.engine(engine);
+        known.cold_until.retain(|_, until| now < *until);
+        known.cold_until.insert(adapter.clone(), now + REST_WHEN_COLD);
+    }
+
     /// The first piece came: the prompt's blocks are kept there now, and events should soon say so.
     pub fn note_kept(&mut self, engine: &EngineName, names: &[BlockHash], now: Instant) {
         let index = SourceIndex(self.engine(engine).index);
--- a/crates/simulator/src/effects.rs
+++ b/crates/simulator/src/effects.rs
@@ -110,8 +110,8 @@
         GivenUpKind::KeyWithdrawn => 401,
         GivenUpKind::LimitPassed => 504,
         GivenUpKind::NoLease => 503,
-        GivenUpKind::NotServed if given_up.ran == Ran::No => 503,
-        GivenUpKind::NotServed => 502,
+        GivenUpKind::NotServed | GivenUpKind::AdapterCold if given_up.ran == Ran::No => 503,
+        GivenUpKind::NotServed | GivenUpKind::AdapterCold => 502,
     };
     CallerNews::Final { status, outcome }
 }
--- a/crates/simulator/src/engine_work.rs
+++ b/crates/simulator/src/engine_work.rs
@@ -21,6 +21,9 @@
         if engine.weights != ask.weights {
             return self.tell_run(&ask.to, answer_at, head(Head::NotStarted, "other_weights"));
         }
+        if !engine.holds(ask.adapter.as_ref()) {
+            return self.tell_run(&ask.to, answer_at, head(Head::NotStarted, NOT_RESIDENT));
+        }
         let (at, manner) = (self.millis(), if engine.manner_until > now { engine.manner } else { Manner::Good });
         let own_count = engine.memory.overlap(&ask.names);
         let line = start_line(at, engine, &ask, own_count);
@@ -35,6 +38,7 @@
             place: 0,
             begins_at,
             streams: ask.streams,
+            adapter: ask.adapter.clone(),
             limit: now + ask.limit,
             manner,
             told_until: begins_at,
@@ -53,7 +57,7 @@
         let at = self.millis();
         let engine = &self.engines[number];
         let told = SimEvent::Prefilled { to: ask.to.clone() };
-        if !engine.up || !engine.accepting || engine.weights != ask.weights {
+        if !engine.up || !engine.accepting || engine.weights != ask.weights || !engine.holds(ask.adapter.as_ref()) {
             return self.later(delay, told);
         }
         let own_count = engine.memory.overlap(&ask.names);
@@ -96,9 +100,19 @@
                 break;
             }
         }
-        let at = self.millis();
         let weights = engine.weights;
-        for (_, made) in &used {
+        self.record_foreign_use(weights, ask, &used);
+        let made = || Made { weights, tenant: ask.tenant.clone(), adapter: ask.adapter.clone() };
+        let fresh = ask.names[used.len()..].iter().map(|name| (*name, made()));
+        let kept: Vec<(BlockHash, Made)> = used.iter().cloned().chain(fresh).collect();
+        self.store.keep(kept.clone());
+        self.engines[number].memory.keep(kept);
+    }
+
+    /// Records the blocks used that were made on other weights, for another tenant or under another adapter.
+    fn record_foreign_use(&mut self, weights: WeightsEdition, ask: &EngineAsk, used: &[(BlockHash, Made)]) {
+        let at = self.millis();
+        for (_, made) in used {
             if made.weights != weights || made.tenant != ask.tenant {
                 self.record.world.push(WorldLine::MemoryUsed {
                     at,
@@ -109,11 +123,15 @@
                     made_for: made.tenant.0.clone(),
                 });
             }
+            if made.adapter != ask.adapter {
+                self.record.world.push(WorldLine::AdapterMemoryUsed {
+                    at,
+                    shot: ask.to.shot.clone(),
+                    adapter: written(ask.adapter.as_ref()),
+                    made_under: written(made.adapter.as_ref()),
+                });
+            }
         }
-        let fresh = ask.names[used.len()..].iter().map(|name| (*name, Made { weights, tenant: ask.tenant.clone() }));
-        let kept: Vec<(BlockHash, Made)> = used.iter().cloned().chain(fresh).collect();
-        self.store.keep(kept.clone());
-        self.engines[number].memory.keep(kept);
     }
 
     /// One step of an engine's work on a shot.
@@ -180,7 +198,7 @@
     fn tell_piece(&mut self, shot: &EngineShot, told_at: Instant) {
         let is_foreign = shot.manner == Manner::Foreign || shot.manner == Manner::ForeignPiece(shot.place);
         let named = if is_foreign { FOREIGN_SHOT } else { &shot.to.shot };
-        self.tell_run(&shot.to, told_at, piece_of(named, shot.place, false));
+        self.tell_run(&shot.to, told_at, piece_of(named, shot.place, false, shot.runs_on()));
     }
 
     /// A stream's end mark and end, or the whole answer.
@@ -188,7 +206,7 @@
         if shot.streams {
             self.tell_run(&shot.to, told_at, CarriageInput::EndMark);
             if shot.manner == Manner::GoesOn {
-                self.tell_run(&shot.to, told_at, piece_of(&shot.to.shot, shot.place, true));
+                self.tell_run(&shot.to, told_at, piece_of(&shot.to.shot, shot.place, true, shot.runs_on()));
             }
             return self.tell_run(&shot.to, told_at, CarriageInput::Closed);
         }
@@ -196,7 +214,7 @@
         let is_foreign = matches!(shot.manner, Manner::Foreign | Manner::ForeignPiece(_));
         let named = if is_foreign { FOREIGN_SHOT } else { &shot.to.shot };
         let place = if finished { shot.tokens } else { shot.tokens / 2 };
-        self.tell_run(&shot.to, told_at, piece_of(named, place, finished));
+        self.tell_run(&shot.to, told_at, piece_of(named, place, finished, shot.runs_on()));
     }
 
     pub(crate) fn end_engine_shot(&mut self, number: usize, shot: &EngineShot, whole: bool) {
@@ -219,8 +237,9 @@
     }
 }
 
-fn piece_of(shot: &str, place: u64, finished: bool) -> CarriageInput<SimPiece> {
-    CarriageInput::Piece { shot: shot.into(), finished, piece: SimPiece { shot: shot.into(), place } }
+fn piece_of(shot: &str, place: u64, finished: bool, adapter: Option<&AdapterId>) -> CarriageInput<SimPiece> {
+    let piece = SimPiece { shot: shot.into(), place, adapter: adapter.cloned() };
+    CarriageInput::Piece { shot: shot.into(), finished, piece }
 }
 
 fn start_line(at: u64, engine: &SimEngine, ask: &EngineAsk, own_count: usize) -> StartLine {
@@ -230,6 +249,7 @@
         shot: ask.to.shot.clone(),
         salt: ask.salt.0.clone(),
         weights: engine.weights.0,
+        adapter: written(ask.adapter.as_ref()),
         prompt_blocks: ask.names.len() as u64,
         cached_blocks: own_count as u64,
     }
--- a/crates/simulator/src/engines.rs
+++ b/crates/simulator/src/engines.rs
@@ -42,6 +42,8 @@
     pub hides_until: Instant,
     /// It keeps its blocks over the next load of weights, as it must not.
     pub keeps_on_load: bool,
+    pub resident: BTreeSet<AdapterId>,
+    pub loading: BTreeSet<AdapterId>,
 }
 
 impl SimEngine {
@@ -66,6 +68,8 @@
             manner_until: Instant(0),
             hides_until: Instant(0),
             keeps_on_load: false,
+            resident: BTreeSet::new(),
+            loading: BTreeSet::new(),
         }
     }
 }
@@ -76,6 +80,8 @@
     pub tokens: u64,
     pub(crate) place: u64,
     pub(crate) streams: bool,
+    /// The adapter it runs on; none for the bare model.
+    pub(crate) adapter: Option<AdapterId>,
     pub(crate) begins_at: Instant,
     pub(crate) limit: Instant,
     pub(crate) manner: Manner,
@@ -84,6 +90,13 @@
     pub(crate) headed: bool,
 }
 
+impl EngineShot {
+    /// The adapter it runs on; none for the bare model.
+    pub fn runs_on(&self) -> Option<&AdapterId> {
+        self.adapter.as_ref()
+    }
+}
+
 /// Where a shot's news go.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ShotPlaceName {
@@ -99,6 +112,7 @@
     pub to: ShotPlaceName,
     pub tenant: TenantName,
     pub weights: WeightsEdition,
+    pub adapter: Option<AdapterId>,
     pub salt: Salt,
     pub names: Vec<BlockHash>,
     pub fetches: Vec<FetchRun>,
@@ -115,6 +129,8 @@
             engine.accepting = true;
             engine.highest_term = 0;
             engine.memory.restart();
+            engine.resident.clear();
+            engine.loading.clear();
         }
     }
 
@@ -141,7 +157,7 @@
         }
         engine.highest_term = engine.highest_term.max(order.term.0);
         let taken = order.term.0 >= engine.highest_term;
-        let named = if order.weights.is_some() { "load" } else { "open" };
+        let named = order.wish.name();
         self.record.engines.push(EngineLine::Order {
             at,
             engine: engine.name.0.clone(),
@@ -152,15 +168,17 @@
         });
         self.note(format!("e{number} ordered by {} term {}: {named}", self.record_holder(), order.term));
         let engine = &mut self.engines[number];
-        match order.weights {
+        match order.wish {
             _ if !taken => {}
-            Some(weights) => {
+            SimWish::LoadAdapter(adapter) => self.begin_adapter_load(number, adapter),
+            SimWish::UnloadAdapter(adapter) => engine.unload(&adapter),
+            SimWish::LoadWeights(weights) => {
                 engine.accepting = false;
                 let boot = engine.memory.boot;
                 let span = Span::millis(self.draw.between(100, 600));
                 self.later(span, SimEvent::EngineLoads { engine: number, boot, weights });
             }
-            None => engine.accepting = true,
+            SimWish::Open => engine.accepting = true,
         }
     }
 
@@ -179,6 +197,8 @@
         }
         engine.weights = weights;
         engine.accepting = true;
+        engine.resident.clear();
+        engine.loading.clear();
         if !std::mem::take(&mut engine.keeps_on_load) {
             engine.memory.clear();
         }
--- a/crates/simulator/src/events.rs
+++ b/crates/simulator/src/events.rs
@@ -28,6 +28,11 @@
     OrderLeaves { keeper: usize, life: u64, engine: usize, order: SimOrder },
     Ordered { engine: usize, order: SimOrder },
     EngineLoads { engine: usize, boot: u64, weights: WeightsEdition },
+    AdapterLoads { engine: usize, boot: u64, adapter: AdapterId },
+    TellsDemand { node: usize },
+    AdapterLoss(Loss),
+    Returns(Returning),
+    RaisesRevision,
     Polls { node: usize, life: u64 },
     WorkLook { node: usize, life: u64 },
     ClaimAgain { node: usize, router: NodeId, ticket: u64, submission: Submission, until: Instant },
@@ -76,7 +81,10 @@
             SimEvent::TakesUp { link } => self.take_up(link),
             SimEvent::LinkEnds { link } => self.finish_link(link),
             SimEvent::Traffic { node } => {
-                self.call(node);
+                match self.scenario {
+                    Some(_) => self.call_adapted(node),
+                    None => self.call(node),
+                }
                 let pause = Span::millis(self.draw.between(40, 260));
                 self.later(pause, SimEvent::Traffic { node });
             }
@@ -91,6 +99,11 @@
             SimEvent::OrderLeaves { keeper, life, engine, order } => self.order_leaves(keeper, life, engine, order),
             SimEvent::Ordered { engine, order } => self.engine_ordered(engine, order),
             SimEvent::EngineLoads { engine, boot, weights } => self.engine_loads(engine, boot, weights),
+            SimEvent::AdapterLoads { engine, boot, adapter } => self.engine_holds(engine, boot, adapter),
+            SimEvent::TellsDemand { node } => self.tell_demand(node),
+            SimEvent::AdapterLoss(loss) => self.lose(loss),
+            SimEvent::Returns(returning) => self.hear_returns(returning),
+            SimEvent::RaisesRevision => self.raise_revision(),
             SimEvent::Polls { node, life } => self.poll_sources(node, life),
             SimEvent::WorkLook { node, life } => self.work_pulse(node, life),
             SimEvent::ClaimAgain { node, router, ticket, submission, until } => {
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod prelude;
 
+mod adapted;
 mod bounds;
 mod callers;
 mod claims;
@@ -30,5 +31,6 @@
 mod run;
 mod runs;
 mod sampling;
+mod shift;
 mod trouble;
 mod world;
--- a/crates/simulator/src/memory.rs
+++ b/crates/simulator/src/memory.rs
@@ -10,6 +10,8 @@
 pub struct Made {
     pub weights: WeightsEdition,
     pub tenant: TenantName,
+    /// The adapter it was made under; none for the bare model.
+    pub adapter: Option<AdapterId>,
 }
 
 /// Kept blocks and the numbered news of them.
--- a/crates/simulator/src/placing.rs
+++ b/crates/simulator/src/placing.rs
@@ -15,7 +15,8 @@
         let sight = &router.sight;
         let model = ModelName(MODEL.into());
         let wall = sight.state.wall_of(&run.request.tenant);
-        let salt_on = |weights| Salt::of(&model, weights, wall.id, wall.edition);
+        let adapter = sight.state.adapter_for(&run.request.tenant, &model);
+        let salt_on = |weights| Salt::of(&model, weights, wall.id, wall.edition).under(adapter.as_ref());
         let names: BTreeMap<WeightsEdition, Vec<BlockHash>> = sight
             .editions_in_use(&model, local_now)
             .into_iter()
@@ -25,13 +26,17 @@
             tenant: run.request.tenant.clone(),
             kind: "k".into(),
             model: model.clone(),
+            adapter: adapter.clone(),
             names,
             blocks: blocks_of(run.request.text.len()),
             outcome_blocks: BlockCount(run.request.tokens.div_ceil(16)),
             lot: 0,
             tried,
         };
-        let Some(placement) = router.picker.pick(sight, &prompt, local_now) else { return PickOutcome::NoEngine };
+        let Some(placement) = router.picker.pick(sight, &prompt, local_now) else {
+            let is_cold = adapter.is_some_and(|adapter| !sight.is_warm_anywhere(&adapter, local_now));
+            return if is_cold { PickOutcome::NoAdapter } else { PickOutcome::NoEngine };
+        };
         if is_retry {
             if !router.budget.spend() {
                 return PickOutcome::NoBudget;
@@ -50,6 +55,7 @@
             model: model.clone(),
             engine: engine_name.clone(),
             weights,
+            adapter: adapter.clone(),
             salt: salt_on(weights),
             limit: run.limit,
         };
@@ -97,6 +103,7 @@
             to,
             tenant: run.request.tenant.clone(),
             weights: shot.ground.weights,
+            adapter: shot.ground.adapter.clone(),
             salt: shot.ground.salt.clone(),
             names: shot.names.clone(),
             fetches: shot.placement.fetches.clone(),
@@ -124,6 +131,7 @@
             to: to.clone(),
             tenant: run.request.tenant.clone(),
             weights: ground.weights,
+            adapter: ground.adapter.clone(),
             salt: ground.salt.clone(),
             names: shot.names.clone(),
             fetches: Vec::new(),
--- a/crates/simulator/src/prelude.rs
+++ b/crates/simulator/src/prelude.rs
@@ -1,5 +1,6 @@
 //! The one import of this package's files.
 
+pub(crate) use crate::adapted::*;
 pub(crate) use crate::callers::*;
 pub(crate) use crate::disorder::*;
 pub(crate) use crate::engines::*;
@@ -12,12 +13,14 @@
 pub(crate) use crate::net::*;
 pub use crate::run::*;
 pub(crate) use crate::runs::*;
+pub(crate) use crate::shift::*;
 pub(crate) use crate::world::*;
+pub(crate) use adapters::prelude::{DemandMeter, DemandReport, SeenEngine, WarmingAct, WarmingPlanner};
 pub(crate) use admission::prelude::RetryBudget;
 pub(crate) use attempts::prelude::*;
 pub(crate) use blocks::prelude::{Salt, blocks_of, cut};
 pub(crate) use conductor::prelude::{Act, Conductor, Observed};
-pub(crate) use contract::prelude::{EngineLine, StartLine};
+pub(crate) use contract::prelude::{EngineLine, NOT_RESIDENT, StartLine};
 pub(crate) use coordinator::prelude::*;
 pub(crate) use desired::prelude::{Intent, Listed, ListedEngine, Role};
 pub(crate) use placement::prelude::{
@@ -27,4 +30,4 @@
 pub(crate) use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 pub(crate) use subscription::prelude::{RouterDown, RouterUp, Subscription, SubscriptionEffect, SubscriptionInput};
 pub(crate) use units::prelude::*;
-pub(crate) use verdict::prelude::{CallerLine, Record, Violation, WorldLine, judge};
+pub(crate) use verdict::prelude::{CallerLine, Record, Violation, WorldLine, judge, judge_questions};
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -58,6 +58,10 @@
     pub fault_kinds: Vec<&'static str>,
     /// Unwallings asked for and not answered, and the edition of the last one answered, by tenant.
     pub unwallings: BTreeMap<String, (u64, Edition)>,
+    /// Requests run on adapters, and their load moves between regions.
+    pub scenario: Option<Scenario>,
+    /// Questions about demand: ticket, keeper and its life.
+    pub demand_asks: BTreeMap<u64, (usize, u64)>,
     pub notes: Vec<String>,
     pub keeps_notes: bool,
 }
@@ -92,7 +96,8 @@
 }
 
 impl World {
-    pub fn new(seed: u64) -> World {
+    /// A world that begins; its tenants run on adapters if there is a scenario for them.
+    pub fn new(seed: u64, scenario: Option<Scenario>) -> World {
         let mut draw = Draw::new(seed);
         let keepers = (0..KEEPERS).map(|number| SimKeeper::new(number, Clock::drawn(&mut draw))).collect();
         let nodes = (0..NODES).map(|number| SimNode::new(number, Clock::drawn(&mut draw))).collect();
@@ -136,6 +141,8 @@
             caller_distance,
             fault_kinds: Vec::new(),
             unwallings: BTreeMap::new(),
+            scenario,
+            demand_asks: BTreeMap::new(),
             notes: Vec::new(),
             keeps_notes: false,
         };
--- a/crates/subscription/src/machine.rs
+++ b/crates/subscription/src/machine.rs
@@ -124,6 +124,7 @@
             SubscriptionInput::Router(RouterUp::Submit { ticket, submission }) => {
                 self.say_core(NodeUp::Submit { ticket, submission });
             }
+            SubscriptionInput::Router(RouterUp::Demand(report)) => self.say_core(NodeUp::Demand(report)),
             SubscriptionInput::Router(RouterUp::Applied { edition }) => {
                 let Some(router) = self.router.as_mut() else { return Vec::new() };
                 let is_first = router.applied.is_none();
--- a/crates/subscription/src/messages.rs
+++ b/crates/subscription/src/messages.rs
@@ -19,6 +19,8 @@
         /// The command, named so that it counts once.
         submission: Submission,
     },
+    /// Where requests on adapters arrive.
+    Demand(DemandReport),
 }
 
 /// The agent to its router, over loopback.
--- a/crates/subscription/src/prelude.rs
+++ b/crates/subscription/src/prelude.rs
@@ -2,6 +2,8 @@
 
 pub use crate::machine::*;
 pub use crate::messages::*;
-pub(crate) use coordinator::prelude::{FleetState, NodeDown, NodeUp, RouterDoor, Settled, Submission, View};
+pub(crate) use coordinator::prelude::{
+    DemandReport, FleetState, NodeDown, NodeUp, RouterDoor, Settled, Submission, View,
+};
 pub(crate) use serde::{Deserialize, Serialize};
 pub(crate) use units::prelude::*;
--- a/crates/verdict/src/judge.rs
+++ b/crates/verdict/src/judge.rs
@@ -1,4 +1,4 @@
-//! One judge for each of the twelve rules.
+//! One judge for each of the rules.
 
 use crate::prelude::*;
 
@@ -17,7 +17,7 @@
 /// Everything that broke a rule; empty for a clean run.
 pub fn judge(record: &Record) -> Vec<Violation> {
     let mut violations = Vec::new();
-    let judges: [(u8, Judge); 12] = [
+    let judges: [(u8, Judge); 13] = [
         (1, runs_once),
         (2, answers_are_whole),
         (3, streams_are_whole),
@@ -30,6 +30,7 @@
         (10, one_holder_orders),
         (11, retries_are_few),
         (12, service_returns),
+        (13, adapters_are_own),
     ];
     for (rule, judge_rule) in judges {
         violations.extend(judge_rule(record).into_iter().map(|what| Violation { rule, what }));
