web: a head of more than 128 KiB gets 431 again, whatever a site allows

Cause: with up to 4096 header lines a flood of 150 kB of headers was answered on pages that look at no header; data.rs nonsense_gets_a_clear_refusal_and_the_router_goes_on found it (200 where 431 was demanded). Ruled out: the library's bound on its buffer alone, which is kept only roughly (a head that arrives in one read passes it).

--- a/crates/web/src/serve.rs
+++ b/crates/web/src/serve.rs
@@ -8,6 +8,8 @@
 /// default of 100 lines would refuse heads that are well within those. The same for every connection, so that a
 /// limit that is raised holds on those already open.
 const MOST_HEADER_LINES: usize = 4096;
+/// A head of more bytes gets 431, whatever a site's own limits say; it is never kept whole in memory.
+const MOST_HEAD_BYTES: usize = 128 << 10;
 /// How long nothing is accepted after a failure, such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -169,7 +171,7 @@
 /// HTTP/1 alone: what comes over another version would pass by the inspection of framing.
 fn connection_builder() -> ConnectionBuilder<TokioExecutor> {
     let mut builder = ConnectionBuilder::new(TokioExecutor::new()).http1_only();
-    builder.http1().max_headers(MOST_HEADER_LINES);
+    builder.http1().max_headers(MOST_HEADER_LINES).max_buf_size(MOST_HEAD_BYTES);
     builder
 }
 
@@ -179,10 +181,20 @@
     request: Request<Incoming>,
     address: std::net::SocketAddr,
 ) -> gotham::anyhow::Result<WebOutcome> {
+    if head_bytes(request.headers()) > MOST_HEAD_BYTES {
+        let reason = format!("at most {MOST_HEAD_BYTES} bytes of headers");
+        let refusal = refuse(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large", &reason);
+        return Ok(refusal.with_header("connection", "close"));
+    }
     let state = State::from_request(request, address);
     gotham::service::call_handler(handler, std::panic::AssertUnwindSafe(state)).await
 }
 
+/// The bytes of the header lines as they came. The library's own bound is kept only roughly.
+fn head_bytes(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum()
+}
+
 struct SiteHandler(std::panic::AssertUnwindSafe<Arc<dyn Site>>);
 
 impl gotham::handler::NewHandler for SiteHandler {
