Core: messages name the receiver's life, short chains rest, stopping members leave

A voter's word or an answer for an earlier life could count for a later one; a read lease asked for before a reboot, whose clock began anew, would have lasted for as long as the clock was ahead. Each message now names sender and receiver by disk and life (Envelope); whoever else gets it drops it, counts it, and says who it is. Wire format 6. - A tail whose chain had become too short went on counting and telling changes that stood on its own disk alone. It rests now on what it had not counted before, and the chain grows though its tail rests. - A stopping keeper handed its duties over and vanished; the others missed it after 0.8 s. It now says that it leaves and is out of the view before it ends; of an even number of voters its seat is given up, so that a loss right after it leaves a majority. Ruled out: identities on the stream alone (the pure machines could not be held to it).

--- /dev/null
+++ b/crates/coordinator/src/addressing.rs
@@ -0,0 +1,121 @@
+//! Who a message between keepers is meant for. Streams lead to addresses; behind one there may stand, by the time
+//! something arrives, a later life of the process or an empty keeper in a lost one's place. Each message names the
+//! receiver's disk and life, and whoever else gets it drops it.
+
+use crate::prelude::*;
+
+/// Dropped messages are noted in the log at most so often.
+const NOTE_PAUSE: Span = Span::seconds(1);
+
+/// Messages that came to this keeper and were meant for another.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Misdirected {
+    pub(crate) count: u64,
+    noted: Option<Instant>,
+}
+
+impl Coordinator {
+    /// This keeper, in this life.
+    pub fn own_life(&self) -> KeeperLife {
+        KeeperLife { id: self.me.id, life: self.life }
+    }
+
+    /// How many messages were dropped since they were meant for another keeper, life or fleet.
+    pub fn misdirected(&self) -> u64 {
+        self.misdirected.count
+    }
+
+    /// Sends to a keeper, in the life of it that is known: the one that is being answered, or the one heard last.
+    pub(crate) fn send(&mut self, to: NodeId, message: CoreMessage) {
+        self.send_until(to, message, None);
+    }
+
+    /// Sends what is true only until an instant; carried out later than that, it is dropped.
+    pub(crate) fn send_until(&mut self, to: NodeId, message: CoreMessage, until: Option<Instant>) {
+        if to == self.me.id {
+            self.inbox.push_back(message);
+            return;
+        }
+        let receiver = self.known_life(to);
+        if receiver.is_some() || message.is_for_anyone() {
+            self.send_envelope(to, receiver, message, until);
+        }
+    }
+
+    /// Sends to one life of a keeper and no other.
+    pub(crate) fn send_to_life(&mut self, to: KeeperLife, message: CoreMessage, until: Option<Instant>) {
+        if to.id == self.me.id {
+            self.inbox.push_back(message);
+            return;
+        }
+        self.send_envelope(to.id, Some(to), message, until);
+    }
+
+    fn send_envelope(&mut self, to: NodeId, life: Option<KeeperLife>, message: CoreMessage, until: Option<Instant>) {
+        let Some(address) = self.address_of(to) else { return };
+        let receiver = life.filter(|_| !message.is_for_anyone());
+        let envelope = self.envelope(receiver, message);
+        self.plan.push(Effect::Send { address, envelope, until });
+    }
+
+    /// Tells whoever answers at an address what is for anyone.
+    pub(crate) fn knock(&mut self, address: String, message: CoreMessage) {
+        let envelope = self.envelope(None, message);
+        self.plan.push(Effect::Send { address, envelope, until: None });
+    }
+
+    fn envelope(&self, to: Option<KeeperLife>, message: CoreMessage) -> Envelope {
+        Envelope { fleet: self.view.fleet, from: self.own_life(), to, message }
+    }
+
+    fn known_life(&self, id: NodeId) -> Option<KeeperLife> {
+        let answered = self.answered.filter(|answered| answered.id == id);
+        answered.or_else(|| self.peers.get(&id).map(|peer| KeeperLife { id, life: peer.life }))
+    }
+
+    fn address_of(&self, node: NodeId) -> Option<String> {
+        let known_member = self.acquaintances.get(&node).or_else(|| self.view.member(node))?;
+        Some(known_member.address.clone())
+    }
+
+    /// Takes what another keeper sent, if it is meant for this life of this one.
+    pub(crate) fn receive(&mut self, envelope: Envelope, now: Instant) {
+        if !self.is_meant_for_us(&envelope) {
+            self.drop_misdirected(&envelope, now);
+            return;
+        }
+        self.answered = Some(envelope.from);
+        self.hear(envelope.from, envelope.message, now);
+        self.answered = None;
+    }
+
+    fn is_meant_for_us(&self, envelope: &Envelope) -> bool {
+        let own_fleet = self.view.fleet;
+        let is_other_fleet = own_fleet != FleetId(0) && envelope.fleet != FleetId(0) && envelope.fleet != own_fleet;
+        let is_addressed = match envelope.to {
+            Some(receiver) => receiver == self.own_life(),
+            None => envelope.message.is_for_anyone(),
+        };
+        !is_other_fleet && is_addressed && envelope.from.id != self.me.id
+    }
+
+    /// Whoever takes us for another learns who we are, unless it is of another fleet.
+    fn drop_misdirected(&mut self, envelope: &Envelope, now: Instant) {
+        self.misdirected.count += 1;
+        let is_due = self.misdirected.noted.is_none_or(|noted| now.since(noted) >= NOTE_PAUSE);
+        if is_due {
+            self.misdirected.noted = Some(now);
+            let meant = envelope.to.map_or("nobody".to_owned(), |receiver| receiver.id.to_string());
+            let detail = format!(
+                "from={} fleet={} for={meant} count={}",
+                envelope.from.id, envelope.fleet, self.misdirected.count
+            );
+            self.note("misdirected", detail);
+        }
+        let is_of_this_fleet = envelope.fleet == self.view.fleet;
+        if is_of_this_fleet && envelope.to.is_some() && envelope.from.id != self.me.id {
+            let news = CoreMessage::Pulse(self.news(now));
+            self.send(envelope.from.id, news);
+        }
+    }
+}
--- a/crates/coordinator/src/asks.rs
+++ b/crates/coordinator/src/asks.rs
@@ -57,7 +57,7 @@
     }
 
     /// The tail's side.
-    pub(crate) fn hear_ask(&mut self, from: NodeId, ticket: u64, question: Question, now: Instant) {
+    pub(crate) fn hear_ask(&mut self, from: KeeperLife, ticket: u64, question: Question, now: Instant) {
         if !self.tail_is_active(now) {
             return;
         }
@@ -90,6 +90,6 @@
                 AskOutcome::Nodes(reports)
             }
         };
-        self.send_until(from, CoreMessage::Outcome { ticket, outcome }, Some(read_until));
+        self.send_to_life(from, CoreMessage::Outcome { ticket, outcome }, Some(read_until));
     }
 }
--- a/crates/coordinator/src/duties.rs
+++ b/crates/coordinator/src/duties.rs
@@ -74,9 +74,8 @@
 
     /// Stops acting at once and names a successor for each duty held, so that it need not wait for this
     /// keeper's lease to run out.
-    pub(crate) fn retire(&mut self, now: Instant) {
+    pub(crate) fn hand_over_all(&mut self, now: Instant) {
         self.duties.clear();
-        self.retired = true;
         for kind in DUTY_KINDS {
             self.hand_over(kind, now);
         }
@@ -101,7 +100,8 @@
         let (me, chain) = (self.me.id, &self.view.chain);
         let own_place = chain.iter().position(|member| *member == me).unwrap_or(0);
         let mut others = chain.iter().cycle().skip(own_place + 1).take(chain.len().saturating_sub(1));
-        others.find(|member| **member != me && self.is_alive(**member, now)).copied()
+        let may_follow = |member: &NodeId| self.is_alive(*member, now) && !self.is_leaving(*member, now);
+        others.find(|member| **member != me && may_follow(member)).copied()
     }
 }
 
@@ -166,6 +166,7 @@
         let members = self.view.chain.iter().copied();
         members
             .filter(|member| self.is_alive(*member, now) && self.hears_us(*member, now))
+            .filter(|member| !self.is_leaving(*member, now))
             .filter(|member| duty.is_none_or(|duty| duty.holder != *member))
             .collect()
     }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -5,10 +5,12 @@
 
 pub mod prelude;
 
+mod addressing;
 mod asks;
 mod chaining;
 mod dispatch;
 mod duties;
+mod leaving;
 mod machine;
 mod messages;
 mod tail;
--- a/crates/coordinator/src/machine.rs
+++ b/crates/coordinator/src/machine.rs
@@ -26,6 +26,8 @@
 
 #[derive(Clone, Debug)]
 pub(crate) struct Peer {
+    /// Which life of its process was heard last.
+    pub(crate) life: u64,
     pub(crate) news: Option<News>,
     pub(crate) last_heard: Instant,
     /// Since when it has been heard without a break.
@@ -37,6 +39,11 @@
 #[derive(Clone, Debug)]
 pub struct Coordinator {
     pub(crate) me: Member,
+    /// Differs for each life of the process.
+    pub(crate) life: u64,
+    /// The keeper whose message is being answered.
+    pub(crate) answered: Option<KeeperLife>,
+    pub(crate) misdirected: Misdirected,
     pub(crate) wishes: Wishes,
     pub(crate) view: View,
     pub(crate) vote: Vote,
@@ -83,6 +90,9 @@
         let acquaintances = view.members.iter().map(|member| (member.id, member.clone())).collect();
         let mut restored = Coordinator {
             me,
+            life,
+            answered: None,
+            misdirected: Misdirected::default(),
             wishes,
             view,
             vote: kept.vote,
@@ -132,27 +142,27 @@
     pub fn founding_for(me: &Member, fleet: FleetId, founding_state: FleetState, tolerance: u64) -> Vec<Stored> {
         let first_view = View {
             fleet,
-            number: ViewNumber(1),
+            number: FOUNDING_VIEW,
             chain: vec![me.id],
             voters: vec![me.id],
             members: vec![me.clone()],
             lineage: Vec::new(),
             tolerance,
         };
-        let mark = Mark { edition: founding_state.edition, view: ViewNumber(1) };
+        let mark = Mark { edition: founding_state.edition, view: FOUNDING_VIEW };
         vec![
             Stored::Snapshot { mark, state: Box::new(founding_state) },
             Stored::Vote(Vote::default()),
             Stored::View(first_view),
-            Stored::Aligned(ViewNumber(1)),
-            Stored::Whole(ViewNumber(1)),
+            Stored::Aligned(FOUNDING_VIEW),
+            Stored::Whole(FOUNDING_VIEW),
         ]
     }
 
     pub fn step(&mut self, input: Input, now: Instant) -> Vec<Effect> {
         match input {
             Input::Pulse => self.pulse(now),
-            Input::Peer { from, message } => self.hear(from, message, now),
+            Input::Peer(envelope) => self.receive(envelope, now),
             Input::Node { node, message } => self.hear_node(node, message, now),
             Input::NodeGone { node } => self.lose_node(node),
             Input::NotSent { node, messages } => self.take_back(node, &messages),
@@ -163,8 +173,7 @@
             Input::Seeds(seeds) => self.wishes.seeds = seeds,
         }
         while let Some(own_message) = self.inbox.pop_front() {
-            let me = self.me.id;
-            self.hear(me, own_message, now);
+            self.hear(self.own_life(), own_message, now);
         }
         self.date_records(now);
         self.tend_tail(now);
@@ -230,33 +239,15 @@
         self.plan.push(Effect::Note { event, detail });
     }
 
-    pub(crate) fn send(&mut self, to: NodeId, message: CoreMessage) {
-        self.send_until(to, message, None);
-    }
-
-    /// Sends what is true only until an instant; carried out later than that, it is dropped.
-    pub(crate) fn send_until(&mut self, to: NodeId, message: CoreMessage, until: Option<Instant>) {
-        if to == self.me.id {
-            self.inbox.push_back(message);
-            return;
-        }
-        let Some(address) = self.address_of(to) else { return };
-        self.plan.push(Effect::Send { to, address, message, until });
-    }
-
     /// Tells a node's agent; carried out later than `until`, it is dropped.
     pub(crate) fn tell(&mut self, node: NodeId, message: NodeDown, until: Option<Instant>) {
         self.plan.push(Effect::Tell { node, message, until });
     }
 
-    fn address_of(&self, node: NodeId) -> Option<String> {
-        let known_member = self.acquaintances.get(&node).or_else(|| self.view.member(node))?;
-        Some(known_member.address.clone())
-    }
-
-    fn hear(&mut self, from: NodeId, message: CoreMessage, now: Instant) {
+    pub(crate) fn hear(&mut self, sender: KeeperLife, message: CoreMessage, now: Instant) {
+        let from = sender.id;
         match message {
-            CoreMessage::Pulse(news) => self.hear_news(from, news, now),
+            CoreMessage::Pulse(news) => self.hear_news(sender, news, now),
             CoreMessage::View(view_message) => self.hear_view(from, view_message, now),
             CoreMessage::Chain(chain_message) => self.hear_chain(from, chain_message, now),
             CoreMessage::ReadLeaseAsk { view, sent } => self.hear_read_lease_ask(from, view, sent),
@@ -265,7 +256,7 @@
             CoreMessage::DutyAsk { sent } => self.hear_duty_ask(from, sent, now),
             CoreMessage::DutyGiven { sent, duties } => self.hear_duty_given(from, sent, duties, now),
             CoreMessage::Submit(submission) => self.hear_submit(submission),
-            CoreMessage::Ask { ticket, question } => self.hear_ask(from, ticket, question, now),
+            CoreMessage::Ask { ticket, question } => self.hear_ask(sender, ticket, question, now),
             CoreMessage::Outcome { ticket, outcome } => self.hear_outcome(ticket, outcome),
         }
     }
@@ -293,11 +284,12 @@
             last: self.log.last(),
             committed: self.committed,
             tail_active: self.tail_is_active(now),
+            leaving: self.retired,
             hears: self.alive(now),
         }
     }
 
-    fn tell_news(&mut self, now: Instant) {
+    pub(crate) fn tell_news(&mut self, now: Instant) {
         let message = CoreMessage::Pulse(self.news(now));
         let told_members: Vec<NodeId> =
             self.acquaintances.keys().copied().filter(|member| *member != self.me.id).collect();
@@ -308,38 +300,30 @@
         if heard_few {
             for address in self.wishes.seeds.clone() {
                 if address != self.me.address {
-                    self.plan.push(Effect::Knock { address, message: message.clone() });
+                    self.knock(address, message.clone());
                 }
             }
         }
     }
 
-    fn hear_news(&mut self, from: NodeId, news: News, now: Instant) {
+    fn hear_news(&mut self, sender: KeeperLife, news: News, now: Instant) {
+        let from = sender.id;
         if from == self.me.id {
             return;
         }
-        let other_fleet = self.has_view() && news.fleet != FleetId(0) && news.fleet != self.view.fleet;
-        if other_fleet {
-            self.note("wrong_fleet", format!("peer={from} theirs={} ours={}", news.fleet, self.view.fleet));
-            return;
-        }
         let address_moved = self.acquaintances.get(&from) != Some(&news.member);
         if address_moved {
             self.forget_at(&news.member.address);
             self.acquaintances.insert(from, news.member.clone());
         }
-        let last_news = self.peers.get(&from).and_then(|peer| peer.news.clone());
-        let peer = self.peers.entry(from).or_insert(Peer {
-            news: None,
-            last_heard: now,
-            heard_since: now,
-            stands_since: None,
-        });
-        if now.since(peer.last_heard) >= SUSPECT_AFTER {
-            peer.heard_since = now;
+        let is_new_life = self.peers.get(&from).is_none_or(|peer| peer.life != sender.life);
+        let last_news = self.note_heard(sender, &news, now);
+        if is_new_life {
+            // It must know this life before it can ask or answer anything.
+            let own_news = CoreMessage::Pulse(self.news(now));
+            self.send(from, own_news);
+            self.ask_read_lease(now);
         }
-        peer.last_heard = now;
-        peer.news = Some(news.clone());
         if self.view.tail() == Some(from) && news.view == self.view.number {
             self.committed = self.committed.max(news.committed);
         }
@@ -355,6 +339,21 @@
         }
     }
 
+    /// Notes that a peer was heard, and what it said before.
+    fn note_heard(&mut self, sender: KeeperLife, news: &News, now: Instant) -> Option<News> {
+        let heard_first =
+            Peer { life: sender.life, news: None, last_heard: now, heard_since: now, stands_since: None };
+        let peer = self.peers.entry(sender.id).or_insert(heard_first.clone());
+        if peer.life != sender.life {
+            *peer = heard_first;
+        }
+        if now.since(peer.last_heard) >= SUSPECT_AFTER {
+            peer.heard_since = now;
+        }
+        peer.last_heard = now;
+        peer.news.replace(news.clone())
+    }
+
     /// Whoever was known at an address is not there any more: its machine came back without its disk.
     fn forget_at(&mut self, address: &str) {
         let me = self.me.id;
@@ -384,6 +383,7 @@
             .as_ref()
             .is_some_and(|tail| !tail.begun || !tail.pending.is_empty() || !tail.leases.settled(now));
         let is_busy = tail_waits
+            || self.retired
             || self.sealed()
             || self.campaign.is_some()
             || !self.waiting.is_empty()
--- a/crates/coordinator/src/messages.rs
+++ b/crates/coordinator/src/messages.rs
@@ -2,6 +2,26 @@
 
 use crate::prelude::*;
 
+/// One life of a keeper's process on one disk. A keeper that starts again has another life, and one whose disk
+/// was lost another id, though it answers at the same address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct KeeperLife {
+    pub id: NodeId,
+    pub life: u64,
+}
+
+/// A message between keepers, with its sender and its receiver. Streams lead to addresses, and another keeper
+/// may stand at one by the time a message arrives: it drops what was meant for the one before.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// Zero while the sender belongs to no fleet.
+    pub fleet: FleetId,
+    pub from: KeeperLife,
+    /// Nobody in particular for what is true whoever hears it (`CoreMessage::is_for_anyone`).
+    pub to: Option<KeeperLife>,
+    pub message: CoreMessage,
+}
+
 /// What a keeper tells every other it knows, at each pulse.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -13,6 +33,8 @@
     pub last: Mark,
     pub committed: Edition,
     pub tail_active: bool,
+    /// The speaker is about to stop: the next view is to do without it.
+    pub leaving: bool,
     /// Whom the speaker has heard lately, itself included.
     pub hears: Vec<NodeId>,
 }
@@ -52,6 +74,14 @@
     },
 }
 
+impl CoreMessage {
+    /// News are about their sender alone, and a decided view is the same for everyone: both are told before the
+    /// receiver's life is known.
+    pub fn is_for_anyone(&self) -> bool {
+        matches!(self, CoreMessage::Pulse(_) | CoreMessage::View(ViewMessage::Decided(_)))
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Question {
     /// Take this command, and answer once it is in force.
@@ -161,10 +191,8 @@
 #[derive(Clone, Debug)]
 pub enum Input {
     Pulse,
-    Peer {
-        from: NodeId,
-        message: CoreMessage,
-    },
+    /// Another keeper's message, as it arrived at this keeper's address.
+    Peer(Envelope),
     Node {
         node: NodeId,
         message: NodeUp,
@@ -214,8 +242,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
     Store(Stored),
-    Send { to: NodeId, address: String, message: CoreMessage, until: Option<Instant> },
-    Knock { address: String, message: CoreMessage },
+    Send { address: String, envelope: Envelope, until: Option<Instant> },
     Tell { node: NodeId, message: NodeDown, until: Option<Instant> },
     Outcome { ticket: u64, outcome: AskOutcome },
     Note { event: &'static str, detail: String },
--- a/crates/coordinator/src/prelude.rs
+++ b/crates/coordinator/src/prelude.rs
@@ -1,11 +1,14 @@
 //! The one import of this package's files.
 
+pub(crate) use crate::addressing::*;
 pub(crate) use crate::asks::*;
 pub use crate::dispatch::*;
 pub(crate) use crate::duties::*;
+pub use crate::leaving::*;
 pub use crate::machine::*;
 pub use crate::messages::*;
 pub(crate) use crate::tail::*;
+pub(crate) use crate::viewing::Growth;
 pub use crate::viewing::list_ids;
 pub use adapters::prelude::{DemandReport, HeardDemand};
 pub use chain::prelude::{Ages, ChainMessage, Log, Mark, Record};
--- a/crates/coordinator/src/tail/mod.rs
+++ b/crates/coordinator/src/tail/mod.rs
@@ -17,6 +17,9 @@
 pub(crate) use router_list::*;
 pub(crate) use settlements::*;
 
+/// The view of one with which a fleet begins: there is nothing in it yet that could be lost.
+pub(crate) const FOUNDING_VIEW: ViewNumber = ViewNumber(1);
+
 /// What a keeper keeps while it is the tail of its view.
 #[derive(Clone, Debug)]
 pub(crate) struct TailRole {
@@ -92,7 +95,15 @@
 
     /// Whether a tail with this keeper's view, vote and read lease may act.
     fn may_act_as_tail(&self, now: Instant) -> bool {
-        self.is_aligned() && !self.sealed() && now < self.read_until()
+        self.is_aligned() && !self.sealed() && self.log_is_durable() && now < self.read_until()
+    }
+
+    /// Whether all of this tail's log stands on as many disks as must be able to be lost, and one more. The chain
+    /// holds all of it; one that has become too short holds only what was committed before that: a record that
+    /// came later would be gone with the next disk, so it is neither told nor counted until the chain has grown.
+    fn log_is_durable(&self) -> bool {
+        let is_founding = self.view.number == FOUNDING_VIEW;
+        is_founding || self.view.takes_writes() || self.log.last().edition <= self.committed
     }
 
     /// After a view was adopted: go on as its tail, begin as its tail, or hand over.
--- a/crates/coordinator/src/tail/settlements.rs
+++ b/crates/coordinator/src/tail/settlements.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Requester {
     /// A keeper, for an operator; until the change is in force.
-    Keeper(NodeId),
+    Keeper(KeeperLife),
     /// A node; until the change is committed.
     Node(NodeId),
 }
@@ -71,7 +71,7 @@
         match pending.from {
             Requester::Keeper(keeper) => {
                 let outcome = AskOutcome::Settled(outcome);
-                self.send_until(keeper, CoreMessage::Outcome { ticket, outcome }, Some(read_until));
+                self.send_to_life(keeper, CoreMessage::Outcome { ticket, outcome }, Some(read_until));
             }
             Requester::Node(node) => self.tell(node, NodeDown::Settled { ticket, outcome }, Some(read_until)),
         }
--- a/crates/coordinator/src/viewing.rs
+++ b/crates/coordinator/src/viewing.rs
@@ -138,6 +138,10 @@
         let well_chain: Vec<NodeId> =
             living_chain.iter().copied().filter(|member| !self.is_unwell(*member, now)).collect();
         let living_chain = if well_chain.len() >= self.view.least_chain() { well_chain } else { living_chain };
+        let staying_chain: Vec<NodeId> =
+            living_chain.iter().copied().filter(|member| !self.is_leaving(*member, now)).collect();
+        let may_let_go = self.may_let_go(now) && staying_chain.len() >= self.view.least_chain();
+        let living_chain = if may_let_go { staying_chain } else { living_chain };
         let first_whole = living_chain.iter().copied().find(|member| self.holds_all_committed(*member))?;
         let mut chain = vec![first_whole];
         chain.extend(living_chain.into_iter().filter(|member| *member != first_whole));
@@ -172,16 +176,17 @@
         })
     }
 
-    fn holds_all_committed(&self, member: NodeId) -> bool {
+    pub(crate) fn holds_all_committed(&self, member: NodeId) -> bool {
         if member == self.me.id {
             return self.whole == self.view.number;
         }
         self.peer_news(member).is_some_and(|news| news.whole == self.view.number)
     }
 
-    /// A core still below its size takes newcomers quickly.
+    /// A core still below its size takes newcomers quickly, and so does a chain that is too short to serve.
     fn steady_span(&self) -> Span {
-        if self.view.voters.len() < self.wishes.core_size.min(SMALL_CORE) { PULSE_SPAN } else { STEADY_FOR }
+        let is_small = self.view.voters.len() < self.wishes.core_size.min(SMALL_CORE);
+        if is_small || !self.view.takes_writes() { PULSE_SPAN } else { STEADY_FOR }
     }
 
     /// What the steady core would gladly change, one seat at a time.
@@ -192,16 +197,20 @@
             self.is_alive(node, now)
                 && self.hears_and_is_heard(node, news, now)
                 && !self.is_unwell(node, now)
+                && !news.leaving
                 && now.since(peer.heard_since) >= self.steady_span()
                 && news.view == self.view.number
                 && news.last.edition.0 + CAUGHT_UP_WITHIN >= self.log.last().edition.0
         };
+        let spare = self.peers.keys().copied().find(|peer| !self.view.votes(*peer) && may_join(*peer));
+        if let Some(change) = self.seat_of_leaver(spare, now) {
+            return Some(change);
+        }
         let absent_voter =
             self.view.voters.iter().copied().find(|voter| !self.view.in_chain(*voter) && may_join(*voter));
         if let Some(voter) = absent_voter {
             return Some(Growth::Join(voter));
         }
-        let spare = self.peers.keys().copied().find(|peer| !self.view.votes(*peer) && may_join(*peer));
         let Some(spare) = spare else { return self.seat_given_up(now) };
         let has_room = self.view.voters.len() < self.wishes.core_size;
         let all_live = self.alive_voters(now) == self.view.voters.len();
@@ -224,11 +233,15 @@
         address.is_some() && address == self.view.member(voter).map(|member| &member.address)
     }
 
-    /// An even number of voters bears no more losses than one fewer would: an empty seat is given up.
-    fn seat_given_up(&self, now: Instant) -> Option<Growth> {
+    /// Whether one voter fewer would bear as many losses: an even number of them bears no more than that.
+    pub(crate) fn can_spare_a_seat(&self) -> bool {
         let least_voters = 2 * self.view.tolerance as usize + 1;
-        let is_worth_it = self.view.voters.len().is_multiple_of(2) && self.view.voters.len() > least_voters;
-        if !self.wishes.grows_freely || !is_worth_it {
+        self.view.voters.len().is_multiple_of(2) && self.view.voters.len() > least_voters
+    }
+
+    /// An empty seat that can be spared is given up.
+    fn seat_given_up(&self, now: Instant) -> Option<Growth> {
+        if !self.wishes.grows_freely || !self.can_spare_a_seat() {
             return None;
         }
         let give_up_after = self.wishes.timing.replace_after.times(GIVE_UP_FACTOR);
@@ -248,7 +261,8 @@
         let is_successor = self.view.after(self.me.id) == Some(from);
         let is_behind = news.aligned != self.view.number || news.last.edition < self.log.last().edition;
         let stuck = is_successor && self.is_aligned() && is_behind;
-        let idle = self.view.tail() == Some(from) && news.aligned == self.view.number && !news.tail_active;
+        let should_act = self.view.takes_writes() && news.aligned == self.view.number;
+        let idle = self.view.tail() == Some(from) && should_act && !news.tail_active;
         let adopted = self.adopted;
         let Some(peer) = self.peers.get_mut(&from) else { return };
         peer.stands_since = match stuck || idle {
@@ -311,13 +325,14 @@
                 && (self.is_neighbour(*member) || !self.is_widely_heard(*member, now));
             is_silent || (self.is_unwell(*member, now) && now.since(self.adopted) >= SUSPECT_AFTER + patience)
         });
+        let lets_go = self.may_let_go(now) && now.since(self.adopted) >= patience;
         let seal_hangs = self.sealed() && now.since(self.sealed_since) >= SEALED_LIMIT + patience;
         let first_living = self.view.chain.iter().find(|member| self.is_alive(**member, now));
         let is_steady = first_living == Some(&self.me.id)
             && now.since(self.adopted) >= self.steady_span()
             && !self.sealed()
-            && self.tail_seen(now);
-        member_lost || seal_hangs || (is_steady && self.growth(now).is_some())
+            && (self.tail_seen(now) || !self.view.takes_writes());
+        member_lost || lets_go || seal_hangs || (is_steady && self.growth(now).is_some())
     }
 
     fn tail_seen(&self, now: Instant) -> bool {
--- /dev/null
+++ b/crates/coordinator/tests/addressing.rs
@@ -0,0 +1,140 @@
+//! A message between keepers counts for the life of the keeper it was meant for, and for no other that gets it.
+
+mod common;
+
+use common::*;
+use coordinator::prelude::*;
+use units::prelude::*;
+use view::prelude::{Member, View};
+
+const OTHER: NodeId = NodeId(1);
+const ME: NodeId = NodeId(2);
+const THIRD: NodeId = NodeId(3);
+const START: Instant = Instant(1_000_000_000_000);
+const LIFE: u64 = 70;
+
+fn member(id: NodeId) -> Member {
+    Member { id, address: format!("{id}:1"), door: format!("{id}:2"), zone: "a".into() }
+}
+
+/// The tail of a chain of three, in some life of its process.
+fn tail_in_life(life: u64) -> Coordinator {
+    let view = View {
+        fleet: FleetId(1),
+        number: ViewNumber(2),
+        chain: vec![OTHER, THIRD, ME],
+        voters: vec![OTHER, THIRD, ME],
+        members: vec![member(OTHER), member(THIRD), member(ME)],
+        ..View::default()
+    };
+    let number = view.number;
+    let kept = Kept { view: Some(view), aligned: number, whole: number, begun: number, ..Kept::default() };
+    Coordinator::restore(member(ME), kept, Wishes::default(), life, START)
+}
+
+fn envelope(to: Option<KeeperLife>, fleet: FleetId, message: CoreMessage) -> Input {
+    Input::Peer(Envelope { fleet, from: played(OTHER), to, message })
+}
+
+/// A voter's word, given to an asking of long after `START`, as one of a life before a reboot can be.
+fn read_lease_from_the_future() -> CoreMessage {
+    CoreMessage::ReadLeaseGiven { view: ViewNumber(2), sent: START + Span::seconds(3600) }
+}
+
+#[test]
+fn a_read_lease_given_to_an_earlier_life_lets_no_later_one_act() {
+    let mut tail = tail_in_life(LIFE);
+    let earlier = KeeperLife { id: ME, life: LIFE - 1 };
+    tail.step(Input::Pulse, START);
+    for voter in [OTHER, THIRD] {
+        let message = read_lease_from_the_future();
+        let from = played(voter);
+        tail.step(Input::Peer(Envelope { fleet: FleetId(1), from, to: Some(earlier), message }), START);
+    }
+    assert!(!tail.tail_is_active(START + Span::seconds(20)), "cut off for twenty seconds, it acts");
+    assert_eq!(tail.misdirected(), 2);
+}
+
+#[test]
+fn what_is_meant_for_this_life_counts() {
+    let mut tail = tail_in_life(LIFE);
+    for voter in [OTHER, THIRD] {
+        let message = CoreMessage::ReadLeaseGiven { view: ViewNumber(2), sent: START };
+        let input = from_keeper(&tail, voter, message);
+        tail.step(input, START);
+    }
+    assert!(tail.tail_is_active(START + Span::millis(100)));
+    assert_eq!(tail.misdirected(), 0);
+}
+
+#[test]
+fn an_answer_to_a_question_of_an_earlier_life_reaches_nobody() {
+    let mut keeper = tail_in_life(LIFE);
+    let question = Question::Configuration;
+    let (ticket, limit) = (5, START + Span::seconds(3));
+    keeper.step(Input::Ask { ticket, question, limit }, START);
+    let outcome = AskOutcome::Configuration { revision: Revision(1), source: "old".into() };
+    let answer = CoreMessage::Outcome { ticket, outcome };
+    let earlier = KeeperLife { id: ME, life: LIFE - 1 };
+    let effects = keeper.step(envelope(Some(earlier), FleetId(1), answer.clone()), START);
+    assert!(!effects.iter().any(|effect| matches!(effect, Effect::Outcome { .. })));
+    let own = Some(keeper.own_life());
+    let effects = keeper.step(envelope(own, FleetId(1), answer), START);
+    assert!(effects.iter().any(|effect| matches!(effect, Effect::Outcome { ticket: 5, .. })));
+}
+
+#[test]
+fn what_is_of_another_fleet_or_for_nobody_is_dropped() {
+    let mut keeper = tail_in_life(LIFE);
+    let own = Some(keeper.own_life());
+    for (to, fleet) in [(own, FleetId(9)), (None, FleetId(1)), (Some(played(THIRD)), FleetId(1))] {
+        let ballot = Ballot { round: 1, proposer: OTHER };
+        let prepare = CoreMessage::View(ViewMessage::Prepare { next: ViewNumber(3), ballot });
+        let effects = keeper.step(envelope(to, fleet, prepare), START);
+        assert!(!effects.iter().any(|effect| matches!(effect, Effect::Store(_))), "{to:?} {fleet}: it voted");
+    }
+    assert_eq!(keeper.misdirected(), 3);
+}
+
+/// Whoever sends to an earlier life is told of this one, and then sends to it.
+#[test]
+fn a_keeper_that_began_again_is_known_after_one_exchange() {
+    let (mut first, mut second) = (tail_in_life(LIFE), tail_in_life(LIFE + 1));
+    introduce(&mut first, OTHER, START);
+    let earlier = Some(first.own_life());
+    let ask = CoreMessage::DutyAsk { sent: START };
+    let effects = second.step(envelope(earlier, FleetId(1), ask), START);
+    let told = effects.iter().find_map(|effect| match effect {
+        Effect::Send { envelope, .. } => Some(envelope.clone()),
+        _ => None,
+    });
+    let told = told.expect("it says who it is");
+    assert_eq!(told.from, second.own_life());
+    assert!(matches!(told.message, CoreMessage::Pulse(_)));
+}
+
+/// The answer goes to the life that asked, not to one that was heard since.
+#[test]
+fn an_answer_names_the_life_that_asked() {
+    let mut tail = tail_in_life(LIFE);
+    introduce(&mut tail, OTHER, START);
+    introduce(&mut tail, THIRD, START);
+    for voter in [OTHER, THIRD] {
+        let input = from_keeper(&tail, voter, CoreMessage::ReadLeaseGiven { view: ViewNumber(2), sent: START });
+        tail.step(input, START);
+    }
+    let asked_in = KeeperLife { id: OTHER, life: PLAYED_LIFE + 8 };
+    let message = CoreMessage::Ask { ticket: 4, question: Question::Configuration };
+    let to = Some(tail.own_life());
+    let effects = tail.step(Input::Peer(Envelope { fleet: FleetId(1), from: asked_in, to, message }), START);
+    let answered: Vec<Option<KeeperLife>> = effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Send { envelope, .. } if matches!(envelope.message, CoreMessage::Outcome { .. }) => {
+                Some(envelope.to)
+            }
+            _ => None,
+        })
+        .collect();
+    assert_eq!(answered, [Some(asked_in)]);
+}
--- a/crates/coordinator/tests/ages.rs
+++ b/crates/coordinator/tests/ages.rs
@@ -1,6 +1,9 @@
 //! A member that is brought level learns how long ago things were committed, and passes it on: a new tail
 //! that knew no ages would have every router give up the old weights at once.
 
+mod common;
+
+use common::*;
 use coordinator::prelude::*;
 use desired::prelude::FleetState;
 use units::prelude::*;
@@ -26,13 +29,18 @@
         ..View::default()
     };
     let kept = Kept { view: Some(view), ..Kept::default() };
-    Coordinator::restore(member(MIDDLE), kept, Wishes::default(), 1, START)
+    let mut coordinator = Coordinator::restore(member(MIDDLE), kept, Wishes::default(), 1, START);
+    // The head is heard, though it could level nobody yet.
+    let news = News { aligned: ViewNumber(1), tail_active: false, ..news_of(&coordinator, HEAD) };
+    let input = from_keeper(&coordinator, HEAD, CoreMessage::Pulse(news));
+    coordinator.step(input, START);
+    coordinator
 }
 
 /// What the effects say to a member about its level.
 fn chain_messages(effects: &[Effect], to: NodeId) -> Vec<ChainMessage> {
-    let sent = effects.iter().filter_map(|effect| match effect {
-        Effect::Send { to: told, message: CoreMessage::Chain(message), .. } if *told == to => Some(message.clone()),
+    let sent = sent_to(effects, to).into_iter().filter_map(|message| match message {
+        CoreMessage::Chain(message) => Some(message),
         _ => None,
     });
     sent.collect()
@@ -53,17 +61,18 @@
     }
 }
 
-fn snapshot(nonce: u64) -> Input {
+fn snapshot(coordinator: &Coordinator, nonce: u64) -> Input {
     let mark = Mark { edition: Edition(7), view: ViewNumber(1) };
     let state = Box::new(FleetState { edition: Edition(7), ..FleetState::default() });
     let message = ChainMessage::Snapshot { view: VIEW, nonce, mark, state, ages: told_ages() };
-    Input::Peer { from: HEAD, message: CoreMessage::Chain(message) }
+    from_keeper(coordinator, HEAD, CoreMessage::Chain(message))
 }
 
 /// The ages with which the member levels its successor.
 fn ages_passed_on(coordinator: &mut Coordinator, now: Instant) -> Option<Ages> {
     let have = ChainMessage::Have { view: VIEW, last: Mark::default(), nonce: 5 };
-    let effects = coordinator.step(Input::Peer { from: TAIL, message: CoreMessage::Chain(have) }, now);
+    let input = from_keeper(coordinator, TAIL, CoreMessage::Chain(have));
+    let effects = coordinator.step(input, now);
     chain_messages(&effects, TAIL).into_iter().find_map(|message| match message {
         ChainMessage::Level { ages, .. } | ChainMessage::Snapshot { ages, .. } => Some(ages),
         _ => None,
@@ -77,7 +86,8 @@
     let asked_again = coordinator.step(Input::Pulse, START + Span::millis(400));
     assert_eq!(asked_nonce(&asked_again), Some(nonce), "the same asking, repeated");
     assert_eq!(ages_passed_on(&mut coordinator, START), None, "not level yet");
-    coordinator.step(snapshot(nonce), START + Span::millis(500));
+    let input = snapshot(&coordinator, nonce);
+    coordinator.step(input, START + Span::millis(500));
     let ages = ages_passed_on(&mut coordinator, START + Span::millis(700)).expect("it levels its successor");
     assert_eq!(ages.records, [(Edition(7), Span::millis(1000))], "700 ms since the first asking and 300 before");
     assert_eq!(ages.gave_way, [("model".into(), WeightsEdition(1), Span::millis(1000))]);
@@ -105,20 +115,10 @@
 fn a_member_asks_as_soon_as_the_one_before_it_is_level() {
     let mut coordinator = middle_member();
     coordinator.step(Input::Pulse, START);
-    let news = |aligned| News {
-        member: member(HEAD),
-        fleet: FleetId(1),
-        view: VIEW,
-        aligned,
-        whole: aligned,
-        last: Mark::default(),
-        committed: Edition(0),
-        tail_active: false,
-        hears: vec![HEAD, MIDDLE, TAIL],
-    };
     let hear = |coordinator: &mut Coordinator, aligned| {
-        let message = CoreMessage::Pulse(news(aligned));
-        coordinator.step(Input::Peer { from: HEAD, message }, START + Span::millis(1))
+        let news = News { aligned, tail_active: false, ..news_of(coordinator, HEAD) };
+        let input = from_keeper(coordinator, HEAD, CoreMessage::Pulse(news));
+        coordinator.step(input, START + Span::millis(1))
     };
     assert_eq!(asked_nonce(&hear(&mut coordinator, ViewNumber(1))), None, "it could not answer yet");
     assert!(asked_nonce(&hear(&mut coordinator, VIEW)).is_some());
--- a/crates/coordinator/tests/dispatch.rs
+++ b/crates/coordinator/tests/dispatch.rs
@@ -1,5 +1,8 @@
 //! What a plan held for a node and came too late to be sent is known to the tail, and planned anew.
 
+mod common;
+
+use common::*;
 use coordinator::prelude::*;
 use units::prelude::*;
 
@@ -134,7 +137,8 @@
     next_view.number = next_view.number.next();
     next_view.members.push(newcomer);
     let decided = CoreMessage::View(ViewMessage::Decided(next_view));
-    let mut plan = coordinator.step(Input::Peer { from: NodeId(2), message: decided }, now);
+    let input = from_keeper(&coordinator, NodeId(2), decided);
+    let mut plan = coordinator.step(input, now);
     let mut later = now;
     while told_members(&plan).is_empty() {
         later = later + PULSE_SPAN;
--- a/crates/coordinator/tests/duties.rs
+++ b/crates/coordinator/tests/duties.rs
@@ -1,5 +1,8 @@
 //! A lease on duties counts for the keeper alone that asked for it, not for an empty one in its place.
 
+mod common;
+
+use common::*;
 use coordinator::prelude::*;
 use desired::prelude::DutyKind;
 use units::prelude::*;
@@ -32,7 +35,8 @@
 fn is_conductor_after(keeper: &mut Coordinator, sent: Instant) -> bool {
     let message = CoreMessage::DutyGiven { sent, duties: vec![(DutyKind::Conductor, Term(1))] };
     let now = START + Span::millis(100);
-    keeper.step(Input::Peer { from: TAIL, message }, now);
+    let input = from_keeper(keeper, TAIL, message);
+    keeper.step(input, now);
     keeper.is_named_for(DutyKind::Conductor, now).is_some()
 }
 
--- a/crates/keeper/src/executor.rs
+++ b/crates/keeper/src/executor.rs
@@ -6,8 +6,6 @@
 use crate::prelude::*;
 
 const BATCH: usize = 256;
-/// How long a stopping keeper still passes things on, so that its duties are handed over.
-const PARTING_SPAN: Span = Span::millis(300);
 
 pub enum ExecutorCommand {
     Link(LinkEvent<Inbound>),
@@ -45,6 +43,23 @@
     }
 }
 
+/// How far a keeper that was told to stop has come.
+#[derive(Clone, Copy, Debug)]
+enum Stopping {
+    /// It waits until the agreed view does without it, but no longer than this.
+    Leaving { until: Instant },
+    /// It ends then.
+    Parting { until: Instant },
+}
+
+impl Stopping {
+    fn until(self) -> Instant {
+        match self {
+            Stopping::Leaving { until } | Stopping::Parting { until } => until,
+        }
+    }
+}
+
 struct LinkPlace {
     link: Link,
     hello: Hello,
@@ -102,9 +117,9 @@
 
     /// Works until told to stop, or until the data folder is found damaged.
     pub fn work(&mut self) -> Result<(), DiskFault> {
-        let mut stops_at: Option<Instant> = None;
+        let mut stopping: Option<Stopping> = None;
         loop {
-            let Some(batch) = self.patience.next(self.pause(stops_at), BATCH) else { return Ok(()) };
+            let Some(batch) = self.patience.next(self.pause(stopping), BATCH) else { return Ok(()) };
             let mut plan = std::mem::take(&mut self.replanned);
             for command in batch {
                 match command {
@@ -127,7 +142,7 @@
                     }
                     ExecutorCommand::Stop => {
                         let now = boot_now();
-                        stops_at.get_or_insert(now + PARTING_SPAN);
+                        stopping.get_or_insert(Stopping::Leaving { until: now + LEAVING_LIMIT });
                         plan.extend(self.coordinator.step(Input::Retire, now));
                     }
                 }
@@ -141,20 +156,40 @@
             if !goes_on {
                 return Ok(());
             }
-            if stops_at.is_some_and(|stops_at| boot_now() >= stops_at) {
+            stopping = stopping.map(|stage| self.go_on_stopping(stage));
+            if let Some(Stopping::Parting { until }) = stopping
+                && boot_now() >= until
+            {
                 return Ok(());
             }
         }
     }
 
+    /// A stopping keeper parts once it has left the view, or once it has waited long enough for that.
+    fn go_on_stopping(&mut self, stage: Stopping) -> Stopping {
+        let Stopping::Leaving { until } = stage else { return stage };
+        let now = boot_now();
+        let has_left = self.coordinator.has_left();
+        if !has_left && now < until {
+            return stage;
+        }
+        match has_left {
+            true => event!(info, "left", view = self.coordinator.view().number),
+            false => event!(warn, "not_left", reason = self.coordinator.reason_to_stay(now)),
+        }
+        // Whoever still waits is told now that nothing is known, while it can be told.
+        self.replies.clear();
+        Stopping::Parting { until: now + PARTING_SPAN }
+    }
+
     /// How long nothing is due.
-    fn pause(&self, stops_at: Option<Instant>) -> Duration {
+    fn pause(&self, stopping: Option<Stopping>) -> Duration {
         let now = boot_now();
         if !self.replanned.is_empty() {
             return Duration::ZERO;
         }
         let due = self.last_pulse + self.coordinator.pulse_span(now);
-        let due = stops_at.map_or(due, |stops_at| due.min(stops_at));
+        let due = stopping.map_or(due, |stage| due.min(stage.until()));
         due.since(now).as_duration()
     }
 
@@ -165,10 +200,10 @@
                 let Some(place) = self.links.get(&id) else { return };
                 let from = place.hello.speaker;
                 let input = match (place.hello.purpose, message) {
-                    (Purpose::Keeper, Inbound::Core(message)) => Input::Peer { from, message },
+                    (Purpose::Keeper, Inbound::Core(envelope)) if envelope.from.id == from => Input::Peer(envelope),
                     (Purpose::Agent, Inbound::Node(message)) => Input::Node { node: from, message },
                     _ => {
-                        event!(warn, "link_refused", from = from, reason = "message of another purpose");
+                        event!(warn, "link_refused", from = from, reason = "message of another purpose or sender");
                         place.link.close();
                         return;
                     }
@@ -251,9 +286,7 @@
     fn send_out(&mut self, effect: Effect) {
         match effect {
             Effect::Store(_) => {}
-            Effect::Send { address, message, .. } | Effect::Knock { address, message } => {
-                self.post.send(&address, &Inbound::Core(message));
-            }
+            Effect::Send { address, envelope, .. } => self.post.send(&address, &Inbound::Core(envelope)),
             Effect::Tell { node, message, .. } => {
                 let Some(place) = self.nodes.get(&node).and_then(|id| self.links.get(id)) else { return };
                 place.link.say(&message);
--- a/crates/measure/src/prelude.rs
+++ b/crates/measure/src/prelude.rs
@@ -3,7 +3,6 @@
 pub(crate) use crate::fleets::*;
 pub(crate) use crate::picks::*;
 pub(crate) use crate::recovery::*;
-pub(crate) use crate::scale::measure_scale;
 pub(crate) use crate::trials::*;
 pub(crate) use blocks::prelude::{KeptEvent, Salt, cut};
 pub(crate) use desired::prelude::{Command, FleetState, Listed, ListedEngine, Listing, Standing, Submission};
--- a/crates/simulator/src/disorder.rs
+++ b/crates/simulator/src/disorder.rs
@@ -25,7 +25,7 @@
     now: Instant,
     keepers: Vec<CoreKeeper>,
     /// Streams, each in its own order.
-    ways: BTreeMap<(usize, usize), VecDeque<CoreMessage>>,
+    ways: BTreeMap<(usize, usize), VecDeque<Envelope>>,
     stalled: BTreeSet<(usize, usize)>,
     views: BTreeMap<ViewNumber, View>,
     committed: BTreeMap<Edition, RequestId>,
@@ -131,7 +131,8 @@
                 let ways = self.open_ways();
                 if !ways.is_empty() {
                     let way = ways[self.draw.below(ways.len() as u64) as usize];
-                    let votes = matches!(self.ways[&way].front(), Some(CoreMessage::View(_)));
+                    let votes =
+                        self.ways[&way].front().is_some_and(|first| matches!(first.message, CoreMessage::View(_)));
                     let ends = self.draw.chance(if votes && self.hasty { 8 } else { 1 });
                     self.deliver(way, ends);
                 }
@@ -171,9 +172,8 @@
     }
 
     fn deliver(&mut self, way: (usize, usize), ends: bool) {
-        let Some(message) = self.ways.get_mut(&way).and_then(VecDeque::pop_front) else { return };
-        let from = NodeId(way.0 as u64 + 1);
-        self.feed(way.1, Input::Peer { from, message }, ends);
+        let Some(envelope) = self.ways.get_mut(&way).and_then(VecDeque::pop_front) else { return };
+        self.feed(way.1, Input::Peer(envelope), ends);
     }
 
     /// Steps a keeper and carries its plan out; if it ends here, only a part of it.
@@ -193,14 +193,10 @@
             self.hold_to_rules(number);
         }
         for effect in said.into_iter().take(parts_done.saturating_sub(1)) {
-            match effect {
-                Effect::Send { address, message, .. } | Effect::Knock { address, message } => {
-                    let Some(to) = (0..KEEPERS).find(|to| format!("k{to}") == address) else { continue };
-                    if self.keepers[to].coordinator.is_some() {
-                        self.ways.entry((number, to)).or_default().push_back(message);
-                    }
-                }
-                _ => {}
+            let Effect::Send { address, envelope, .. } = effect else { continue };
+            let Some(to) = (0..KEEPERS).find(|to| format!("k{to}") == address) else { continue };
+            if self.keepers[to].coordinator.is_some() {
+                self.ways.entry((number, to)).or_default().push_back(envelope);
             }
         }
         if ends {
--- a/crates/simulator/src/events.rs
+++ b/crates/simulator/src/events.rs
@@ -170,9 +170,11 @@
     Operator,
     Platform,
     Fault(Fault),
+    /// A keeper that was told to stop ends once it has left the view, at `until` at the latest.
     StopKeeper {
         keeper: usize,
         life: u64,
+        until: Instant,
     },
     Sample,
 }
@@ -247,11 +249,7 @@
             SimEvent::WithdrawsBehind { node, key_hash } => self.hear_withdraws_behind(node, &key_hash),
             SimEvent::Operator => self.operate(),
             SimEvent::Platform => self.change_listing(),
-            SimEvent::StopKeeper { keeper, life } => {
-                if self.keepers[keeper].life == life {
-                    self.kill_keeper(keeper);
-                }
-            }
+            SimEvent::StopKeeper { keeper, life, until } => self.stop_keeper(keeper, life, until),
             SimEvent::Fault(fault) => self.cause(fault),
             SimEvent::Sample => {
                 self.sample();
--- a/crates/simulator/src/keepers.rs
+++ b/crates/simulator/src/keepers.rs
@@ -38,6 +38,19 @@
         }
     }
 
+    /// Ends a keeper that was told to stop, unless it still waits to be let go.
+    pub fn stop_keeper(&mut self, number: usize, life: u64, until: Instant) {
+        let keeper = &self.keepers[number];
+        if keeper.life != life {
+            return;
+        }
+        let has_left = keeper.coordinator.as_ref().is_none_or(Coordinator::has_left);
+        match has_left || self.now >= until {
+            true => self.kill_keeper(number),
+            false => self.later(PULSE_SPAN, SimEvent::StopKeeper { keeper: number, life, until }),
+        }
+    }
+
     /// An empty machine in the place of a lost one.
     pub fn replace_keeper(&mut self, number: usize, moves: bool) {
         self.kill_keeper(number);
@@ -108,9 +121,7 @@
             let Some(effect) = dispatch.admit(effect, local_now) else { continue };
             match effect {
                 Effect::Store(stored) => keep(&mut self.keepers[number].disk, stored),
-                Effect::Send { address, message, .. } | Effect::Knock { address, message } => {
-                    self.post(number, &address, message);
-                }
+                Effect::Send { address, envelope, .. } => self.post(number, &address, envelope),
                 Effect::Tell { node, message, .. } => self.tell(number, node, message),
                 Effect::Outcome { ticket, outcome } => self.take_outcome(ticket, outcome),
                 Effect::Note { event, detail } => {
@@ -137,14 +148,13 @@
         self.later(span, SimEvent::Revives);
     }
 
-    pub fn post(&mut self, from: usize, address: &str, message: CoreMessage) {
+    pub fn post(&mut self, from: usize, address: &str, envelope: Envelope) {
         let Some(to) = self.keepers.iter().position(|keeper| keeper.address == address) else { return };
         if self.net.is_cut(from, to) {
             return;
         }
         let delay = self.net.delay(&mut self.draw);
-        let input = Input::Peer { from: self.keepers[from].id, message };
-        self.later(delay, SimEvent::KeeperInput { keeper: to, life: None, input });
+        self.later(delay, SimEvent::KeeperInput { keeper: to, life: None, input: Input::Peer(envelope) });
     }
 
     pub fn tell(&mut self, keeper: usize, node_id: NodeId, message: NodeDown) {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -3,7 +3,7 @@
 use crate::prelude::*;
 
 /// The number of this wire format; a process that speaks another is refused with both named.
-pub const FORMAT: u64 = 5;
+pub const FORMAT: u64 = 6;
 pub const MOST_FRAME_BYTES: usize = 64 << 20;
 const MAGIC: [u8; 4] = *b"HARE";
 
@@ -44,7 +44,7 @@
 /// What a keeper is told: by other keepers and by agents.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Inbound {
-    Core(CoreMessage),
+    Core(Envelope),
     Node(NodeUp),
 }
 
--- a/crates/wire/src/prelude.rs
+++ b/crates/wire/src/prelude.rs
@@ -1,7 +1,7 @@
 //! The one import of this package's files.
 
 pub use crate::frame::*;
-pub use coordinator::prelude::{CoreMessage, NodeDown, NodeUp, RouterAddress};
+pub use coordinator::prelude::{CoreMessage, Envelope, NodeDown, NodeUp, RouterAddress};
 pub(crate) use serde::{Deserialize, Serialize, de::DeserializeOwned};
 pub(crate) use std::io::{Read, Write};
 pub use subscription::prelude::{RouterDown, RouterUp};
