Operators' orders are remembered apart, known by id and content; PATCH on a coming base

Settlements of all submissions shared one memory of 512, which claims and listings fill within seconds: an order sent again under its id was then refused as stale though it had been taken. An id used for another change answered with the first one's outcome, so two operators could be confirmed under one. A PATCH whose base came into force between reading and settling was refused as not above the current revision. An intent sent again made a second plan. Ruled out: a larger common memory (it grows with the traffic, not with the operators).

--- a/crates/coordinator/src/asks.rs
+++ b/crates/coordinator/src/asks.rs
@@ -24,7 +24,7 @@
         let tail_question = match &waiting.question {
             Question::Submit(submission) => {
                 self.send(head, CoreMessage::Submit(submission.clone()));
-                Question::Settled(submission.request)
+                Question::Settled { request: submission.request, fingerprint: submission.command.order_fingerprint() }
             }
             other => other.clone(),
         };
@@ -64,9 +64,10 @@
         let read_until = self.read_until();
         let outcome = match question {
             Question::Submit(_) => return,
-            Question::Settled(request) => {
+            Question::Settled { request, fingerprint } => {
                 if let Some(tail) = self.tail.as_mut() {
-                    tail.await_settlement(Requester::Keeper(from), ticket, request, now);
+                    let from = Requester::Keeper(from);
+                    tail.await_settlement(PendingRequest { from, ticket, request, fingerprint, since: now });
                 }
                 return;
             }
--- a/crates/coordinator/src/messages.rs
+++ b/crates/coordinator/src/messages.rs
@@ -86,8 +86,11 @@
 pub enum Question {
     /// Take this command, and answer once it is in force.
     Submit(Submission),
-    /// How was this request settled?
-    Settled(RequestId),
+    /// How was this request settled? Under a fingerprint: if it was this that was submitted.
+    Settled {
+        request: RequestId,
+        fingerprint: Option<BlockHash>,
+    },
     State,
     Nodes,
     /// Where requests on adapters arrive, as far as nodes told the tail.
--- a/crates/coordinator/src/tail/claims.rs
+++ b/crates/coordinator/src/tail/claims.rs
@@ -10,7 +10,7 @@
         }
         let (from, request) = (Requester::Node(node), submission.request);
         if let Some(tail) = self.tail.as_mut() {
-            tail.pending.push(PendingRequest { from, ticket, request, since: now });
+            tail.pending.push(PendingRequest { from, ticket, request, fingerprint: None, since: now });
         }
         if let Some(head) = self.view.head() {
             self.send(head, CoreMessage::Submit(submission));
--- a/crates/coordinator/src/tail/settlements.rs
+++ b/crates/coordinator/src/tail/settlements.rs
@@ -22,17 +22,19 @@
     /// The requester's own number of it.
     pub(crate) ticket: u64,
     pub(crate) request: RequestId,
+    /// What was submitted under the request's id.
+    pub(crate) fingerprint: Option<BlockHash>,
     /// When it was asked about last.
     pub(crate) since: Instant,
 }
 
 impl TailRole {
     /// A keeper asks about a request, for the first time or again.
-    pub(crate) fn await_settlement(&mut self, from: Requester, ticket: u64, request: RequestId, now: Instant) {
-        let known = self.pending.iter_mut().find(|pending| pending.from == from && pending.ticket == ticket);
-        match known {
-            Some(pending) => pending.since = now,
-            None => self.pending.push(PendingRequest { from, ticket, request, since: now }),
+    pub(crate) fn await_settlement(&mut self, asked: PendingRequest) {
+        let is_same = |pending: &&mut PendingRequest| pending.from == asked.from && pending.ticket == asked.ticket;
+        match self.pending.iter_mut().find(is_same) {
+            Some(pending) => pending.since = asked.since,
+            None => self.pending.push(asked),
         }
     }
 
@@ -53,7 +55,9 @@
         let Some(tail) = self.tail.as_mut() else { return };
         let mut answered = Vec::new();
         for pending in std::mem::take(&mut tail.pending) {
-            let outcome = self.log.state().settled_before(pending.request);
+            let state = self.log.state();
+            let in_use = state.id_in_use(pending.request, pending.fingerprint);
+            let outcome = in_use.or_else(|| state.settled_before(pending.request));
             match outcome.filter(|outcome| tail.may_tell(pending.from, outcome, now)) {
                 Some(outcome) => answered.push((pending, outcome)),
                 None if now.since(pending.since) < PENDING_SPAN => tail.pending.push(pending),
--- a/crates/desired/src/commands.rs
+++ b/crates/desired/src/commands.rs
@@ -15,6 +15,12 @@
     },
     /// A whole configuration under a revision of the operators' own.
     Configure(Box<ConfigurationChange>),
+    /// Whether a change was taken that builds on a revision which is not the one in force, as far as whoever
+    /// asks can tell: it is settled as that change was, else as stale.
+    RecallChange {
+        base: Revision,
+        fingerprint: BlockHash,
+    },
     /// New weights of a model, whatever the document says of it.
     NameWeights {
         model: ModelName,
--- a/crates/desired/src/configuration.rs
+++ b/crates/desired/src/configuration.rs
@@ -79,6 +79,13 @@
         outcome
     }
 
+    /// Changes nothing; a change that was not taken is stale on whatever holds now, which may be its base by then.
+    pub(crate) fn recall_change(&self, base: Revision, fingerprint: BlockHash) -> Settled {
+        let in_force = self.configuration.revision;
+        let taken = self.configuration.taken_at(fingerprint).filter(|_| base <= in_force);
+        taken.map_or(Settled::Stale { now: Edition(in_force.0) }, Settled::Taken)
+    }
+
     /// Weights only rise; naming those that are wanted already is no fault.
     pub(crate) fn name_weights(&mut self, number: Edition, model: &ModelName, weights: WeightsEdition) -> Settled {
         let named = self.named_weights.entry(model.clone()).or_default();
@@ -121,6 +128,18 @@
         assert_eq!((state.configuration.revision, state.configuration.source.as_str()), (Revision(7), "source 7"));
     }
 
+    #[test]
+    fn a_change_is_recalled_as_it_was_settled_and_else_is_stale() {
+        let mut state = FleetState::default();
+        let first = change(0, 3, "{}");
+        let Command::Configure(taken) = &first else { panic!("{first:?}") };
+        let recall = Command::RecallChange { base: Revision(0), fingerprint: taken.fingerprint };
+        assert_eq!(submit(&mut state, recall.clone()), Settled::Stale { now: Edition(0) });
+        assert_eq!(submit(&mut state, first.clone()), Settled::Taken(Edition(2)));
+        assert_eq!(submit(&mut state, recall), Settled::Taken(Edition(2)));
+        assert_eq!(state.configuration.revision, Revision(3));
+    }
+
     #[test]
     fn named_weights_hold_through_later_documents_and_never_fall() {
         let mut state = FleetState::default();
--- a/crates/desired/src/fleet.rs
+++ b/crates/desired/src/fleet.rs
@@ -1,9 +1,12 @@
 //! The numbered fleet state and the commands that move it. Applying never fails: a command that does
 //! not fit the state is settled as refused or stale and changes nothing but the number. The state
-//! remembers the latest submissions, so the same request id is settled the same way again.
+//! remembers the latest submissions, so the same request id is settled the same way again; those of
+//! operators are remembered apart, and longer.
 
 use crate::prelude::*;
 
+/// How many submissions are remembered that are no operators' orders: their senders ask again within seconds, or
+/// what they submit can be settled twice without harm.
 const REMEMBERED_SUBMISSIONS: usize = 512;
 
 /// The state of the fleet that all keepers and routers agree on, after the records up to an edition.
@@ -26,6 +29,8 @@
     pub drained: BTreeSet<EngineName>,
     pub settled: VecDeque<(RequestId, Settled)>,
     #[serde(default)]
+    pub orders: SettledOrders,
+    #[serde(default)]
     pub claim_book: ClaimBook,
     #[serde(default)]
     pub configuration: Configuration,
@@ -46,7 +51,7 @@
         let number = self.edition.next();
         let outcome = self.settle(number, &submission.command);
         self.edition = number;
-        self.remember(submission.request, outcome.clone());
+        self.remember(submission, outcome.clone());
         outcome
     }
 
@@ -57,10 +62,15 @@
             return;
         }
         self.edition = self.edition.next();
-        self.remember(submission.request, Settled::Taken(self.edition));
+        self.remember(submission, Settled::Taken(self.edition));
     }
 
-    fn remember(&mut self, request: RequestId, outcome: Settled) {
+    fn remember(&mut self, submission: &Submission, outcome: Settled) {
+        let request = submission.request;
+        if let Some(fingerprint) = submission.command.order_fingerprint() {
+            self.orders.remember(self.edition, request, fingerprint, outcome);
+            return;
+        }
         self.settled.push_back((request, outcome));
         if self.settled.len() > REMEMBERED_SUBMISSIONS {
             self.settled.pop_front();
@@ -84,6 +94,7 @@
             plans: self.plans.clone(),
             drained: self.drained.clone(),
             settled: self.settled.clone(),
+            orders: self.orders.clone(),
             claim_book,
             configuration: self.configuration.without_source(),
             named_weights: self.named_weights.clone(),
@@ -93,7 +104,15 @@
 
     /// How a request was settled, if that is still remembered.
     pub fn settled_before(&self, request: RequestId) -> Option<Settled> {
-        self.settled.iter().rev().find(|(earlier, _)| *earlier == request).map(|(_, outcome)| outcome.clone())
+        let of_members = || self.settled.iter().rev().find(|(earlier, _)| *earlier == request);
+        let order = self.orders.outcome(request);
+        order.or_else(|| of_members().map(|(_, outcome)| outcome)).cloned()
+    }
+
+    /// Why a submission cannot be settled under its id, if that was used for something else.
+    pub fn id_in_use(&self, request: RequestId, fingerprint: Option<BlockHash>) -> Option<Settled> {
+        let is_taken = fingerprint.is_some_and(|fingerprint| self.orders.is_taken_by_another(request, fingerprint));
+        is_taken.then(|| Settled::refused("x-request-id", "used for another change already"))
     }
 
     fn settle(&mut self, number: Edition, command: &Command) -> Settled {
@@ -101,6 +120,7 @@
             Command::Replace { base, text } => self.replace_document(number, *base, text),
             Command::Merge { base, patch } => self.merge_document(number, *base, patch),
             Command::Configure(change) => self.configure(number, change),
+            Command::RecallChange { base, fingerprint } => self.recall_change(*base, *fingerprint),
             Command::NameWeights { model, weights } => self.name_weights(number, model, *weights),
             Command::List(listing) => self.take_listing(number, listing),
             Command::Appoint { kind, from_term, holder } => self.appoint(number, *kind, *from_term, *holder),
--- a/crates/desired/src/lib.rs
+++ b/crates/desired/src/lib.rs
@@ -15,6 +15,7 @@
 mod fleet;
 mod held_adapters;
 mod listing;
+mod orders;
 mod plan_commands;
 mod plans;
 mod read;
--- a/crates/desired/src/prelude.rs
+++ b/crates/desired/src/prelude.rs
@@ -9,6 +9,7 @@
 pub use crate::fleet::*;
 pub use crate::held_adapters::*;
 pub use crate::listing::*;
+pub use crate::orders::*;
 pub use crate::plans::*;
 pub use crate::read::*;
 pub use crate::scan::*;
--- a/crates/keeper/src/operator_interface.rs
+++ b/crates/keeper/src/operator_interface.rs
@@ -55,7 +55,8 @@
             }
             ("GET", ["v1", "requests", request]) => match request.parse::<RequestId>() {
                 Ok(request) => {
-                    let answer = self.executor.ask(Question::Settled(request), READ_LIMIT).await;
+                    let answer =
+                        self.executor.ask(Question::Settled { request, fingerprint: None }, READ_LIMIT).await;
                     tell_outcome(request, answer)
                 }
                 Err(_) => refuse(StatusCode::BAD_REQUEST, "bad_request", "a request id has 16 hex digits"),
@@ -133,7 +134,10 @@
             Ok(intent) => intent,
             Err(complaints) => return tell_complaints(&complaints),
         };
-        let request = RequestId::random();
+        let request = match read_request_id(&asked) {
+            Ok(request) => request,
+            Err(answered) => return *answered,
+        };
         let answer = self.executor.submit(request, Command::Intend(intent), CHANGE_LIMIT).await;
         let AskOutcome::Settled(Settled::Taken(number)) = answer else { return tell_outcome(request, answer) };
         let Some(state) = self.read_state().await else { return no_core() };
@@ -159,12 +163,9 @@
     }
 
     async fn submit(&self, asked: &Asked, command: Command) -> WebOutcome {
-        let request = match asked.header("x-request-id") {
-            None => RequestId::random(),
-            Some(text) => match text.parse::<RequestId>() {
-                Ok(request) => request,
-                Err(_) => return refuse(StatusCode::BAD_REQUEST, "bad_request", "x-request-id has 16 hex digits"),
-            },
+        let request = match read_request_id(asked) {
+            Ok(request) => request,
+            Err(answered) => return *answered,
         };
         let answer = self.executor.submit(request, command, CHANGE_LIMIT).await;
         tell_outcome(request, answer)
@@ -341,6 +342,13 @@
     })
 }
 
+/// The id under which an operator submits, and may submit the same again.
+fn read_request_id(asked: &Asked) -> Result<RequestId, Box<WebOutcome>> {
+    let Some(text) = asked.header("x-request-id") else { return Ok(RequestId::random()) };
+    text.parse()
+        .map_err(|_| Box::new(refuse(StatusCode::BAD_REQUEST, "bad_request", "x-request-id has 16 hex digits")))
+}
+
 fn tell_complaints(complaints: &[Complaint]) -> WebOutcome {
     let listed: Vec<Value> =
         complaints.iter().map(|complaint| json!({"path": complaint.path, "reason": complaint.reason})).collect();
--- a/crates/keeper/src/protocol_interface.rs
+++ b/crates/keeper/src/protocol_interface.rs
@@ -9,6 +9,8 @@
 const READ_LIMIT: Span = Span::millis(900);
 const BODY_BOUNDS: TextBounds = TextBounds { bytes: 8 << 20, depth: 32 };
 const RETRY_AFTER: &str = "0.3";
+/// How often the configuration is read anew for a change whose base comes into force meanwhile.
+const MOST_READINGS: usize = 3;
 
 pub struct ProtocolInterface {
     pub executor: ExecutorClient,
@@ -70,28 +72,45 @@
             Ok(base) => base,
             Err(reason) => return refuse(StatusCode::BAD_REQUEST, "no_base", &reason),
         };
-        let canonical = write_sorted(body);
-        let fingerprint = fingerprint_of(page, base, &canonical);
-        let read = match page {
-            OperatorPage::Patch => {
-                let Some((revision, source)) = self.configuration().await else { return not_known() };
-                match base.cmp(&revision) {
-                    std::cmp::Ordering::Equal => self.protocol.patched(&source, body),
-                    // The state settles whether this very change was taken before; otherwise it is stale.
-                    _ => Ok(ReadConfiguration::default()),
-                }
-            }
-            _ => self.protocol.whole(body),
-        };
-        let read = match read {
+        let fingerprint = fingerprint_of(page, base, &write_sorted(body));
+        match page {
+            OperatorPage::Patch => self.patch(base, fingerprint, body).await,
+            _ => self.configure(base, fingerprint, self.protocol.whole(body)).await,
+        }
+    }
+
+    async fn configure(
+        &self,
+        base: Revision,
+        fingerprint: BlockHash,
+        read: Result<ReadConfiguration, Vec<Complaint>>,
+    ) -> WebOutcome {
+        let ReadConfiguration { revision, document, source } = match read {
             Ok(read) => read,
             Err(complaints) => return tell_faults(&complaints),
         };
-        let ReadConfiguration { revision, document, source } = read;
         let change = ConfigurationChange { base, revision, fingerprint, document, source };
         tell(self.settle(Command::Configure(Box::new(change))).await)
     }
 
+    /// Named items make a whole configuration of the one they build on, while that is in force. Else the chain
+    /// says whether this very change was taken before; it is stale otherwise, unless its base has come into force
+    /// meanwhile.
+    async fn patch(&self, base: Revision, fingerprint: BlockHash, body: &JsonValue) -> WebOutcome {
+        for _ in 0..MOST_READINGS {
+            let Some((in_force, source)) = self.configuration().await else { return not_known() };
+            if in_force == base {
+                return self.configure(base, fingerprint, self.protocol.patched(&source, body)).await;
+            }
+            let outcome = self.settle(Command::RecallChange { base, fingerprint }).await;
+            let is_base_now = matches!(outcome, AskOutcome::Settled(Settled::Stale { now }) if now.0 == base.0);
+            if !is_base_now {
+                return tell(outcome);
+            }
+        }
+        not_known()
+    }
+
     async fn name_weights(&self, body: &JsonValue) -> WebOutcome {
         let (model, weights) = match self.protocol.weights(body) {
             Ok(named) => named,
