Simulator: operators of a disordered core are judged as one register; disks are lost in it

Disorder draws lost disks, calm spells and operators' calls: races on one base, the same sent again anywhere, reads anywhere. Found by it: a keeper that answered each misdirected message with its news made the tail, which submits an appointment at each step, send the next at once: an endless exchange at the speed of the network. It answers at the pace of pulses now (test in addressing.rs).

--- a/crates/coordinator/src/addressing.rs
+++ b/crates/coordinator/src/addressing.rs
@@ -12,6 +12,8 @@
 pub(crate) struct Misdirected {
     pub(crate) count: u64,
     noted: Option<Instant>,
+    /// When a sender was last told who answers here: each answer is a step of the sender's, which may send again.
+    answered: Option<Instant>,
 }
 
 impl Coordinator {
@@ -112,8 +114,10 @@
             );
             self.note("misdirected", detail);
         }
-        let is_of_this_fleet = envelope.fleet == self.view.fleet;
-        if is_of_this_fleet && envelope.to.is_some() && envelope.from.id != self.me.id {
+        let is_of_this_fleet = envelope.fleet == self.view.fleet && envelope.from.id != self.me.id;
+        let may_answer = self.misdirected.answered.is_none_or(|answered| now.since(answered) >= PULSE_SPAN);
+        if is_of_this_fleet && envelope.to.is_some() && may_answer {
+            self.misdirected.answered = Some(now);
             let news = CoreMessage::Pulse(self.news(now));
             self.send(envelope.from.id, news);
         }
--- a/crates/coordinator/tests/addressing.rs
+++ b/crates/coordinator/tests/addressing.rs
@@ -138,3 +138,18 @@
         .collect();
     assert_eq!(answered, [Some(asked_in)]);
 }
+
+/// A sender that goes on under a wrong name is answered at the pace of pulses: an answer makes it send again.
+#[test]
+fn misdirected_messages_are_not_each_answered() {
+    let mut keeper = tail_in_life(LIFE);
+    introduce(&mut keeper, OTHER, START);
+    let earlier = Some(KeeperLife { id: ME, life: LIFE - 1 });
+    let mut answers = 0;
+    for number in 0..1000 {
+        let now = START + Span::millis(number);
+        let effects = keeper.step(envelope(earlier, FleetId(1), CoreMessage::DutyAsk { sent: now }), now);
+        answers += effects.iter().filter(|effect| matches!(effect, Effect::Send { .. })).count();
+    }
+    assert_eq!(answers as u64, Span::seconds(1).0 / PULSE_SPAN.0);
+}
--- a/crates/desired/src/orders.rs
+++ b/crates/desired/src/orders.rs
@@ -33,6 +33,16 @@
         self.by_request.get(&request).is_some_and(|order| order.fingerprint != fingerprint)
     }
 
+    /// All that is remembered: the requests, and how each was settled.
+    pub fn iter(&self) -> impl Iterator<Item = (RequestId, &Settled)> {
+        self.by_request.iter().map(|(request, order)| (*request, &order.outcome))
+    }
+
+    /// The request that was settled in a record, if an order was.
+    fn settled_in(&self, number: Edition) -> Option<RequestId> {
+        self.by_request.iter().find(|(_, order)| order.number == number).map(|(request, _)| *request)
+    }
+
     /// Remembers a request; the one settled longest ago makes room.
     pub(crate) fn remember(&mut self, number: Edition, request: RequestId, fingerprint: BlockHash, outcome: Settled) {
         self.by_request.insert(request, SettledOrder { number, fingerprint, outcome });
@@ -46,6 +56,14 @@
     }
 }
 
+impl FleetState {
+    /// The request that was settled last.
+    pub fn last_settled(&self) -> Option<RequestId> {
+        let order = self.orders.settled_in(self.edition);
+        order.or_else(|| self.settled.back().map(|(request, _)| *request))
+    }
+}
+
 impl Command {
     /// What an operator submits under an id of the operator's own; nothing for what is known by its content, or
     /// comes from the fleet's own members.
--- a/crates/simulator/src/disorder.rs
+++ b/crates/simulator/src/disorder.rs
@@ -1,23 +1,30 @@
 //! The core alone, in disorder: keepers step in any order, streams between them lag, stall and break
 //! at any message, processes end in the midst of what they carry out and start again on what was
-//! synced. Held against what must stand in any order: one view for each number, one acting tail, and
-//! nothing committed that is lost or changed.
+//! synced. Held against what must stand in any order: one view for each number, one acting tail,
+//! nothing committed that is lost or changed, and operators' answers that one register can have given.
 
 use crate::prelude::*;
 
 const STEPS: usize = 6_000;
 /// How often each act is drawn: deliver, pulse, a little time, submit, start, break a stream, stall one,
-/// end stalls, end a keeper, much time, stop one in good order.
-const STEADY: [u64; 11] = [240, 60, 60, 12, 6, 4, 6, 6, 2, 3, 1];
-const HASTY: [u64; 11] = [200, 40, 60, 20, 30, 8, 14, 12, 4, 9, 3];
+/// end stalls, end a keeper, much time, stop one in good order, an operator's call, a calm spell, the loss of
+/// a disk.
+const STEADY: [u64; 14] = [240, 60, 60, 12, 6, 4, 6, 6, 2, 3, 1, 10, 1, 2];
+const HASTY: [u64; 14] = [200, 40, 60, 20, 30, 8, 14, 12, 4, 9, 3, 12, 1, 3];
 
-#[derive(Default)]
 struct CoreKeeper {
+    id: NodeId,
     coordinator: Option<Coordinator>,
     disk: Kept,
     life: u64,
 }
 
+impl CoreKeeper {
+    fn empty(id: NodeId) -> CoreKeeper {
+        CoreKeeper { id, coordinator: None, disk: Kept::default(), life: 0 }
+    }
+}
+
 struct Core {
     draw: Draw,
     /// Half of the seeds lose and restart keepers much more often, most of all in a vote.
@@ -31,12 +38,13 @@
     committed: BTreeMap<Edition, RequestId>,
     last_committed: Edition,
     next_ticket: u64,
+    operators: RegisterOperators,
     found: Vec<String>,
 }
 
-fn member(number: usize) -> Member {
+fn member(number: usize, id: NodeId) -> Member {
     let address = format!("k{number}");
-    Member { id: NodeId(number as u64 + 1), door: address.clone(), address, zone: Zone(ZONES[number].into()) }
+    Member { id, door: address.clone(), address, zone: Zone(ZONES[number].into()) }
 }
 
 /// Plays one seed; what was broken.
@@ -55,8 +63,16 @@
     if core.acting_tails().is_empty() {
         core.found.push("rule 12: no tail acts after the disorder".into());
     }
+    for number in 0..KEEPERS {
+        core.read(number);
+    }
+    core.in_order(Span::seconds(2));
+    if let Err(reason) = core.operators.judge() {
+        core.found.push(format!("rule 8: operators' answers are of no single register: {reason}"));
+    }
+    let starts = core.operators.answered();
     let acks = (core.last_committed.0 - formed.0) as usize;
-    RunOutcome { violations: core.found, acks, recovery: Some(Span(0)), ..RunOutcome::default() }
+    RunOutcome { violations: core.found, starts, acks, recovery: Some(Span(0)), ..RunOutcome::default() }
 }
 
 impl Core {
@@ -65,16 +81,17 @@
             draw: Draw::new(seed ^ 0x00d1_50d3),
             hasty: seed % 2 == 1,
             now: Instant(1_000_000_000),
-            keepers: (0..KEEPERS).map(|_| CoreKeeper::default()).collect(),
+            keepers: (1..=KEEPERS as u64).map(|id| CoreKeeper::empty(NodeId(id))).collect(),
             ways: BTreeMap::new(),
             stalled: BTreeSet::new(),
             views: BTreeMap::new(),
             committed: BTreeMap::new(),
             last_committed: Edition(0),
             next_ticket: 0,
+            operators: RegisterOperators::default(),
             found: Vec::new(),
         };
-        for stored in Coordinator::founding(&member(0), FleetId(77), FleetState::default()) {
+        for stored in Coordinator::founding(&member(0, NodeId(1)), FleetId(77), FleetState::default()) {
             keep(&mut core.keepers[0].disk, stored);
         }
         for number in 0..KEEPERS {
@@ -92,7 +109,8 @@
         let seeds = (0..3).map(|seed| format!("k{seed}")).collect();
         let wishes = Wishes { has_census: false, core_size: KEEPERS, seeds, ..Wishes::default() };
         let life = keeper.life * 1_000_003 + number as u64;
-        keeper.coordinator = Some(Coordinator::restore(member(number), keeper.disk.clone(), wishes, life, self.now));
+        keeper.coordinator =
+            Some(Coordinator::restore(member(number, keeper.id), keeper.disk.clone(), wishes, life, self.now));
     }
 
     fn end(&mut self, number: usize) {
@@ -153,22 +171,87 @@
             7 => self.stalled.clear(),
             8 => self.end(number),
             9 => self.now = self.now + Span::millis(self.draw.between(100, 900)),
-            _ => {
+            10 => {
                 self.feed(number, Input::Retire, false);
                 self.end(number);
             }
+            11 => self.operate(number, other),
+            12 => self.be_calm(),
+            _ => self.lose_disk(number),
         }
     }
 
+    /// A keeper's disk is lost and an empty one comes in its place, if the fleet is to bear that now.
+    fn lose_disk(&mut self, number: usize) {
+        if !may_lose_disk(self.keepers.iter().map(|keeper| (keeper.id, &keeper.disk)), self.keepers[number].id) {
+            return;
+        }
+        self.end(number);
+        // A life of an empty folder is none that anybody has met.
+        self.keepers[number] = CoreKeeper::empty(NodeId(self.draw.number() | 1 << 60));
+        self.start(number);
+    }
+
+    /// Streams flow for a while, among the keepers that run, and operators go on.
+    fn be_calm(&mut self) {
+        self.stalled.clear();
+        for _ in 0..self.draw.between(1, 5) {
+            let number = self.draw.below(KEEPERS as u64) as usize;
+            self.operate(number, (number + 1) % KEEPERS);
+            let span = Span::millis(self.draw.between(50, 600));
+            self.in_order(span);
+        }
+    }
+
+    /// An operator calls a keeper, or two call two.
+    fn operate(&mut self, number: usize, other: usize) {
+        match self.draw.below(10) {
+            0..=3 => self.read(number),
+            4..=6 => {
+                let change = self.operators.draw_change(&mut self.draw);
+                self.send_change(number, change);
+            }
+            7 => {
+                let change = self.operators.draw_change(&mut self.draw);
+                self.send_change(number, change);
+                let rival = self.operators.draw_rival(&mut self.draw);
+                self.send_change(other, rival);
+            }
+            _ => {
+                if let Some(change) = self.operators.draw_again(&mut self.draw) {
+                    self.send_change(number, change);
+                }
+            }
+        }
+    }
+
+    fn read(&mut self, number: usize) {
+        self.next_ticket += 1;
+        self.operators.call_read(self.next_ticket);
+        self.ask(number, Question::Configuration);
+    }
+
+    fn send_change(&mut self, number: usize, change: ConfigurationChange) {
+        self.next_ticket += 1;
+        self.operators.call_change(self.next_ticket, &change);
+        let command = Command::Configure(Box::new(change));
+        let submission = Submission { request: RequestId(self.draw.number()), command };
+        self.ask(number, Question::Submit(submission));
+    }
+
+    /// Asks under the ticket drawn last.
+    fn ask(&mut self, number: usize, question: Question) {
+        let limit = self.now + Span::seconds(3);
+        self.feed(number, Input::Ask { ticket: self.next_ticket, question, limit }, false);
+    }
+
     fn submit(&mut self) {
         let number = self.draw.below(KEEPERS as u64) as usize;
         self.next_ticket += 1;
         let patch = format!(r#"{{"kinds":["k","x{}"]}}"#, self.next_ticket);
         let submission =
             Submission { request: RequestId(self.draw.number()), command: Command::Merge { base: None, patch } };
-        let limit = self.now + Span::seconds(3);
-        let input = Input::Ask { ticket: self.next_ticket, question: Question::Submit(submission), limit };
-        self.feed(number, input, false);
+        self.ask(number, Question::Submit(submission));
     }
 
     fn deliver(&mut self, way: (usize, usize), ends: bool) {
@@ -193,6 +276,9 @@
             self.hold_to_rules(number);
         }
         for effect in said.into_iter().take(parts_done.saturating_sub(1)) {
+            if let Effect::Outcome { ticket, outcome } = &effect {
+                self.operators.hear(*ticket, outcome);
+            }
             let Effect::Send { address, envelope, .. } = effect else { continue };
             let Some(to) = (0..KEEPERS).find(|to| format!("k{to}") == address) else { continue };
             if self.keepers[to].coordinator.is_some() {
@@ -227,10 +313,11 @@
                 .push(format!("rule 8: the tail stands at {}, {} was committed", last.edition, self.last_committed));
         }
         self.last_committed = self.last_committed.max(last.edition);
-        for (request, settled) in &coordinator.state().settled {
+        // Configurations are judged as a register; one sent again is answered with the record it was taken in.
+        for (request, settled) in coordinator.state().orders.iter() {
             let Settled::Taken(edition) = settled else { continue };
-            let known = *self.committed.entry(*edition).or_insert(*request);
-            if known != *request {
+            let known = *self.committed.entry(*edition).or_insert(request);
+            if known != request {
                 self.found.push(format!("rule 8: edition {edition} was {known} and is {request}"));
             }
         }
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -29,6 +29,7 @@
 mod operators;
 mod placing;
 mod polling;
+mod register_operators;
 mod resuming;
 mod run;
 mod runs;
--- a/crates/simulator/src/nodes.rs
+++ b/crates/simulator/src/nodes.rs
@@ -242,7 +242,7 @@
             }
         };
         let edition = sight.state.edition;
-        let last_settled = sight.state.settled.back().map(|(request, _)| *request);
+        let last_settled = sight.state.last_settled();
         let state = sight.state.clone();
         router.sight = sight;
         router.picker.keep_only(&router.sight);
--- a/crates/simulator/src/prelude.rs
+++ b/crates/simulator/src/prelude.rs
@@ -12,6 +12,7 @@
 pub(crate) use crate::machines::*;
 pub(crate) use crate::memory::*;
 pub(crate) use crate::net::*;
+pub(crate) use crate::register_operators::*;
 pub use crate::run::*;
 pub(crate) use crate::runs::*;
 pub(crate) use crate::shift::*;
@@ -23,7 +24,7 @@
 pub(crate) use conductor::prelude::{Act, Conductor, Observed};
 pub(crate) use contract::prelude::{EngineLine, NOT_RESIDENT, StartLine};
 pub(crate) use coordinator::prelude::*;
-pub(crate) use desired::prelude::{Intent, Listed, ListedEngine, Role};
+pub(crate) use desired::prelude::{ConfigurationChange, Intent, Listed, ListedEngine, Role};
 pub(crate) use placement::prelude::{
     FetchFrom, FetchRun, FleetSight, KeptEvent, Picker, Placement, Prompt, STORE_SOURCE,
 };
@@ -31,4 +32,7 @@
 pub(crate) use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 pub(crate) use subscription::prelude::{RouterDown, RouterUp, Subscription, SubscriptionEffect, SubscriptionInput};
 pub(crate) use units::prelude::*;
-pub(crate) use verdict::prelude::{CallerLine, Record, Violation, WorldLine, judge, judge_questions};
+pub(crate) use verdict::prelude::{
+    CallerLine, NEVER, Record, RegisterAnswer, RegisterCall, RegisterOperation, Violation, WorldLine, check_register,
+    judge, judge_questions,
+};
--- /dev/null
+++ b/crates/simulator/src/register_operators.rs
@@ -0,0 +1,107 @@
+//! Operators of a core in disorder, as calls on one register: conditional changes, two at once on one base, the
+//! same sent again to any keeper, and reads at any keeper. What they are answered is judged as a whole.
+
+use crate::prelude::*;
+
+/// Of the changes sent, so many are remembered to be sent again.
+const REMEMBERED_CHANGES: usize = 12;
+
+/// Operators and what they were answered.
+#[derive(Debug, Default)]
+pub(crate) struct RegisterOperators {
+    /// Grows with every call and answer.
+    moment: u64,
+    calls: Vec<RegisterCall>,
+    open: BTreeMap<u64, usize>,
+    last_change: u64,
+    sent: VecDeque<ConfigurationChange>,
+    /// The newest revision that any operator was told of.
+    known: u64,
+}
+
+impl RegisterOperators {
+    /// A change on the newest revision known, or on one that is not known to be taken.
+    pub(crate) fn draw_change(&mut self, draw: &mut Draw) -> ConfigurationChange {
+        let base = match draw.below(10) {
+            0 => self.sent.back().map_or(self.known, |last| last.revision.0),
+            _ => self.known,
+        };
+        self.change_on(base, draw)
+    }
+
+    /// Another change on the base of the one sent last.
+    pub(crate) fn draw_rival(&mut self, draw: &mut Draw) -> ConfigurationChange {
+        let base = self.sent.back().map_or(self.known, |last| last.base.0);
+        self.change_on(base, draw)
+    }
+
+    fn change_on(&mut self, base: u64, draw: &mut Draw) -> ConfigurationChange {
+        self.last_change += 1;
+        let revision = base + draw.between(1, 3);
+        let change = ConfigurationChange {
+            base: Revision(base),
+            revision: Revision(revision),
+            fingerprint: BlockHash(self.last_change),
+            document: "{}".into(),
+            source: format!("change {}", self.last_change),
+        };
+        self.sent.push_back(change.clone());
+        if self.sent.len() > REMEMBERED_CHANGES {
+            self.sent.pop_front();
+        }
+        change
+    }
+
+    /// A change that was sent before, whatever became of it.
+    pub(crate) fn draw_again(&self, draw: &mut Draw) -> Option<ConfigurationChange> {
+        let place = draw.below(self.sent.len().max(1) as u64) as usize;
+        self.sent.get(place).cloned()
+    }
+
+    pub(crate) fn call_change(&mut self, ticket: u64, change: &ConfigurationChange) {
+        let (base, revision) = (change.base.0, change.revision.0);
+        self.call(ticket, RegisterOperation::Change { change: change.fingerprint.0, base, revision });
+    }
+
+    pub(crate) fn call_read(&mut self, ticket: u64) {
+        self.call(ticket, RegisterOperation::Read);
+    }
+
+    fn call(&mut self, ticket: u64, operation: RegisterOperation) {
+        self.moment += 1;
+        let answer = RegisterAnswer::Unclear;
+        self.open.insert(ticket, self.calls.len());
+        self.calls.push(RegisterCall { called: self.moment, returned: NEVER, operation, answer });
+    }
+
+    /// Notes what a keeper answered to one of the calls.
+    pub(crate) fn hear(&mut self, ticket: u64, outcome: &AskOutcome) {
+        let Some(place) = self.open.remove(&ticket) else { return };
+        let answer = match outcome {
+            AskOutcome::Settled(Settled::Taken(_)) => RegisterAnswer::Taken,
+            AskOutcome::Settled(Settled::Stale { .. }) => RegisterAnswer::Stale,
+            AskOutcome::Configuration { revision, .. } => RegisterAnswer::Revision(revision.0),
+            _ => return,
+        };
+        self.moment += 1;
+        let call = &mut self.calls[place];
+        call.returned = self.moment;
+        call.answer = answer;
+        match (answer, call.operation) {
+            (RegisterAnswer::Revision(revision), _) => self.known = self.known.max(revision),
+            (RegisterAnswer::Taken, RegisterOperation::Change { revision, .. }) => {
+                self.known = self.known.max(revision);
+            }
+            _ => {}
+        }
+    }
+
+    /// How many calls had a clear answer.
+    pub(crate) fn answered(&self) -> usize {
+        self.calls.iter().filter(|call| call.answer != RegisterAnswer::Unclear).count()
+    }
+
+    pub(crate) fn judge(&self) -> Result<(), String> {
+        check_register(&self.calls, 0)
+    }
+}
--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -11,6 +11,7 @@
 mod judge;
 mod lines;
 mod memory;
+mod register;
 mod service;
 mod states;
 mod withdrawn;
--- a/crates/verdict/src/prelude.rs
+++ b/crates/verdict/src/prelude.rs
@@ -5,6 +5,7 @@
 pub use crate::judge::*;
 pub use crate::lines::*;
 pub use crate::memory::*;
+pub use crate::register::*;
 pub use crate::service::*;
 pub use crate::states::*;
 pub use crate::withdrawn::*;
