Core: no view drops a copy until enough other disks hold all that was committed

Mended: a promise tells where the voter's log ends; the next chain needs tolerance + 1 members that surely hold all that was committed, by their standing in every chain or by the same log as such a member; a view names them, so each knows it of itself. Members outside the chain are levelled by whoever is level or whole, and also while sealed, but never to a shorter log. No vote is begun that could not mend the chain. A leaver's seat goes to a spare only if no voter is lost. Ruled out: keeping the dead in the chain (no service until they return). The search of verdict::register places calls that change nothing at once, else it grew beyond bounds with many unclear ones.

--- a/crates/chain/src/messages.rs
+++ b/crates/chain/src/messages.rs
@@ -2,13 +2,6 @@
 
 use crate::prelude::*;
 
-/// A place in a log: equal marks mean equal logs up to there.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Mark {
-    pub edition: Edition,
-    pub view: ViewNumber,
-}
-
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
     pub mark: Mark,
--- a/crates/coordinator/src/chaining.rs
+++ b/crates/coordinator/src/chaining.rs
@@ -32,7 +32,9 @@
         match message {
             ChainMessage::Append { view, previous, records } => self.hear_append(from, view, previous, records, now),
             ChainMessage::Have { view, last, nonce } => {
-                if view == self.view.number && self.is_aligned() {
+                let is_outside = !self.view.in_chain(from);
+                let may_level = self.is_aligned() || (is_outside && self.holds_all_committed(self.me.id));
+                if view == self.view.number && may_level {
                     let answer = self.log.level(view, last, nonce, self.ages(now));
                     self.send(from, CoreMessage::Chain(answer));
                 }
@@ -48,7 +50,9 @@
                 }
             }
             ChainMessage::Snapshot { view, nonce, mark, state, ages } => {
-                if self.may_be_levelled(from, view, nonce) {
+                // What a sealed keeper has told of its log must stay in it.
+                let is_shorter = mark.edition < self.log.last().edition;
+                if self.may_be_levelled(from, view, nonce) && !(self.sealed() && is_shorter) {
                     self.log = Log::restore(mark, (*state).clone(), Vec::new());
                     self.store(Stored::Snapshot { mark, state });
                     self.take_ages(&ages, nonce);
@@ -87,12 +91,13 @@
     }
 
     /// A chain member is levelled by the one before it alone, and not once sealed; a keeper outside
-    /// the chain by any aligned member.
+    /// the chain by any aligned member, also while it is sealed: nothing is committed through it.
     fn may_be_levelled(&self, from: NodeId, view: ViewNumber, nonce: u64) -> bool {
-        if view != self.view.number || nonce != self.nonce || self.sealed() {
+        if view != self.view.number || nonce != self.nonce {
             return false;
         }
-        !self.view.in_chain(self.me.id) || self.view.before(self.me.id) == Some(from)
+        let is_next = self.view.before(self.me.id) == Some(from) && !self.sealed();
+        !self.view.in_chain(self.me.id) || is_next
     }
 
     /// How long ago what is dated here was committed at the most.
@@ -162,13 +167,25 @@
         }
         let asked_member = match self.view.in_chain(self.me.id) {
             true => self.view.before(self.me.id),
-            false => self.view.tail(),
+            false => self.levelling_member(now),
         };
         if let Some(asked_member) = asked_member {
             self.ask_level_of(asked_member, now);
         }
     }
 
+    /// Who levels a keeper outside the chain: the tail, or whoever else is there and level. Where the members
+    /// before it are lost, one that is not aligned in this view but holds all that was committed does it, too.
+    fn levelling_member(&self, now: Instant) -> Option<NodeId> {
+        let is_level = |member: &NodeId| {
+            let news = self.peer_news(*member).filter(|_| self.is_alive(*member, now));
+            let is_aligned = news.is_some_and(|news| news.view == self.view.number && news.aligned == news.view);
+            is_aligned || (news.is_some() && self.holds_all_committed(*member))
+        };
+        let level_members = self.view.chain.iter().rev().copied().filter(is_level);
+        level_members.chain(self.view.tail()).next()
+    }
+
     /// A successor whose log stood still behind ours between two pulses missed something.
     pub(crate) fn resend_to_successor(&mut self, from: NodeId, news: &News, last_news: Option<&News>) {
         let is_successor = self.view.after(self.me.id) == Some(from);
--- a/crates/coordinator/src/leaving.rs
+++ b/crates/coordinator/src/leaving.rs
@@ -49,8 +49,8 @@
         let stays = |member: &NodeId| self.is_alive(*member, now) && !self.is_leaving(*member, now);
         let staying: Vec<NodeId> = self.view.chain.iter().copied().filter(stays).collect();
         let is_long_enough = staying.len() >= self.view.least_chain();
-        let has_whole = staying.iter().any(|member| self.holds_all_committed(*member));
-        (is_long_enough && has_whole).then_some(staying)
+        let holders = staying.iter().filter(|member| self.holds_all_committed(**member)).count();
+        (is_long_enough && holders >= self.view.least_holders()).then_some(staying)
     }
 
     /// Whether a chain member leaves that the chain can do without.
@@ -68,6 +68,8 @@
         if self.can_spare_a_seat() {
             return Some(Growth::GiveUp(leaver));
         }
-        spare.map(|spare| Growth::Replace { dead: leaver, spare })
+        // The seat of one that is lost comes first: it will not come back by itself.
+        let all_live = self.alive_voters(now) == self.view.voters.len();
+        spare.filter(|_| all_live).map(|spare| Growth::Replace { dead: leaver, spare })
     }
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -8,6 +8,7 @@
 mod addressing;
 mod asks;
 mod chaining;
+mod composing;
 mod dispatch;
 mod duties;
 mod leaving;
--- a/crates/coordinator/src/machine.rs
+++ b/crates/coordinator/src/machine.rs
@@ -147,6 +147,7 @@
             voters: vec![me.id],
             members: vec![me.clone()],
             lineage: Vec::new(),
+            holders: vec![me.id],
             tolerance,
         };
         let mark = Mark { edition: founding_state.edition, view: FOUNDING_VIEW };
--- a/crates/coordinator/src/prelude.rs
+++ b/crates/coordinator/src/prelude.rs
@@ -2,16 +2,16 @@
 
 pub(crate) use crate::addressing::*;
 pub(crate) use crate::asks::*;
+pub(crate) use crate::composing::*;
 pub use crate::dispatch::*;
 pub(crate) use crate::duties::*;
 pub use crate::leaving::*;
 pub use crate::machine::*;
 pub use crate::messages::*;
 pub(crate) use crate::tail::*;
-pub(crate) use crate::viewing::Growth;
 pub use crate::viewing::list_ids;
 pub use adapters::prelude::{DemandReport, HeardDemand};
-pub use chain::prelude::{Ages, ChainMessage, Log, Mark, Record};
+pub use chain::prelude::{Ages, ChainMessage, Log, Record};
 pub use desired::prelude::{
     CLAIM_SPAN, Command, Complaint, Duty, DutyKind, FleetState, Listing, Revision, Settled, Standing, Submission,
 };
@@ -19,4 +19,4 @@
 pub(crate) use serde::{Deserialize, Serialize};
 pub(crate) use std::collections::{BTreeMap, BTreeSet, VecDeque};
 pub(crate) use units::prelude::*;
-pub use view::prelude::{Ballot, Campaign, Member, View, ViewMessage, Vote};
+pub use view::prelude::{Ballot, Campaign, Mark, Member, View, ViewMessage, Vote};
--- a/crates/coordinator/src/viewing.rs
+++ b/crates/coordinator/src/viewing.rs
@@ -7,23 +7,6 @@
 const CAMPAIGN_LIMIT: Span = Span::millis(500);
 /// How long a member may be heard and yet not do its part.
 const STANDS_LIMIT: Span = Span::millis(4000);
-const STEADY_FOR: Span = Span::millis(1000);
-/// A seat that stays empty is given up after so many times the span after which a spare may take it.
-const GIVE_UP_FACTOR: u64 = 4;
-/// A core that has fewer voters takes newcomers quickly, whatever size it may grow to.
-const SMALL_CORE: usize = 4;
-const CAUGHT_UP_WITHIN: u64 = 64;
-
-/// A change of the view that nothing forces.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Growth {
-    /// A voter that is back, or a spare, into the chain.
-    Join(NodeId),
-    /// A spare in the seat of a voter that stays dead.
-    Replace { dead: NodeId, spare: NodeId },
-    /// The seat of a voter that stays dead is given up.
-    GiveUp(NodeId),
-}
 
 impl Coordinator {
     pub(crate) fn hear_view(&mut self, from: NodeId, message: ViewMessage, now: Instant) {
@@ -31,8 +14,8 @@
             ViewMessage::Decided(view) => self.adopt(view, now),
             ViewMessage::Prepare { next, ballot } => self.hear_prepare(from, next, ballot, now),
             ViewMessage::Accept { next, ballot, view } => self.hear_accept(from, next, ballot, view, now),
-            ViewMessage::Promise { next, ballot, accepted } => {
-                self.hear_promise(from, next, ballot, accepted, now);
+            ViewMessage::Promise { next, ballot, accepted, last } => {
+                self.hear_promise(from, (next, ballot), accepted, last, now);
             }
             ViewMessage::Accepted { next, ballot } => {
                 let Some(campaign) = self.campaign.as_mut() else { return };
@@ -73,7 +56,7 @@
             Ok(accepted) => {
                 self.sealed_since = now;
                 self.store(Stored::Vote(self.vote.clone()));
-                ViewMessage::Promise { next, ballot, accepted }
+                ViewMessage::Promise { next, ballot, accepted, last: self.log.last() }
             }
             Err(promised) => ViewMessage::Outbid { next, promised },
         };
@@ -98,9 +81,9 @@
     fn hear_promise(
         &mut self,
         from: NodeId,
-        next: ViewNumber,
-        ballot: Ballot,
+        (next, ballot): (ViewNumber, Ballot),
         accepted: Option<(Ballot, View)>,
+        last: Mark,
         now: Instant,
     ) {
         let Some(mut campaign) = self.campaign.take() else { return };
@@ -108,9 +91,9 @@
             self.campaign = Some(campaign);
             return;
         }
-        let may_propose = campaign.take_promise(&self.view, from, accepted);
+        let may_propose = campaign.take_promise(&self.view, from, accepted, last);
         if may_propose {
-            let proposal = campaign.bound_view().or_else(|| self.compose(&campaign, now));
+            let proposal = campaign.bound_view().or_else(|| self.compose(next, &campaign.promised(), now));
             if let Some(proposed_view) = proposal {
                 campaign.propose(proposed_view.clone());
                 for voter in self.view.voters.clone() {
@@ -122,133 +105,6 @@
         self.campaign = Some(campaign);
     }
 
-    /// The next view: the living members of the chain in their old order, begun by one that surely
-    /// holds all that was committed, and at most one newcomer.
-    fn compose(&self, campaign: &Campaign, now: Instant) -> Option<View> {
-        let living_chain: Vec<NodeId> = self
-            .view
-            .chain
-            .iter()
-            .copied()
-            .filter(|member| {
-                let others_hear = !self.is_neighbour(*member) && self.is_widely_heard(*member, now);
-                campaign.promised_by(*member) || self.is_alive(*member, now) || others_hear
-            })
-            .collect();
-        let well_chain: Vec<NodeId> =
-            living_chain.iter().copied().filter(|member| !self.is_unwell(*member, now)).collect();
-        let living_chain = if well_chain.len() >= self.view.least_chain() { well_chain } else { living_chain };
-        let staying_chain: Vec<NodeId> =
-            living_chain.iter().copied().filter(|member| !self.is_leaving(*member, now)).collect();
-        let may_let_go = self.may_let_go(now) && staying_chain.len() >= self.view.least_chain();
-        let living_chain = if may_let_go { staying_chain } else { living_chain };
-        let first_whole = living_chain.iter().copied().find(|member| self.holds_all_committed(*member))?;
-        let mut chain = vec![first_whole];
-        chain.extend(living_chain.into_iter().filter(|member| *member != first_whole));
-        let mut voters = self.view.voters.clone();
-        match self.growth(now) {
-            Some(Growth::Join(newcomer)) => {
-                seat(&mut chain, newcomer);
-                if !voters.contains(&newcomer) {
-                    voters.push(newcomer);
-                }
-            }
-            Some(Growth::Replace { dead, spare }) if !chain.contains(&dead) => {
-                voters.retain(|voter| *voter != dead);
-                voters.push(spare);
-                seat(&mut chain, spare);
-            }
-            Some(Growth::GiveUp(dead)) if !chain.contains(&dead) => voters.retain(|voter| *voter != dead),
-            _ => {}
-        }
-        let members = voters
-            .iter()
-            .filter_map(|voter| self.acquaintances.get(voter).or_else(|| self.view.member(*voter)).cloned())
-            .collect();
-        Some(View {
-            fleet: self.view.fleet,
-            number: campaign.next,
-            chain,
-            voters,
-            members,
-            lineage: self.view.next_lineage(),
-            tolerance: self.view.tolerance,
-        })
-    }
-
-    pub(crate) fn holds_all_committed(&self, member: NodeId) -> bool {
-        if member == self.me.id {
-            return self.whole == self.view.number;
-        }
-        self.peer_news(member).is_some_and(|news| news.whole == self.view.number)
-    }
-
-    /// A core still below its size takes newcomers quickly, and so does a chain that is too short to serve.
-    fn steady_span(&self) -> Span {
-        let is_small = self.view.voters.len() < self.wishes.core_size.min(SMALL_CORE);
-        if is_small || !self.view.takes_writes() { PULSE_SPAN } else { STEADY_FOR }
-    }
-
-    /// What the steady core would gladly change, one seat at a time.
-    fn growth(&self, now: Instant) -> Option<Growth> {
-        let may_join = |node: NodeId| {
-            let Some(peer) = self.peers.get(&node) else { return false };
-            let Some(news) = &peer.news else { return false };
-            self.is_alive(node, now)
-                && self.hears_and_is_heard(node, news, now)
-                && !self.is_unwell(node, now)
-                && !news.leaving
-                && now.since(peer.heard_since) >= self.steady_span()
-                && news.view == self.view.number
-                && news.last.edition.0 + CAUGHT_UP_WITHIN >= self.log.last().edition.0
-        };
-        let spare = self.peers.keys().copied().find(|peer| !self.view.votes(*peer) && may_join(*peer));
-        if let Some(change) = self.seat_of_leaver(spare, now) {
-            return Some(change);
-        }
-        let absent_voter =
-            self.view.voters.iter().copied().find(|voter| !self.view.in_chain(*voter) && may_join(*voter));
-        if let Some(voter) = absent_voter {
-            return Some(Growth::Join(voter));
-        }
-        let Some(spare) = spare else { return self.seat_given_up(now) };
-        let has_room = self.view.voters.len() < self.wishes.core_size;
-        let all_live = self.alive_voters(now) == self.view.voters.len();
-        if has_room && (all_live || !self.wishes.grows_freely) {
-            return Some(Growth::Join(spare));
-        }
-        let replace_after = self.wishes.timing.replace_after;
-        let is_lost = |voter: &NodeId| {
-            let silence = self.silence(*voter, now);
-            let came_back_empty = self.has_address_of(spare, *voter) && silence >= SUSPECT_AFTER;
-            silence >= replace_after || came_back_empty
-        };
-        let dead = self.view.voters.iter().copied().find(is_lost)?;
-        Some(Growth::Replace { dead, spare })
-    }
-
-    /// Whether a keeper answers at the address that a voter had: it is that voter's machine, without its disk.
-    fn has_address_of(&self, node: NodeId, voter: NodeId) -> bool {
-        let address = self.acquaintances.get(&node).map(|member| &member.address);
-        address.is_some() && address == self.view.member(voter).map(|member| &member.address)
-    }
-
-    /// Whether one voter fewer would bear as many losses: an even number of them bears no more than that.
-    pub(crate) fn can_spare_a_seat(&self) -> bool {
-        let least_voters = 2 * self.view.tolerance as usize + 1;
-        self.view.voters.len().is_multiple_of(2) && self.view.voters.len() > least_voters
-    }
-
-    /// An empty seat that can be spared is given up.
-    fn seat_given_up(&self, now: Instant) -> Option<Growth> {
-        if !self.wishes.grows_freely || !self.can_spare_a_seat() {
-            return None;
-        }
-        let give_up_after = self.wishes.timing.replace_after.times(GIVE_UP_FACTOR);
-        let gone = self.view.voters.iter().copied().find(|voter| self.silence(*voter, now) >= give_up_after)?;
-        Some(Growth::GiveUp(gone))
-    }
-
     /// How many living voters stand before this one.
     fn rank(&self, now: Instant) -> u64 {
         let voters_before = self.view.voters.iter().take_while(|voter| **voter != self.me.id);
@@ -272,14 +128,14 @@
     }
 
     /// A chain member that is heard, but cannot hear most voters, or has long not done its part.
-    fn is_neighbour(&self, member: NodeId) -> bool {
+    pub(crate) fn is_neighbour(&self, member: NodeId) -> bool {
         let me = self.me.id;
         self.view.before(me) == Some(member) || self.view.after(me) == Some(member)
     }
 
     /// Whether most voters hear a keeper, by their own word: then our not hearing it is a matter of one
     /// way between us, which only neighbours in the chain need.
-    fn is_widely_heard(&self, member: NodeId, now: Instant) -> bool {
+    pub(crate) fn is_widely_heard(&self, member: NodeId, now: Instant) -> bool {
         let hears_it = |voter: &NodeId| match *voter == self.me.id {
             true => self.is_alive(member, now),
             false => {
@@ -290,9 +146,9 @@
         self.view.voters.iter().filter(|voter| hears_it(voter)).count() >= self.view.majority()
     }
 
-    /// A newcomer must hear every chain member and be heard by every one: any may become its neighbour.
-    fn hears_and_is_heard(&self, node: NodeId, news: &News, now: Instant) -> bool {
-        self.view.chain.iter().all(|member| {
+    /// A newcomer must hear every living chain member and be heard by every one: any may become its neighbour.
+    pub(crate) fn hears_and_is_heard(&self, node: NodeId, news: &News, now: Instant) -> bool {
+        self.view.chain.iter().filter(|member| self.is_alive(**member, now)).all(|member| {
             let is_heard = match *member == self.me.id {
                 true => self.is_alive(node, now),
                 false => self.peer_news(*member).is_some_and(|member_news| member_news.hears.contains(&node)),
@@ -332,7 +188,7 @@
             && now.since(self.adopted) >= self.steady_span()
             && !self.sealed()
             && (self.tail_seen(now) || !self.view.takes_writes());
-        member_lost || lets_go || seal_hangs || (is_steady && self.growth(now).is_some())
+        seal_hangs || ((member_lost || lets_go) && self.can_compose(now)) || (is_steady && self.growth(now).is_some())
     }
 
     fn tail_seen(&self, now: Instant) -> bool {
@@ -386,7 +242,7 @@
         self.store(Stored::View(self.view.clone()));
         self.store(Stored::Vote(Vote::default()));
         let stays_whole = self.whole != ViewNumber(0) && self.view.was_always_in_chain(self.me.id, self.whole);
-        if stays_whole {
+        if stays_whole || self.view.holders.contains(&self.me.id) {
             self.whole = self.view.number;
             self.store(Stored::Whole(self.whole));
         }
@@ -409,13 +265,6 @@
     }
 }
 
-/// A newcomer sits before the tail, so that the tail, with all its leases, stays; only a chain of one,
-/// whose member must stay the head, gets a new tail.
-fn seat(chain: &mut Vec<NodeId>, newcomer: NodeId) {
-    let place = if chain.len() < 2 { chain.len() } else { chain.len() - 1 };
-    chain.insert(place, newcomer);
-}
-
 pub fn list_ids(nodes: &[NodeId]) -> String {
     let texts: Vec<String> = nodes.iter().map(NodeId::to_string).collect();
     texts.join(",")
--- a/crates/simulator/src/disorder.rs
+++ b/crates/simulator/src/disorder.rs
@@ -183,7 +183,7 @@
 
     /// A keeper's disk is lost and an empty one comes in its place, if the fleet is to bear that now.
     fn lose_disk(&mut self, number: usize) {
-        if !may_lose_disk(self.keepers.iter().map(|keeper| (keeper.id, &keeper.disk)), self.keepers[number].id) {
+        if !self.is_made_up_for() {
             return;
         }
         self.end(number);
@@ -192,6 +192,19 @@
         self.start(number);
     }
 
+    /// Whether the fleet is whole again after the last lost disk: what was put in its place is in the chain and
+    /// has everything. Others may be down or cut off; their disks are kept.
+    fn is_made_up_for(&self) -> bool {
+        let views = self.keepers.iter().filter_map(|keeper| keeper.disk.view.as_ref());
+        let Some(view) = views.max_by_key(|view| view.number) else { return false };
+        let holds_all = |keeper: &CoreKeeper| view.in_chain(keeper.id) && keeper.disk.whole == view.number;
+        let is_first = |keeper: &CoreKeeper| keeper.id.0 <= KEEPERS as u64;
+        let nobody_is_missed = view.voters.iter().all(|voter| self.keepers.iter().any(|keeper| keeper.id == *voter));
+        view.voters.len() == KEEPERS
+            && nobody_is_missed
+            && self.keepers.iter().all(|keeper| is_first(keeper) || holds_all(keeper))
+    }
+
     /// Streams flow for a while, among the keepers that run, and operators go on.
     fn be_calm(&mut self) {
         self.stalled.clear();
--- a/crates/simulator/src/keepers.rs
+++ b/crates/simulator/src/keepers.rs
@@ -341,26 +341,22 @@
         self.later(Span::millis(1), SimEvent::KeeperInput { keeper, life: Some(life), input });
     }
 
-    /// Whether a disk may be lost.
+    /// A disk may be lost if the promise made for it holds: one at a time, the others whole.
     pub fn may_lose(&self, keeper: usize) -> bool {
-        let disks = self.keepers.iter().map(|other| (other.id, &other.disk));
-        may_lose_disk(disks, self.keepers[keeper].id)
+        let id = self.keepers[keeper].id;
+        let newest_view =
+            self.keepers.iter().filter_map(|other| other.disk.view.as_ref()).max_by_key(|view| view.number);
+        let Some(view) = newest_view else { return false };
+        let others_aligned = self
+            .keepers
+            .iter()
+            .filter(|other| other.id != id && view.in_chain(other.id) && other.disk.whole == view.number)
+            .count();
+        let voters_left = self.keepers.iter().filter(|other| other.id != id && view.votes(other.id)).count();
+        others_aligned >= 1 && voters_left >= view.majority() && view.voters.len() == KEEPERS
     }
 }
 
-/// A disk may be lost if the promise made for it holds: one at a time, the others whole, after what was lost
-/// before has been made up for.
-pub fn may_lose_disk<'a>(disks: impl Iterator<Item = (NodeId, &'a Kept)>, lost: NodeId) -> bool {
-    let disks: Vec<(NodeId, &Kept)> = disks.collect();
-    let views = disks.iter().filter_map(|(_, disk)| disk.view.as_ref());
-    let Some(view) = views.max_by_key(|view| view.number) else { return false };
-    let others = || disks.iter().filter(|(id, _)| *id != lost);
-    let others_aligned = others().filter(|(id, disk)| view.in_chain(*id) && disk.whole == view.number).count();
-    let voters_left = others().filter(|(id, _)| view.votes(*id)).count();
-    let is_made_up_for = view.voters.iter().all(|voter| disks.iter().any(|(id, _)| id == voter));
-    others_aligned >= 1 && voters_left >= view.majority() && is_made_up_for && view.voters.len() + 1 >= disks.len()
-}
-
 /// What a synced store leaves on a simulated disk.
 pub fn keep(disk: &mut Kept, stored: Stored) {
     match stored {
--- a/crates/verdict/src/register.rs
+++ b/crates/verdict/src/register.rs
@@ -101,9 +101,7 @@
             let named: Vec<String> = candidates.iter().map(|place| format!("{:?}", calls[*place])).collect();
             furthest = (placed_count, format!("at revision {} none of: {}", position.revision, named.join("; ")));
         }
-        for place in candidates {
-            let Some(revision) = apply(calls, &position, place) else { continue };
-            let next = position.with(place, revision);
+        for next in positions_after(calls, &position, &candidates) {
             if met.insert(next.clone()) {
                 open.push(next);
             }
@@ -112,6 +110,28 @@
     Err(furthest.1)
 }
 
+/// Where a search goes on from a position. A call that fits and changes nothing is placed at once: whatever may
+/// follow without it may follow after it. Of calls without an answer that ask for the same change, the one sent
+/// first stands for all.
+fn positions_after(calls: &[RegisterCall], position: &Position, candidates: &[usize]) -> Vec<Position> {
+    let mut unclear_changes = BTreeSet::new();
+    let mut after = Vec::new();
+    for place in candidates.iter().copied() {
+        let Some(revision) = apply(calls, position, place) else { continue };
+        if revision == position.revision {
+            return vec![position.with(place, revision)];
+        }
+        let is_another = match (calls[place].answer, calls[place].operation) {
+            (RegisterAnswer::Unclear, RegisterOperation::Change { change, .. }) => unclear_changes.insert(change),
+            _ => true,
+        };
+        if is_another {
+            after.push(position.with(place, revision));
+        }
+    }
+    after
+}
+
 /// The revision after a call, if its answer is the one that the register gives there. One without a clear answer
 /// counts only where it changes something; elsewhere it need not be placed.
 fn apply(calls: &[RegisterCall], position: &Position, place: usize) -> Option<u64> {
--- a/crates/view/src/agreed.rs
+++ b/crates/view/src/agreed.rs
@@ -21,6 +21,9 @@
     pub members: Vec<Member>,
     /// The chains of the views before this one, latest first.
     pub lineage: Vec<(ViewNumber, Vec<NodeId>)>,
+    /// The members that hold all that was committed before this view, as its proposer knew them.
+    #[serde(default)]
+    pub holders: Vec<NodeId>,
     /// How many machines may be lost with their disks at the same time; set at the founding.
     #[serde(default = "usual_tolerance")]
     pub tolerance: u64,
@@ -39,6 +42,7 @@
             voters: Vec::new(),
             members: Vec::new(),
             lineage: Vec::new(),
+            holders: Vec::new(),
             tolerance: usual_tolerance(),
         }
     }
@@ -57,6 +61,12 @@
         (self.voters.len() + 1 - self.majority()).max(self.tolerance as usize + 1)
     }
 
+    /// How many members of the next chain must surely hold all that was committed: as many disks as may be lost, and
+    /// one more. A chain that never had so many cannot be asked for them.
+    pub fn least_holders(&self) -> usize {
+        (self.tolerance as usize + 1).min(self.chain.len())
+    }
+
     pub fn takes_writes(&self) -> bool {
         self.chain.len() >= self.least_chain()
     }
--- a/crates/view/src/campaign.rs
+++ b/crates/view/src/campaign.rs
@@ -7,24 +7,38 @@
     pub next: ViewNumber,
     pub ballot: Ballot,
     pub started: Instant,
-    promises: BTreeMap<NodeId, Option<(Ballot, View)>>,
+    promises: BTreeMap<NodeId, Promise>,
     acceptances: BTreeSet<NodeId>,
     proposal: Option<View>,
 }
 
+/// What a voter said with its promise.
+#[derive(Clone, Debug)]
+struct Promise {
+    accepted: Option<(Ballot, View)>,
+    last: Mark,
+}
+
 impl Campaign {
     pub fn new(next: ViewNumber, ballot: Ballot, started: Instant) -> Campaign {
         Campaign { next, ballot, started, promises: BTreeMap::new(), acceptances: BTreeSet::new(), proposal: None }
     }
 
-    pub fn promised_by(&self, voter: NodeId) -> bool {
-        self.promises.contains_key(&voter)
+    /// The voters that promised, and where their logs end.
+    pub fn promised(&self) -> BTreeMap<NodeId, Mark> {
+        self.promises.iter().map(|(voter, promise)| (*voter, promise.last)).collect()
     }
 
     /// Whether a majority has promised and nothing was proposed yet.
-    pub fn take_promise(&mut self, present: &View, voter: NodeId, accepted: Option<(Ballot, View)>) -> bool {
+    pub fn take_promise(
+        &mut self,
+        present: &View,
+        voter: NodeId,
+        accepted: Option<(Ballot, View)>,
+        last: Mark,
+    ) -> bool {
         if present.votes(voter) {
-            self.promises.insert(voter, accepted);
+            self.promises.insert(voter, Promise { accepted, last });
         }
         self.proposal.is_none() && self.promises.len() >= present.majority()
     }
@@ -33,7 +47,7 @@
     pub fn bound_view(&self) -> Option<View> {
         self.promises
             .values()
-            .flatten()
+            .filter_map(|promise| promise.accepted.as_ref())
             .max_by_key(|(ballot, _)| *ballot)
             .map(|(_, accepted_view)| accepted_view.clone())
     }
@@ -69,7 +83,7 @@
         let mut first_campaign = Campaign::new(ViewNumber(1), low_ballot, Instant(0));
         for place in 0..3 {
             let accepted = votes[place].prepare(low_ballot).unwrap();
-            assert_eq!(first_campaign.take_promise(&present, voters[place], accepted), place == 2);
+            assert_eq!(first_campaign.take_promise(&present, voters[place], accepted, Mark::default()), place == 2);
         }
         first_campaign.propose(first_view.clone());
         votes[2].accept(low_ballot, first_view.clone()).unwrap();
@@ -77,7 +91,7 @@
         let mut second_campaign = Campaign::new(ViewNumber(1), high_ballot, Instant(0));
         for place in 1..4 {
             let accepted = votes[place].prepare(high_ballot).unwrap();
-            second_campaign.take_promise(&present, voters[place], accepted);
+            second_campaign.take_promise(&present, voters[place], accepted, Mark::default());
         }
         assert_eq!(second_campaign.bound_view(), Some(first_view));
         assert_eq!(votes[2].accept(low_ballot, View::default()), Err(high_ballot));
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -6,4 +6,5 @@
 
 mod agreed;
 mod campaign;
+mod mark;
 mod vote;
--- a/crates/view/src/prelude.rs
+++ b/crates/view/src/prelude.rs
@@ -2,6 +2,7 @@
 
 pub use crate::agreed::*;
 pub use crate::campaign::*;
+pub use crate::mark::*;
 pub use crate::vote::*;
 pub(crate) use serde::{Deserialize, Serialize};
 pub(crate) use std::collections::{BTreeMap, BTreeSet};
--- a/crates/view/src/vote.rs
+++ b/crates/view/src/vote.rs
@@ -17,11 +17,30 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ViewMessage {
-    Prepare { next: ViewNumber, ballot: Ballot },
-    Promise { next: ViewNumber, ballot: Ballot, accepted: Option<(Ballot, View)> },
-    Accept { next: ViewNumber, ballot: Ballot, view: View },
-    Accepted { next: ViewNumber, ballot: Ballot },
-    Outbid { next: ViewNumber, promised: Ballot },
+    Prepare {
+        next: ViewNumber,
+        ballot: Ballot,
+    },
+    /// `last` is where the voter's log ends; in the chain's view it grows no more.
+    Promise {
+        next: ViewNumber,
+        ballot: Ballot,
+        accepted: Option<(Ballot, View)>,
+        last: Mark,
+    },
+    Accept {
+        next: ViewNumber,
+        ballot: Ballot,
+        view: View,
+    },
+    Accepted {
+        next: ViewNumber,
+        ballot: Ballot,
+    },
+    Outbid {
+        next: ViewNumber,
+        promised: Ballot,
+    },
     Decided(View),
 }
 
