--- /dev/null
+++ b/crates/coordinator/tests/exhaustive.rs
@@ -0,0 +1,416 @@
+//! All that can happen to a core of three within stated bounds: every order of the messages that vote, number and
+//! bring level, with ends and starts of keepers, a lost disk, lost streams and the passing of time between any two
+//! of them. The machines are the product's own; states met before are not gone through again.
+//!
+//! Bounds: news, read leases and questions arrive at once where both ends run (they are told again at every pulse
+//! anyway); messages between two keepers keep their order; time passes in steps of `TICK`, at which every keeper
+//! that runs pulses. `EXHAUSTIVE_STATES` sets how many states are gone through at the most.
+
+use coordinator::prelude::*;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::hash::{Hash, Hasher};
+use units::prelude::*;
+
+const KEEPERS: usize = 3;
+const START: Instant = Instant(1_000_000_000_000);
+const TICK: Span = Span::millis(250);
+/// Enough in a run of the tests; the search says when it was not enough for its bounds.
+const USUAL_STATES: usize = 100_000;
+/// The ids of keepers that come in the place of lost ones.
+const FIRST_NEW_ID: u64 = 100;
+
+/// What may still happen.
+#[derive(Clone, Copy, Debug, Hash)]
+struct Budget {
+    ticks: u32,
+    ends: u32,
+    lost_disks: u32,
+    lost_streams: u32,
+    changes: u32,
+}
+
+#[derive(Clone)]
+struct Machine {
+    id: NodeId,
+    life: u64,
+    disk: Kept,
+    running: Option<Coordinator>,
+}
+
+/// One thing that happens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Event {
+    Arrives { from: usize, to: usize },
+    StreamLost { from: usize, to: usize },
+    Tick,
+    Ends(usize),
+    Starts(usize),
+    DiskLost(usize),
+    Change(usize),
+}
+
+#[derive(Clone)]
+struct Core {
+    now: Instant,
+    machines: Vec<Machine>,
+    streams: BTreeMap<(usize, usize), VecDeque<Envelope>>,
+    budget: Budget,
+    next_id: u64,
+    /// What acting tails had in their logs, by record.
+    committed: BTreeMap<Edition, RequestId>,
+    views: BTreeMap<ViewNumber, (Vec<NodeId>, Vec<NodeId>)>,
+}
+
+fn address(place: usize) -> String {
+    format!("k{place}")
+}
+
+fn member(place: usize, id: NodeId) -> Member {
+    Member { id, address: address(place), door: address(place), zone: "a".into() }
+}
+
+fn keep(disk: &mut Kept, stored: Stored) {
+    match stored {
+        Stored::Record(record) => disk.records.push(record),
+        Stored::Snapshot { mark, state } => {
+            disk.mark = mark;
+            disk.state = *state;
+            disk.records.clear();
+        }
+        Stored::View(view) => disk.view = Some(view),
+        Stored::Vote(vote) => disk.vote = vote,
+        Stored::Aligned(view) => disk.aligned = view,
+        Stored::Whole(view) => disk.whole = view,
+        Stored::Begun(view) => disk.begun = view,
+    }
+}
+
+/// Whether a message waits in its stream, to arrive before or after anything else.
+fn is_ordered_by_lot(message: &CoreMessage) -> bool {
+    matches!(message, CoreMessage::View(_) | CoreMessage::Chain(_) | CoreMessage::Submit(_))
+}
+
+impl Core {
+    /// A core of three whose chain is whole and whose tail acts.
+    fn formed(budget: Budget) -> Core {
+        let machines = (0..KEEPERS).map(|place| Machine {
+            id: NodeId(place as u64 + 1),
+            life: 0,
+            disk: Kept::default(),
+            running: None,
+        });
+        let mut core = Core {
+            now: START,
+            machines: machines.collect(),
+            streams: BTreeMap::new(),
+            budget: Budget { ticks: u32::MAX, ..budget },
+            next_id: FIRST_NEW_ID,
+            committed: BTreeMap::new(),
+            views: BTreeMap::new(),
+        };
+        for stored in Coordinator::founding(&member(0, NodeId(1)), FleetId(7), FleetState::default()) {
+            keep(&mut core.machines[0].disk, stored);
+        }
+        for place in 0..KEEPERS {
+            core.start(place);
+        }
+        for _ in 0..60 {
+            core.happen(Event::Tick).expect("nothing goes wrong in order");
+            core.deliver_all().expect("nothing goes wrong in order");
+        }
+        let tail = core.acting_tails();
+        assert_eq!(tail.len(), 1, "a tail acts");
+        let view = core.machines[tail[0]].running.as_ref().expect("it runs").view();
+        assert_eq!(view.chain.len(), KEEPERS);
+        core.budget = budget;
+        core
+    }
+
+    fn deliver_all(&mut self) -> Result<(), String> {
+        while let Some((from, to)) = self.open_streams().first().copied() {
+            self.happen(Event::Arrives { from, to })?;
+        }
+        Ok(())
+    }
+
+    fn open_streams(&self) -> Vec<(usize, usize)> {
+        self.streams.iter().filter(|(_, waiting)| !waiting.is_empty()).map(|(way, _)| *way).collect()
+    }
+
+    fn start(&mut self, place: usize) {
+        let now = self.now;
+        let machine = &mut self.machines[place];
+        machine.life += 1;
+        let life = machine.id.0 * 1000 + machine.life;
+        let seeds = (0..KEEPERS).map(address).collect();
+        let wishes = Wishes { core_size: KEEPERS, seeds, ..Wishes::default() };
+        let me = member(place, machine.id);
+        machine.running = Some(Coordinator::restore(me, machine.disk.clone(), wishes, life, now));
+    }
+
+    fn end(&mut self, place: usize) {
+        self.machines[place].running = None;
+        self.streams.retain(|(from, to), _| *from != place && *to != place);
+    }
+
+    /// All that may happen next.
+    fn possible(&self) -> Vec<Event> {
+        let mut events = Vec::new();
+        for (from, to) in self.open_streams() {
+            events.push(Event::Arrives { from, to });
+            if self.budget.lost_streams > 0 {
+                events.push(Event::StreamLost { from, to });
+            }
+        }
+        if self.budget.ticks > 0 {
+            events.push(Event::Tick);
+        }
+        for place in 0..KEEPERS {
+            let runs = self.machines[place].running.is_some();
+            if !runs {
+                events.push(Event::Starts(place));
+            }
+            if runs && self.budget.ends > 0 {
+                events.push(Event::Ends(place));
+            }
+            if self.budget.lost_disks > 0 {
+                events.push(Event::DiskLost(place));
+            }
+            if runs && self.budget.changes > 0 {
+                events.push(Event::Change(place));
+            }
+        }
+        events
+    }
+
+    fn happen(&mut self, event: Event) -> Result<(), String> {
+        match event {
+            Event::Arrives { from, to } => {
+                let arrived = self.streams.get_mut(&(from, to)).and_then(VecDeque::pop_front);
+                if let Some(envelope) = arrived {
+                    self.feed(to, Input::Peer(envelope))?;
+                }
+            }
+            Event::StreamLost { from, to } => {
+                self.budget.lost_streams -= 1;
+                self.streams.remove(&(from, to));
+            }
+            Event::Tick => {
+                self.budget.ticks -= 1;
+                self.now = self.now + TICK;
+                for place in 0..KEEPERS {
+                    self.feed(place, Input::Pulse)?;
+                }
+            }
+            Event::Ends(place) => {
+                self.budget.ends -= 1;
+                self.end(place);
+            }
+            Event::Starts(place) => self.start(place),
+            Event::DiskLost(place) => {
+                self.budget.lost_disks -= 1;
+                self.end(place);
+                let id = NodeId(self.next_id);
+                self.next_id += 1;
+                self.machines[place] = Machine { id, life: 0, disk: Kept::default(), running: None };
+            }
+            Event::Change(place) => {
+                let number = self.budget.changes;
+                self.budget.changes -= 1;
+                let patch = format!(r#"{{"kinds":["k{number}"]}}"#);
+                let command = Command::Merge { base: None, patch };
+                let question = Question::Submit(Submission { request: RequestId(u64::from(number)), command });
+                let limit = self.now + Span::seconds(3);
+                self.feed(place, Input::Ask { ticket: u64::from(number), question, limit })?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Steps a keeper and all that hears of it at once.
+    fn feed(&mut self, place: usize, input: Input) -> Result<(), String> {
+        let mut inputs = VecDeque::from([(place, input)]);
+        while let Some((place, input)) = inputs.pop_front() {
+            let now = self.now;
+            let machine = &mut self.machines[place];
+            let Some(coordinator) = machine.running.as_mut() else { continue };
+            let plan = coordinator.step(input, now);
+            for effect in plan {
+                match effect {
+                    Effect::Store(stored) => keep(&mut self.machines[place].disk, stored),
+                    Effect::Send { address: to, envelope, .. } => {
+                        let to = (0..KEEPERS).find(|other| address(*other) == to).expect("a known address");
+                        if self.machines[to].running.is_none() {
+                            continue;
+                        }
+                        match is_ordered_by_lot(&envelope.message) {
+                            true => self.streams.entry((place, to)).or_default().push_back(envelope),
+                            false => inputs.push_back((to, Input::Peer(envelope))),
+                        }
+                    }
+                    _ => {}
+                }
+            }
+            self.hold_to_invariants(place)?;
+        }
+        Ok(())
+    }
+
+    fn acting_tails(&self) -> Vec<usize> {
+        let acts = |place: &usize| {
+            let running = self.machines[*place].running.as_ref();
+            running.is_some_and(|coordinator| coordinator.tail_is_active(self.now))
+        };
+        (0..KEEPERS).filter(acts).collect()
+    }
+
+    fn hold_to_invariants(&mut self, place: usize) -> Result<(), String> {
+        let Some(coordinator) = &self.machines[place].running else { return Ok(()) };
+        self.views = one_view_a_number(std::mem::take(&mut self.views), coordinator.view())?;
+        if coordinator.tail_is_active(self.now) {
+            self.committed = nothing_committed_is_lost(std::mem::take(&mut self.committed), coordinator.state())?;
+        }
+        one_tail_acts(&self.acting_tails())
+    }
+
+    /// Equal for states from which the same can happen.
+    fn key(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.now.hash(&mut hasher);
+        self.budget.hash(&mut hasher);
+        self.committed.hash(&mut hasher);
+        for machine in &self.machines {
+            machine.id.hash(&mut hasher);
+            machine.life.hash(&mut hasher);
+            format!("{:?}{:?}", machine.running, machine.disk.vote).hash(&mut hasher);
+        }
+        format!("{:?}", self.streams).hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+type Views = BTreeMap<ViewNumber, (Vec<NodeId>, Vec<NodeId>)>;
+
+fn one_view_a_number(mut views: Views, view: &View) -> Result<Views, String> {
+    let seen = (view.chain.clone(), view.voters.clone());
+    let known = views.entry(view.number).or_insert_with(|| seen.clone());
+    match *known == seen {
+        true => Ok(views),
+        false => Err(format!("two views have number {}: {known:?} and {seen:?}", view.number)),
+    }
+}
+
+fn one_tail_acts(tails: &[usize]) -> Result<(), String> {
+    if tails.len() > 1 { Err(format!("tails {tails:?} act at once")) } else { Ok(()) }
+}
+
+/// An acting tail has every record that one before it had, and counts what it has besides.
+fn nothing_committed_is_lost(
+    mut committed: BTreeMap<Edition, RequestId>,
+    state: &FleetState,
+) -> Result<BTreeMap<Edition, RequestId>, String> {
+    let taken: BTreeMap<Edition, RequestId> = state
+        .orders
+        .iter()
+        .filter_map(|(request, settled)| match settled {
+            Settled::Taken(edition) => Some((*edition, request)),
+            _ => None,
+        })
+        .collect();
+    for (edition, request) in &committed {
+        if taken.get(edition) != Some(request) {
+            return Err(format!("{request} was committed as {edition}, there stands {:?}", taken.get(edition)));
+        }
+    }
+    committed.extend(taken);
+    Ok(committed)
+}
+
+/// What a search came to.
+#[derive(Debug)]
+struct Found {
+    states: usize,
+    is_complete: bool,
+    broken: Option<(String, Vec<Event>)>,
+}
+
+/// Goes through all states that the budget allows, deepest first, up to a number of them.
+fn explore(budget: Budget, most_states: usize) -> Found {
+    let mut met = HashSet::new();
+    let mut open = vec![(Core::formed(budget), Vec::new())];
+    while let Some((core, way)) = open.pop() {
+        if met.len() >= most_states {
+            return Found { states: met.len(), is_complete: false, broken: None };
+        }
+        for event in core.possible() {
+            let mut next = core.clone();
+            let mut next_way: Vec<Event> = way.clone();
+            next_way.push(event);
+            if let Err(reason) = next.happen(event) {
+                return Found { states: met.len(), is_complete: false, broken: Some((reason, next_way)) };
+            }
+            if met.insert(next.key()) {
+                open.push((next, next_way));
+            }
+        }
+    }
+    Found { states: met.len(), is_complete: true, broken: None }
+}
+
+fn most_states() -> usize {
+    std::env::var("EXHAUSTIVE_STATES").ok().and_then(|text| text.parse().ok()).unwrap_or(USUAL_STATES)
+}
+
+#[track_caller]
+fn assert_holds(named: &str, budget: Budget) {
+    let found = explore(budget, most_states());
+    println!("{named}: {} states, {}", found.states, if found.is_complete { "all of them" } else { "broken off" });
+    assert!(found.broken.is_none(), "{named}: {:?}", found.broken);
+}
+
+const NOTHING: Budget = Budget { ticks: 0, ends: 0, lost_disks: 0, lost_streams: 0, changes: 0 };
+
+#[test]
+fn two_changes_and_a_lost_stream() {
+    assert_holds("two changes, a lost stream", Budget { ticks: 2, lost_streams: 1, changes: 2, ..NOTHING });
+}
+
+#[test]
+fn a_keeper_ends_in_the_midst_of_a_change() {
+    assert_holds("a change, an end", Budget { ticks: 4, ends: 1, changes: 1, ..NOTHING });
+}
+
+#[test]
+fn a_disk_is_lost_in_the_midst_of_a_change() {
+    assert_holds("a change, a lost disk", Budget { ticks: 3, lost_disks: 1, changes: 1, ..NOTHING });
+}
+
+#[test]
+fn an_end_and_a_lost_disk_overlap() {
+    assert_holds("an end, a lost disk, a change", Budget { ticks: 5, ends: 1, lost_disks: 1, ..NOTHING });
+}
+
+/// Each invariant complains of what it is there for.
+#[test]
+fn broken_machines_are_found() {
+    let view = |chain: &[u64]| View {
+        number: ViewNumber(3),
+        chain: chain.iter().copied().map(NodeId).collect(),
+        ..View::default()
+    };
+    let views = one_view_a_number(BTreeMap::new(), &view(&[1, 2])).expect("the first");
+    assert!(one_view_a_number(views.clone(), &view(&[1, 2])).is_ok());
+    assert!(one_view_a_number(views, &view(&[2, 1])).is_err());
+    assert!(one_tail_acts(&[1]).is_ok() && one_tail_acts(&[0, 2]).is_err());
+    let mut state = FleetState::default();
+    let command = |kind: &str| Command::Merge { base: None, patch: format!(r#"{{"kinds":["{kind}"]}}"#) };
+    let earlier = state.clone();
+    state.apply(&Submission { request: RequestId(1), command: command("a") });
+    let committed = nothing_committed_is_lost(BTreeMap::new(), &state).expect("the first");
+    assert_eq!(committed.values().copied().collect::<BTreeSet<_>>(), [RequestId(1)].into());
+    assert!(nothing_committed_is_lost(committed.clone(), &earlier).is_err(), "lost");
+    let mut other = FleetState::default();
+    other.apply(&Submission { request: RequestId(2), command: command("a") });
+    assert!(nothing_committed_is_lost(committed, &other).is_err(), "another in its place");
+}
