--- /dev/null
+++ b/crates/keeper/tests/rebuilt.rs
@@ -0,0 +1,164 @@
+//! A state that is rebuilt from a snapshot and the records after it is the one that was never restarted, after
+//! every kind of command and wherever the snapshot was taken.
+
+use coordinator::prelude::*;
+use desired::prelude::{ConfigurationChange, CopyStage, Intent, Listed, ListedEngine, Revision};
+use keeper::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use units::prelude::*;
+
+const VIEW: ViewNumber = ViewNumber(1);
+const SEEDS: u64 = 40;
+const COMMANDS_A_SEED: u64 = 60;
+
+/// The document that the other commands need: a model, an adapter, tenants and a policy.
+const DOCUMENT: &str = r#"{"models":{"m":{"weights":1}},"tenants":{"a":{},"b":{}},"policies":{"p":{"weight":4}}}"#;
+
+/// One for each kind of command; a new kind has to be added here, and then below.
+fn kind(command: &Command) -> &'static str {
+    match command {
+        Command::Replace { .. } => "replace",
+        Command::Configure(_) => "configure",
+        Command::RecallChange { .. } => "recall",
+        Command::NameWeights { .. } => "name weights",
+        Command::Merge { .. } => "merge",
+        Command::List(_) => "list",
+        Command::Appoint { .. } => "appoint",
+        Command::Stand { .. } => "stand",
+        Command::PlaceCopy { .. } => "place copy",
+        Command::UseRevision { .. } => "use revision",
+        Command::Intend(_) => "intend",
+        Command::Confirm { .. } => "confirm",
+        Command::DoStep { .. } => "do step",
+        Command::EndPlan { .. } => "end plan",
+        Command::Claim { .. } => "claim",
+        Command::Release { .. } => "release",
+        Command::TurnClaims { .. } => "turn claims",
+    }
+}
+
+const KINDS: u64 = 17;
+
+fn listing(number: u64) -> Listing {
+    let engine = |name: u64| {
+        let listed = if (name + number).is_multiple_of(3) { Listed::Leaving } else { Listed::Open };
+        let engine =
+            ListedEngine { address: format!("e{name}"), model: "m".into(), listed, ..ListedEngine::default() };
+        (EngineName(format!("e{name}")), engine)
+    };
+    Listing { boot: "b".into(), number: ListingNumber(number), engines: (0..4).map(engine).collect() }
+}
+
+/// The `place`th kind of command, with what it names drawn from `drawn`; terms, bases and plans are often right.
+fn command(place: u64, drawn: u64, state: &FleetState) -> Command {
+    let engine = EngineName(format!("e{}", drawn % 4));
+    let term = state.duties.get(&DutyKind::Conductor).map_or(Term(0), |duty| duty.term);
+    let plan = state.plans.keys().next_back().copied().unwrap_or_default();
+    let base = Some(state.desired_edition).filter(|_| !drawn.is_multiple_of(3));
+    let (claim, router, run) = (BlockHash(drawn % 8), NodeId(drawn % 3), drawn % 5);
+    let adapter = AdapterId::new("x", 1 + drawn % 2);
+    match place {
+        0 => Command::Replace { base, text: DOCUMENT.into() },
+        1 => {
+            let in_force = state.configuration.revision;
+            Command::Configure(Box::new(ConfigurationChange {
+                base: in_force,
+                revision: Revision(in_force.0 + 1 + drawn % 3),
+                fingerprint: BlockHash(drawn),
+                document: DOCUMENT.into(),
+                source: format!("source {drawn}"),
+            }))
+        }
+        2 => Command::RecallChange { base: state.configuration.revision, fingerprint: BlockHash(drawn) },
+        3 => Command::NameWeights { model: "m".into(), weights: WeightsEdition(drawn % 9) },
+        4 => Command::Merge { base, patch: format!(r#"{{"tenants":{{"a":{{"walled":{}}}}}}}"#, drawn % 2 == 0) },
+        5 => Command::List(listing(state.listing.number.0 + drawn % 3)),
+        6 => Command::Appoint { kind: DutyKind::Conductor, from_term: term, holder: NodeId(drawn % 4) },
+        7 => {
+            let further_confirmed = BTreeMap::from([("n".into(), WeightsEdition(drawn % 3))]);
+            let confirmed = Some((WeightsEdition(drawn % 5), "boot".to_owned()));
+            let standing = Standing { confirmed, closed: drawn.is_multiple_of(2), further_confirmed };
+            Command::Stand { term, engine, standing }
+        }
+        8 => {
+            let stage = [None, Some(CopyStage::Loading), Some(CopyStage::Leaving)][(drawn % 3) as usize].clone();
+            Command::PlaceCopy { term, engine, adapter, stage }
+        }
+        9 => Command::UseRevision { term, adapter },
+        10 => Command::Intend(match drawn % 3 {
+            0 => Intent::Drain { engine },
+            1 => Intent::Wall { tenant: "b".into() },
+            _ => Intent::MoveWeights { model: "m".into(), weights: WeightsEdition(drawn % 9) },
+        }),
+        11 => Command::Confirm { plan },
+        12 => Command::DoStep { term, plan, step: (drawn % 2) as usize },
+        13 => Command::EndPlan { term, plan, halted: Some("drawn".into()).filter(|_| drawn.is_multiple_of(2)) },
+        14 => Command::Claim { claim, router, run },
+        15 => Command::Release { claim, router, run },
+        _ => Command::TurnClaims { turn: state.claim_book.turn },
+    }
+}
+
+/// Numbers that follow from a seed.
+struct Draw(u64);
+
+impl Draw {
+    fn number(&mut self) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        self.0 >> 33
+    }
+}
+
+/// The commands of a seed as records, with a few sent again, and the state after them.
+fn history(seed: u64) -> Log {
+    let mut draw = Draw(seed);
+    let mut log = Log::default();
+    for number in 0..COMMANDS_A_SEED {
+        let place = if number < KINDS { number } else { draw.number() % KINDS };
+        let command = command(place, draw.number(), log.state());
+        let request = RequestId(1 + number - u64::from(draw.number().is_multiple_of(11)).min(number));
+        log.number(VIEW, Submission { request, command });
+    }
+    log
+}
+
+/// What a folder gives back that was given a snapshot after some of the records, and then the rest.
+fn rebuilt(records: &[Record], snapshot_after: usize) -> FleetState {
+    let path = std::env::temp_dir().join(format!("rebuilt-{}", NodeId::random()));
+    let (mut filing, _) = Filing::open(&path).expect("a new folder opens");
+    let before = Log::restore(Mark::default(), FleetState::default(), records[..snapshot_after].to_vec());
+    let snapshot = Stored::Snapshot { mark: before.last(), state: Box::new(before.state().clone()) };
+    filing.store(&[snapshot], before.last(), before.state()).expect("the folder takes a snapshot");
+    let rest: Vec<Stored> = records[snapshot_after..].iter().cloned().map(Stored::Record).collect();
+    filing.store(&rest, before.last(), before.state()).expect("the folder takes records");
+    drop(filing);
+    let (mut filing, _) = Filing::open(&path).expect("the folder opens again");
+    let kept = filing.load().expect("the folder is whole");
+    drop(filing);
+    std::fs::remove_dir_all(&path).expect("the folder can be removed");
+    Log::restore(kept.mark, kept.state, kept.records).state().clone()
+}
+
+#[test]
+fn a_state_rebuilt_from_snapshot_and_records_is_the_one_never_restarted() {
+    let mut kinds_met = BTreeSet::new();
+    let mut taken = BTreeSet::new();
+    for seed in 0..SEEDS {
+        let log = history(seed);
+        let records = log.after(Edition(0)).expect("all are kept");
+        kinds_met.extend(records.iter().map(|record| kind(&record.submission.command)));
+        let mut replayed = FleetState::default();
+        for record in &records {
+            if matches!(replayed.apply(&record.submission), Settled::Taken(_)) {
+                taken.insert(kind(&record.submission.command));
+            }
+        }
+        assert_eq!(&replayed, log.state(), "seed {seed}: the same commands give another state");
+        for snapshot_after in [0, (seed as usize * 7) % records.len(), records.len()] {
+            let state = rebuilt(&records, snapshot_after);
+            assert_eq!(&state, log.state(), "seed {seed}, a snapshot after {snapshot_after} records");
+        }
+    }
+    assert_eq!(kinds_met.len() as u64, KINDS, "{kinds_met:?}");
+    assert!(taken.len() as u64 >= KINDS - 2, "hardly any effect: only {taken:?} were taken");
+}
