--- a/crates/coordinator/src/leaving.rs
+++ b/crates/coordinator/src/leaving.rs
@@ -19,8 +19,8 @@
         self.hand_over_all(now);
     }
 
-    /// Whether nothing depends on this keeper any more: the agreed view has it neither in the chain nor, where
-    /// its seat could be given up, among the voters.
+    /// Whether the chain does without this keeper: nothing that is committed from now on needs it. Its vote may
+    /// still be asked for where its seat could not be spared.
     pub fn has_left(&self) -> bool {
         !self.has_view() || !self.view.in_chain(self.me.id)
     }
