--- a/crates/keeper/tests/rebuilt.rs
+++ b/crates/keeper/tests/rebuilt.rs
@@ -71,7 +71,10 @@
         }
         2 => Command::RecallChange { base: state.configuration.revision, fingerprint: BlockHash(drawn) },
         3 => Command::NameWeights { model: "m".into(), weights: WeightsEdition(drawn % 9) },
-        4 => Command::Merge { base, patch: format!(r#"{{"tenants":{{"a":{{"walled":{}}}}}}}"#, drawn % 2 == 0) },
+        4 => Command::Merge {
+            base,
+            patch: format!(r#"{{"tenants":{{"a":{{"walled":{}}}}}}}"#, drawn.is_multiple_of(2)),
+        },
         5 => Command::List(listing(state.listing.number.0 + drawn % 3)),
         6 => Command::Appoint { kind: DutyKind::Conductor, from_term: term, holder: NodeId(drawn % 4) },
         7 => {
