Services without models are served; new weights do not concern them

Mended for the class: a request that names no model goes to an engine of a service that the document gives no models, listed without one, open, not closed and not drained; the last look before the first byte asks the same. An engine whose models the list does not show is still none of a service that has models, and a store serves nothing.

Ruled out: conductor and planner (they go by wanted models alone; now shown by a test).

--- /dev/null
+++ b/crates/conductor/tests/without_models.rs
@@ -0,0 +1,63 @@
+//! Engines of a service without models are never closed, ordered or waited for while new weights are brought
+//! to the engines of another service.
+
+use conductor::prelude::*;
+use desired::prelude::*;
+use units::prelude::*;
+
+const DOCUMENT: &str = r#"{"models":{"m":{}},"services":{"pool":{"models":["m"]},"app":{"models":[]}}}"#;
+const ENGINES_OF_EACH: usize = 10;
+
+fn apply(state: &mut FleetState, command: Command) {
+    let outcome = state.apply(&Submission { request: RequestId::random(), command });
+    assert!(matches!(outcome, Settled::Taken(_)), "{outcome:?}");
+}
+
+fn fleet() -> FleetState {
+    let mut state = FleetState::default();
+    apply(&mut state, Command::Merge { base: None, patch: DOCUMENT.into() });
+    let pool = ListedEngine {
+        service: "pool".into(),
+        model: "m".into(),
+        weights: Some(WeightsEdition(1)),
+        ..ListedEngine::default()
+    };
+    let app = ListedEngine { service: "app".into(), ..ListedEngine::default() };
+    let named = |kind: &str, listed: &ListedEngine| -> Vec<(EngineName, ListedEngine)> {
+        (0..ENGINES_OF_EACH).map(|number| (EngineName(format!("{kind}-{number}")), listed.clone())).collect()
+    };
+    let engines = named("pool", &pool).into_iter().chain(named("app", &app)).collect();
+    apply(&mut state, Command::List(Listing { boot: "b".into(), number: ListingNumber(1), engines }));
+    apply(&mut state, Command::Appoint { kind: DutyKind::Conductor, from_term: Term(0), holder: NodeId(1) });
+    apply(&mut state, Command::NameWeights { model: "m".into(), weights: WeightsEdition(2) });
+    state
+}
+
+#[test]
+fn new_weights_of_another_service_do_not_concern_them() {
+    let mut state = fleet();
+    let mut bringer = Bringer::hurrying_after(Span::seconds(5));
+    for millis in (0..30_000).step_by(50) {
+        let now = Instant(0) + Span::millis(millis);
+        for step in bringer.direct(&state, true, now) {
+            match step {
+                Bringing::Stand { engine, standing } => {
+                    assert!(engine.as_str().starts_with("pool"), "{engine} {standing:?}");
+                    apply(&mut state, Command::Stand { term: Term(1), engine, standing });
+                }
+                Bringing::Order { engine, .. } | Bringing::OrderIfWaiting { engine, .. } => {
+                    assert!(engine.as_str().starts_with("pool"), "{engine} is ordered");
+                    bringer.hear_order(&engine, OrderAnswer::Taken, now);
+                }
+                Bringing::Look { engine, .. } => {
+                    assert!(engine.as_str().starts_with("pool"), "{engine} is looked at");
+                    bringer.hear_report(&engine, Some((WeightsEdition(2), false)), now);
+                }
+            }
+        }
+    }
+    let is_closed = |engine: &EngineName| state.standings.get(engine).is_some_and(|standing| standing.closed);
+    let confirmed = state.standings.values().filter(|standing| standing.confirmed.is_some()).count();
+    assert_eq!(confirmed, ENGINES_OF_EACH, "all of the pool were brought");
+    assert!(!state.listing.engines.keys().any(is_closed));
+}
--- a/crates/desired/src/listing.rs
+++ b/crates/desired/src/listing.rs
@@ -52,7 +52,12 @@
         std::iter::once(&self.model).chain(self.further_models.keys())
     }
 
-    /// Whether the engine holds a model.
+    /// Whether the list names any model that the engine holds.
+    pub fn has_model(&self) -> bool {
+        !self.model.as_str().is_empty()
+    }
+
+    /// Whether the engine holds this model.
     pub fn serves(&self, model: &ModelName) -> bool {
         self.model == *model || self.further_models.contains_key(model)
     }
--- a/crates/desired/src/traffic.rs
+++ b/crates/desired/src/traffic.rs
@@ -83,6 +83,13 @@
     pub store: Option<StoreWish>,
 }
 
+impl ServiceWish {
+    /// Whether its engines hold no models: neither weights nor kept parts are theirs.
+    pub fn is_without_models(&self) -> bool {
+        self.models.is_empty() && self.store.is_none()
+    }
+}
+
 impl Default for ServiceWish {
     fn default() -> Self {
         ServiceWish {
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -1,5 +1,5 @@
 //! The engines that may take a request now: of its service and model, listed open, not closed, on weights
-//! that may still be used.
+//! that may still be used. A service without models has engines without weights.
 
 use crate::prelude::*;
 
@@ -16,7 +16,7 @@
     listed
         .filter_map(|(engine, listed)| {
             Some(Candidate {
-                weights: sight.usable_weights_of(engine, model.unwrap_or(&listed.model), now)?,
+                weights: sight.usable_weights_for_named(engine, model, now)?,
                 engine: engine.clone(),
                 address: listed.address.clone(),
                 zone: listed.zone.clone(),
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -40,10 +40,7 @@
     {
         return Err(Bar::KeyMoved);
     }
-    let usable = match &ground.model {
-        Some(model) => sight.usable_weights_of(&ground.engine, model, now),
-        None => sight.usable_weights(&ground.engine, now),
-    };
+    let usable = sight.usable_weights_for_named(&ground.engine, ground.model.as_ref(), now);
     if usable != Some(ground.weights) {
         return Err(Bar::EngineMoved);
     }
--- /dev/null
+++ b/crates/gateway/tests/without_models.rs
@@ -0,0 +1,96 @@
+//! A service without models: its engines serve whoever names no model, whatever weights are wanted elsewhere;
+//! an engine whose models are not known yet is none of them.
+
+use desired::prelude::*;
+use gateway::prelude::*;
+use placement::prelude::FleetSight;
+
+const NOW: Instant = Instant(1_000_000_000_000);
+
+fn listed(service: &str, model: Option<&str>) -> ListedEngine {
+    ListedEngine {
+        address: format!("10.0.0.1:{}", service.len()),
+        service: service.into(),
+        model: model.unwrap_or_default().into(),
+        weights: model.map(|_| WeightsEdition(1)),
+        slots: 6,
+        ..ListedEngine::default()
+    }
+}
+
+/// A pool of a model whose weights have moved on, an application without models, and an engine of the pool
+/// whose models the list does not show.
+fn state() -> FleetState {
+    let mut state = FleetState::default();
+    let mut apply = |command| {
+        let outcome = state.apply(&Submission { request: RequestId::random(), command });
+        assert!(matches!(outcome, Settled::Taken(_)), "{outcome:?}");
+    };
+    let document = r#"{"models":{"m":{"weights":2}},"services":{"pool":{"models":["m"]},"app":{"models":[]},
+        "kept":{"models":[],"store_address":"10.0.0.9:1"}}}"#;
+    apply(Command::Merge { base: None, patch: document.into() });
+    let engines = [
+        ("app-1".into(), listed("app", None)),
+        ("app-2".into(), listed("app", None)),
+        ("app-leaving".into(), ListedEngine { listed: Listed::Leaving, ..listed("app", None) }),
+        ("kept-1".into(), listed("kept", None)),
+        ("other-1".into(), listed("other", None)),
+        ("pool-1".into(), listed("pool", Some("m"))),
+        ("pool-unknown".into(), listed("pool", None)),
+    ];
+    apply(Command::List(Listing { boot: "b".into(), number: ListingNumber(1), engines: engines.into() }));
+    state
+}
+
+fn sight(state: FleetState) -> FleetSight {
+    FleetSight::default().following(state, None, NOW)
+}
+
+fn found(sight: &FleetSight, service: &str, model: Option<&str>) -> Vec<String> {
+    let model = model.map(ModelName::from);
+    let found = candidates(sight, &service.into(), model.as_ref(), NOW);
+    found.into_iter().map(|candidate| candidate.engine.0).collect()
+}
+
+#[test]
+fn its_engines_take_requests_that_name_no_model() {
+    let sight = sight(state());
+    assert_eq!(found(&sight, "app", None), ["app-1", "app-2"]);
+    assert_eq!(found(&sight, "app", Some("m")), [""; 0], "it holds no model");
+}
+
+#[test]
+fn an_engine_of_unknown_models_is_not_one_without_models() {
+    let sight = sight(state());
+    assert_eq!(found(&sight, "pool", None), [""; 0], "one is on weights that gave way, one shows none");
+    assert_eq!(found(&sight, "pool", Some("m")), [""; 0]);
+    assert_eq!(found(&sight, "kept", None), [""; 0], "a store serves no requests");
+    assert_eq!(found(&sight, "other", None), [""; 0], "the document does not know the service");
+}
+
+#[test]
+fn the_last_look_lets_them_start_while_they_are_listed_open() {
+    let sight = sight(state());
+    let ground = |engine: &str| AttemptGround {
+        tenant: None,
+        model: None,
+        engine: engine.into(),
+        weights: placement::prelude::NO_WEIGHTS,
+        salt: None,
+        deadline: NOW + Span::seconds(1),
+    };
+    let lease_until = NOW + Span::seconds(1);
+    assert_eq!(may_start(&sight, lease_until, &ground("app-1"), NOW), Ok(()));
+    for engine in ["app-leaving", "app-gone", "pool-1", "pool-unknown"] {
+        assert_eq!(may_start(&sight, lease_until, &ground(engine), NOW), Err(Bar::EngineMoved), "{engine}");
+    }
+}
+
+#[test]
+fn a_closed_or_drained_one_takes_nothing() {
+    let mut closed = state();
+    let standing = Standing { closed: true, ..Standing::default() };
+    closed.standings.insert("app-1".into(), standing);
+    closed.drained.insert("app-2".into());
+    assert_eq!(found(&sight(closed), "app", None), [""; 0]);
+}
--- a/crates/placement/src/sight.rs
+++ b/crates/placement/src/sight.rs
@@ -13,6 +13,9 @@
     }
 }
 
+/// What stands for the weights of an engine that holds no model.
+pub const NO_WEIGHTS: WeightsEdition = WeightsEdition(0);
+
 /// The policy of every tenant that is not on trial.
 pub const DEFAULT_POLICY: &str = "default";
 
@@ -134,6 +137,32 @@
         self.weights_in_use(engine, listed, model, now)
     }
 
+    /// The weights that an engine may be used with now for a request that names this model or none. A request
+    /// that names none goes to the engine's first model, or, where its service has no models at all, to an
+    /// engine that need not hold any.
+    pub fn usable_weights_for_named(
+        &self,
+        engine: &EngineName,
+        model: Option<&ModelName>,
+        now: Instant,
+    ) -> Option<WeightsEdition> {
+        match model {
+            Some(model) => self.usable_weights_of(engine, model, now),
+            None => self.weights_without_model(engine).or_else(|| self.usable_weights(engine, now)),
+        }
+    }
+
+    /// An engine of a service without models may be used while it is listed open and is not closed; nothing
+    /// for one whose service has models, whether those that it holds are known or not.
+    fn weights_without_model(&self, engine: &EngineName) -> Option<WeightsEdition> {
+        let listed = self.state.listing.engines.get(engine).filter(|listed| listed.listed == Listed::Open)?;
+        let service = self.state.desired.services.get(&listed.service)?;
+        let has_no_models = service.is_without_models() && !listed.has_model();
+        let is_closed = self.state.standings.get(engine).is_some_and(|standing| standing.closed);
+        let may_serve = has_no_models && !is_closed && !self.state.drained.contains(engine);
+        may_serve.then_some(NO_WEIGHTS)
+    }
+
     /// The weights of a model that an engine may be used with now for a request that runs on an adapter, or on
     /// the bare model: besides what holds for every request, an engine that is listed as leaving serves an
     /// adapter that is warm at no other engine in use, until the lease has run out under which that was heard.
