A tail tells its routers once they have settled; agents follow a redirect at once

Routers share the reading of sources by that list, so the few listed first took over all sources of their zone (145 engines and stores, with whole lists, and were asked by everybody else) on a tenth of a core and 10 Mbit/s: the edges that later answered on an old configuration are just those that dialled the new tail first, one or two a zone. Their agents could not connect any more, while their leases of 15 s ran on. The same list is what a router's share of the retry budget is divided by.

Besides, an agent dropped a redirect that came within 60 ms of its dial and heard the next with its renewal 600 ms later, and had members that are seeds twice in its turn.

Ruled out: the agent's limits on silence and grants (they worked), a keeper's stream held open, the tail's embargo.

--- a/crates/coordinator/src/tail/nodes.rs
+++ b/crates/coordinator/src/tail/nodes.rs
@@ -61,7 +61,7 @@
         let Some(tail) = self.tail.as_mut() else { return };
         tail.note_place(node, life, known_edition);
         let same_address = tail.routers.same_address(node, router.as_ref());
-        tail.routers.note(node, router);
+        tail.routers.note(node, router, now);
         let message = if !core_is_fresh {
             NodeDown::NotNow
         } else if node_is_fresh && tail.renew_lease(node, known_edition, now) {
--- a/crates/coordinator/src/tail/router_list.rs
+++ b/crates/coordinator/src/tail/router_list.rs
@@ -4,8 +4,11 @@
 
 /// The number of no list of routers that was ever told.
 pub(crate) const NO_ROUTER_LIST: u64 = 0;
-/// The list of routers goes out at most so often.
-const TELLING_SPAN: Span = Span::millis(500);
+/// A list that changed goes out once nothing more came for so long: a tail that begins hears of its routers one
+/// by one, and those of a list that is not whole yet would take over what the others read.
+const SETTLED_SPAN: Span = Span::millis(1000);
+/// A list that goes on changing goes out after so long all the same.
+const LONGEST_DELAY: Span = Span::millis(3000);
 
 /// The routers behind linked nodes, and the list of them as it was told last.
 #[derive(Clone, Debug)]
@@ -14,23 +17,39 @@
     told: Vec<RouterAddress>,
     /// The number of the list told last; it grows with each change.
     number: u64,
-    /// When the list last changed.
-    changed: Instant,
+    /// The change that was not told yet, if there is one.
+    untold: Option<UntoldChange>,
+}
+
+/// Since when the routers differ from the list told last, and when they last changed.
+#[derive(Clone, Copy, Debug)]
+struct UntoldChange {
+    since: Instant,
+    latest: Instant,
 }
 
 impl Default for RouterList {
     fn default() -> RouterList {
-        RouterList { by_node: BTreeMap::new(), told: Vec::new(), number: NO_ROUTER_LIST, changed: Instant(0) }
+        RouterList { by_node: BTreeMap::new(), told: Vec::new(), number: NO_ROUTER_LIST, untold: None }
     }
 }
 
 impl RouterList {
     /// Notes the router behind a node, or that there is none.
-    pub(crate) fn note(&mut self, node: NodeId, router: Option<RouterAddress>) {
+    pub(crate) fn note(&mut self, node: NodeId, router: Option<RouterAddress>, now: Instant) {
+        if self.by_node.get(&node) == router.as_ref() {
+            return;
+        }
         match router {
             Some(router) => self.by_node.insert(node, router),
             None => self.by_node.remove(&node),
         };
+        self.note_change(now);
+    }
+
+    fn note_change(&mut self, now: Instant) {
+        let since = self.untold.map_or(now, |untold| untold.since);
+        self.untold = Some(UntoldChange { since, latest: now });
     }
 
     /// Other nodes with the same callers' address: what they were has ended, or is the same router.
@@ -41,15 +60,23 @@
         same.map(|(other, _)| *other).collect()
     }
 
-    /// Drops the routers without a lease. Newcomers that come close together change the list at once, so that
-    /// a fleet that starts does not make it go to every node for each of them.
+    /// Drops the routers without a lease, and makes of the others the next list once they have settled.
     fn refresh(&mut self, leased: &BTreeSet<NodeId>, now: Instant) {
+        let count = self.by_node.len();
         self.by_node.retain(|node, _| leased.contains(node));
-        let may_change = now.since(self.changed) >= TELLING_SPAN;
-        if may_change && !self.by_node.values().eq(self.told.iter()) {
+        if self.by_node.len() != count {
+            self.note_change(now);
+        }
+        let is_settled = |untold: &UntoldChange| {
+            now.since(untold.latest) >= SETTLED_SPAN || now.since(untold.since) >= LONGEST_DELAY
+        };
+        if !self.untold.as_ref().is_some_and(is_settled) {
+            return;
+        }
+        self.untold = None;
+        if !self.by_node.values().eq(self.told.iter()) {
             self.told = self.by_node.values().cloned().collect();
             self.number += 1;
-            self.changed = now;
         }
     }
 }
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -52,3 +52,31 @@
     });
     sent.cloned().collect()
 }
+
+/// When the tests of this package begin.
+pub const START: Instant = Instant(1_000_000_000);
+
+/// A keeper that is alone and acts as the tail; it has heard the read lease it gave itself.
+pub fn acting_tail() -> (Coordinator, Instant) {
+    let address = "k".to_owned();
+    let me = Member { id: NodeId(1), door: address.clone(), address, zone: Zone("z".into()) };
+    let mut kept = Kept::default();
+    for stored in Coordinator::founding(&me, FleetId(7), FleetState::default()) {
+        match stored {
+            Stored::Snapshot { mark, state } => (kept.mark, kept.state) = (mark, *state),
+            Stored::View(view) => kept.view = Some(view),
+            Stored::Aligned(view) => kept.aligned = view,
+            Stored::Whole(view) => kept.whole = view,
+            _ => {}
+        }
+    }
+    let wishes = Wishes { core_size: 1, ..Wishes::default() };
+    let mut coordinator = Coordinator::restore(me, kept, wishes, 1, START);
+    let mut now = START;
+    while !coordinator.tail_is_active(now) {
+        now = now + PULSE_SPAN;
+        assert!(now < START + Span::seconds(10), "it never acts");
+        coordinator.step(Input::Pulse, now);
+    }
+    (coordinator, now)
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod prelude;
 mod recorder;
 mod request_site;
+mod router_roster;
 mod runs;
 mod shared_state;
 mod table;
--- a/crates/router/src/prelude.rs
+++ b/crates/router/src/prelude.rs
@@ -9,6 +9,7 @@
 pub use crate::plan::*;
 pub use crate::recorder::*;
 pub use crate::request_site::*;
+pub use crate::router_roster::*;
 pub use crate::runs::*;
 pub use crate::shared_state::*;
 pub use crate::table::*;
--- a/crates/subscription/src/machine.rs
+++ b/crates/subscription/src/machine.rs
@@ -43,6 +43,8 @@
     target: String,
     next_dial: Instant,
     dial_count: usize,
+    /// The tail as the keeper dialled last names it, to be dialled at the next moment that allows it.
+    redirect: Option<String>,
     last_heard: Instant,
     /// When the last lease was granted, or the stream came up.
     last_granted: Instant,
@@ -68,6 +70,7 @@
             target: String::new(),
             next_dial: Instant(0),
             dial_count: spread,
+            redirect: None,
             last_heard: Instant(0),
             last_granted: Instant(0),
             last_renewed: Instant(0),
@@ -157,6 +160,12 @@
     fn pulse(&mut self, now: Instant) {
         match self.core {
             CoreStream::Up => {
+                if now >= self.redirected_from()
+                    && let Some(tail_address) = self.redirect.take()
+                {
+                    self.dial(tail_address, now);
+                    return;
+                }
                 let silent_too_long = self.router.is_some() && now.since(self.last_heard) >= SILENCE_LIMIT;
                 let behind_too_long = self.behind_since.is_some_and(|since| now.since(since) >= BEHIND_LIMIT);
                 let granted_nothing = self.router.is_some() && now.since(self.last_granted) >= GRANT_LIMIT;
@@ -193,6 +202,7 @@
     /// When the next pulse is due, if nothing comes before.
     pub fn next_pulse(&self, now: Instant) -> Instant {
         let due = match self.core {
+            CoreStream::Up if self.redirect.is_some() => self.redirected_from(),
             CoreStream::Up if self.router.is_some() => (self.last_renewed + self.pause(now))
                 .min(self.last_heard + SILENCE_LIMIT)
                 .min(self.last_granted + GRANT_LIMIT)
@@ -215,8 +225,11 @@
             return;
         }
         let mut addresses: Vec<String> = self.view.members.iter().map(|member| member.address.clone()).collect();
-        addresses.extend(self.seeds.iter().cloned());
-        addresses.dedup();
+        for seed in &self.seeds {
+            if !addresses.contains(seed) {
+                addresses.push(seed.clone());
+            }
+        }
         if addresses.iter().any(|address| is_wanted(address)) {
             addresses.retain(|address| is_wanted(address));
         }
@@ -232,6 +245,7 @@
         self.next_dial = now + DIAL_SPAN;
         self.core = CoreStream::Dialling { since: now };
         self.behind_since = None;
+        self.redirect = None;
         self.target = address.clone();
         self.plan.push(SubscriptionEffect::Dial(address));
     }
@@ -244,6 +258,7 @@
                 self.renew_span = Span(span.0 / RENEWALS).min(LONGEST_RENEWAL);
                 self.said_since = self.said_since.max(sent);
                 self.behind_since = None;
+                self.redirect = None;
                 let asked_for_this_life = self.router.as_ref().is_some_and(|router| router.life == life);
                 if asked_for_this_life {
                     self.lease_until = self.lease_until.max(sent + span);
@@ -303,11 +318,19 @@
             .and_then(|tail| self.view.member(tail))
             .map(|member| member.address.clone())
             .unwrap_or_default();
-        let is_hasty = now + DIAL_SPAN < self.next_dial + REDIRECT_SPAN;
-        if tail_address.is_empty() || tail_address == self.target || is_hasty {
-            return;
+        if tail_address.is_empty() || tail_address == self.target {
+            self.redirect = None;
+        } else if now < self.redirected_from() {
+            self.redirect = Some(tail_address);
+        } else {
+            self.dial(tail_address, now);
         }
-        self.dial(tail_address, now);
+    }
+
+    /// From when on the keeper dialled last is believed that another is the tail: two that name each other must
+    /// not be dialled without a pause.
+    fn redirected_from(&self) -> Instant {
+        Instant(self.next_dial.0.saturating_sub(DIAL_SPAN.0)) + REDIRECT_SPAN
     }
 }
 
--- a/crates/subscription/tests/leaving.rs
+++ b/crates/subscription/tests/leaving.rs
@@ -123,3 +123,62 @@
         }
     }
 }
+
+#[test]
+fn a_tail_named_in_the_first_answer_is_dialled_within_a_tenth_of_a_second() {
+    for spread in 0..12 {
+        let mut subscription = on_tail(spread);
+        let other = dialled_after_no_grant(&mut subscription);
+        let up = at(5000);
+        subscription.step(SubscriptionInput::CoreDown, at(4500));
+        let target = (4500..5000)
+            .step_by(10)
+            .find_map(|now| dialled(subscription.step(SubscriptionInput::Pulse, at(now))))
+            .unwrap_or(other);
+        subscription.step(SubscriptionInput::CoreUp, up);
+        if target == address(TAIL) {
+            continue;
+        }
+        let named = SubscriptionInput::Core(NodeDown::Membership(view()));
+        let mut first = dialled(subscription.step(named, up + Span::millis(2)));
+        for waited in (2..100).step_by(2) {
+            first = first.or_else(|| dialled(subscription.step(SubscriptionInput::Pulse, up + Span::millis(waited))));
+        }
+        assert_eq!(first, Some(address(TAIL)), "spread {spread}");
+    }
+}
+
+#[test]
+fn a_redirect_is_forgotten_once_the_keeper_grants() {
+    let mut subscription = Subscription::new(vec![address(0), address(1)], 0);
+    let first = dialled(subscription.step(SubscriptionInput::Pulse, at(0)));
+    assert_eq!(first, Some(address(0)));
+    subscription.step(SubscriptionInput::CoreUp, at(1));
+    subscription.step(SubscriptionInput::RouterUp, at(1));
+    let named = SubscriptionInput::Core(NodeDown::Membership(view()));
+    assert_eq!(dialled(subscription.step(named, at(3))), None, "it was dialled just now");
+    let granted = NodeDown::Granted { sent: at(3), span: Span::seconds(6), life: 1, undisturbed: Span::seconds(60) };
+    subscription.step(SubscriptionInput::Core(granted), at(4));
+    for now in 5..500 {
+        assert_eq!(dialled(subscription.step(SubscriptionInput::Pulse, at(now))), None);
+    }
+}
+
+#[test]
+fn a_seed_that_is_a_member_takes_one_place_in_the_turn() {
+    for spread in 0..12 {
+        let mut subscription = on_tail(spread);
+        subscription.step(SubscriptionInput::CoreDown, at(500));
+        let mut turn = Vec::new();
+        for now in (500..8000).step_by(10) {
+            if let Some(address) = dialled(subscription.step(SubscriptionInput::Pulse, at(now))) {
+                turn.push(address);
+                subscription.step(SubscriptionInput::CoreDown, at(now));
+            }
+        }
+        for window in turn.windows(KEEPERS as usize) {
+            let distinct: BTreeSet<&String> = window.iter().collect();
+            assert_eq!(distinct.len(), KEEPERS as usize, "spread {spread}: {window:?}");
+        }
+    }
+}
