Routers tell each other their own work; reading speed is learnt; mechanisms can be switched off

Change: with the news of kept parts a router tells those who ask it anyway what it runs itself: requests, tokens and unread tokens by engine. What is seen is multiplied for the nodes that are not heard, by a factor that follows from the share heard and the mean load (a Gamma prior); an engine's own count goes before it.

selection.rs: a test of moves states its reading speed, which is no default any more; as strict.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -20,10 +20,16 @@
 /// The idle connections, by address.
 #[derive(Default)]
 pub struct ConnectionPool {
+    keeps_none: bool,
     idle: Mutex<HashMap<String, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
+    /// A pool in which each connection is used once.
+    pub fn keeping_none() -> ConnectionPool {
+        ConnectionPool { keeps_none: true, ..ConnectionPool::default() }
+    }
+
     fn idle(&self) -> std::sync::MutexGuard<'_, HashMap<String, Vec<IdleConnection>>> {
         self.idle.lock().expect("no holder of this lock panics")
     }
@@ -51,7 +57,7 @@
 
     /// Keeps a connection whose answer ended cleanly.
     pub fn keep(&self, address: &str, connection: KeptConnection, answer: &AnswerHead, now: Instant) {
-        if answer.closes {
+        if answer.closes || self.keeps_none {
             return;
         }
         let idle_span = answer.keep_alive.map_or(USUAL_IDLE, |span| Span(span.0 / 2)).min(LONGEST_IDLE);
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -138,7 +138,7 @@
                 while let Ok(news) = self.ask(&mut connection, question).await {
                     faults = 0;
                     question = RelayQuestion { life: news.life, since: news.next };
-                    self.table.tell(TableCommand::Relayed { news, arrived: boot_now() });
+                    self.table.tell(TableCommand::Relayed { router: self.router, news, arrived: boot_now() });
                     tokio::time::sleep(RELAY_SPACING).await;
                 }
             }
--- a/crates/gateway/src/prelude.rs
+++ b/crates/gateway/src/prelude.rs
@@ -7,6 +7,7 @@
 pub use crate::followers::*;
 pub use crate::front::*;
 pub use crate::gate::*;
+pub use crate::mechanism::*;
 pub use crate::ownership::*;
 pub use crate::process::*;
 pub use crate::protocol::*;
@@ -28,8 +29,8 @@
 pub(crate) use router::prelude::{CoreLine, FeedPlan, SharedState, keep_feed};
 pub(crate) use routes::prelude::{NamedRoute, Variant};
 pub use selection::prelude::{
-    Band, Candidate, Chosen, FaultKind, FollowOutcome, Selection, SelectionRequest, SelectionSettings, Selector,
-    StorePlace, store_source,
+    Band, Candidate, Chosen, FaultKind, FollowOutcome, OwnWork, Selection, SelectionRequest, SelectionSettings,
+    Selector, StorePlace, store_source,
 };
 pub(crate) use serde::{Deserialize, Serialize};
 pub(crate) use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -20,6 +20,8 @@
     /// How long the process may go on in all after it was told to stop.
     pub drain_span: Span,
     pub protocol: Arc<dyn Protocol>,
+    /// Mechanisms that are switched off, for trials alone.
+    pub disabled: Disabled,
 }
 
 /// Told to stop, a gateway drains.
@@ -44,7 +46,8 @@
         false => Arc::default(),
     };
     shared.publish(FleetSight { old_weights_span, disturbed, ..FleetSight::default() });
-    let (table, changes) = start_table(node, plan.zone.clone(), Arc::clone(&shared), plan.retry_bounds);
+    let (table, changes) =
+        start_table(node, plan.zone.clone(), Arc::clone(&shared), plan.retry_bounds, plan.disabled.clone());
     let bounds = Arc::new(CallerBounds::default());
     keep_feed(FeedPlan {
         agent_address: plan.agent_address.clone(),
@@ -64,8 +67,14 @@
         .build()
         .map_err(|fault| miette!("no runtime: {fault}"))?;
     event!(info, "started", id = node, address = address);
+    for mechanism in &plan.disabled {
+        event!(warn, "mechanism_disabled", mechanism = mechanism);
+    }
     runtime.block_on(async move {
-        let pool = Arc::new(ConnectionPool::default());
+        let pool = match plan.disabled.contains(&Mechanism::KeptConnections) {
+            true => Arc::new(ConnectionPool::keeping_none()),
+            false => Arc::new(ConnectionPool::default()),
+        };
         if let Some(readiness) = plan.readiness {
             let listener = bind(readiness).map_err(|fault| miette!("readiness: {readiness}: {fault}"))?;
             let ready_page = plan.protocol.ready_page();
--- a/crates/gateway/src/relay/notes.rs
+++ b/crates/gateway/src/relay/notes.rs
@@ -8,7 +8,13 @@
     pub(super) fn note_read(&self, seat: &mut EngineSeat, weights: WeightsEdition) {
         let parts = self.planned.named_parts(&self.shared.sight(), weights);
         let unread_tokens = seat.begin_answer();
-        self.table.tell(TableCommand::Sent { engine: seat.engine.clone(), parts, unread_tokens });
+        self.table.tell(TableCommand::Sent {
+            engine: seat.engine.clone(),
+            parts,
+            unread_tokens,
+            service: self.planned.service.clone(),
+            waited: seat.age(),
+        });
     }
 
     /// An attempt failed at an engine, which is not tried again for this request.
--- a/crates/gateway/src/relay_log.rs
+++ b/crates/gateway/src/relay_log.rs
@@ -25,6 +25,16 @@
     pub parts: Vec<(u64, u64)>,
 }
 
+/// What a router itself runs on one engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedWork {
+    pub engine: EngineName,
+    /// Requests, their tokens, and the tokens that are yet to be read for them.
+    pub requests: u64,
+    pub tokens: u64,
+    pub unread_tokens: u64,
+}
+
 /// What a router answers.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayNews {
@@ -33,6 +43,8 @@
     pub sources: Vec<RelayedSource>,
     /// Loads that engines told the router, and how long ago.
     pub loads: Vec<(EngineName, EngineLoad, Span)>,
+    /// All that the router itself runs now.
+    pub work: Vec<RelayedWork>,
 }
 
 #[derive(Clone, Debug)]
@@ -121,6 +133,6 @@
             };
             sources.push(RelayedSource { source: source.clone(), age: age(source), is_list, parts });
         }
-        RelayNews { life: self.life, next: self.next(), sources, loads: Vec::new() }
+        RelayNews { life: self.life, next: self.next(), sources, loads: Vec::new(), work: Vec::new() }
     }
 }
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -56,6 +56,9 @@
         engine: EngineName,
         parts: Vec<(PartName, u64)>,
         unread_tokens: Option<u64>,
+        /// The engine's service, and how long after it was sent the answer began.
+        service: ServiceName,
+        waited: Span,
     },
     Load {
         engine: EngineName,
@@ -96,6 +99,7 @@
     },
     /// Another router answered; `arrived` is when.
     Relayed {
+        router: NodeId,
         news: RelayNews,
         arrived: Instant,
     },
@@ -146,11 +150,17 @@
     tokens: u64,
     /// What the engine has to read, until the answer begins.
     unread_tokens: Option<u64>,
+    began: Instant,
 }
 
 impl EngineSeat {
     pub fn new(table: &TableHandle, engine: EngineName, tokens: u64, unread_tokens: u64) -> EngineSeat {
-        EngineSeat { table: table.clone(), engine, tokens, unread_tokens: Some(unread_tokens) }
+        EngineSeat { table: table.clone(), engine, tokens, unread_tokens: Some(unread_tokens), began: boot_now() }
+    }
+
+    /// How long ago the engine was chosen.
+    pub fn age(&self) -> Span {
+        boot_now().since(self.began)
     }
 
     /// The answer begins; what had to be read for it, the first time.
@@ -172,6 +182,7 @@
     zone: Zone,
     shared: Arc<SharedState>,
     bounds: RetryBounds,
+    disabled: Disabled,
 ) -> (TableHandle, tokio::sync::watch::Receiver<u64>) {
     let (queue, commands) = ring::<TableCommand>(TABLE_PLACES);
     let (changes, changes_seen) = tokio::sync::watch::channel(0);
@@ -185,15 +196,18 @@
             trouble_cost: TROUBLE_COST,
             crowd_factor: Some(CROWD_FACTOR),
             crowd_base: CROWD_BASE,
+            looks_per_engine: None,
             ..SelectionSettings::default()
         };
-        let selector = Selector::with_settings(node, zone, settings);
+        let selector = Selector::with_settings(node, zone, without(&disabled, settings));
         let mut table = Table {
             selector,
             budgets: HashMap::new(),
             bounds,
+            disabled,
             shared,
             log: RelayLog::new(Incarnation::random().0),
+            selections: 0,
             read_here: BTreeSet::new(),
             loads: BTreeMap::new(),
             changes,
@@ -209,8 +223,11 @@
     selector: Selector,
     budgets: HashMap<ServiceName, RetryBudget>,
     bounds: RetryBounds,
+    disabled: Disabled,
     shared: Arc<SharedState>,
     log: RelayLog,
+    /// How often an engine was asked for.
+    selections: u64,
     read_here: BTreeSet<EngineName>,
     /// What engines told this router itself of their load.
     loads: BTreeMap<EngineName, (EngineLoad, Instant)>,
@@ -230,9 +247,10 @@
                 }
             }
             TableCommand::End { engine, tokens, unread_tokens } => self.end(&engine, tokens, unread_tokens),
-            TableCommand::Sent { engine, parts, unread_tokens } => {
+            TableCommand::Sent { engine, parts, unread_tokens, service, waited } => {
                 if let Some(unread_tokens) = unread_tokens {
                     self.selector.end_reading(&engine, unread_tokens);
+                    self.selector.note_read(&service, unread_tokens, waited);
                 }
                 self.selector.note_success(&engine, now);
                 self.selector.note_sent(&engine, &parts, now);
@@ -269,7 +287,7 @@
                 let has_news = is_final || self.log.has_news(&question);
                 let _ = reply.send(has_news.then(|| self.relay(&question, now)));
             }
-            TableCommand::Relayed { news, arrived } => self.take_relayed(news, arrived),
+            TableCommand::Relayed { router, news, arrived } => self.take_relayed(router, news, arrived),
         }
     }
 
@@ -290,10 +308,23 @@
         let mut news = self.log.answer(question, &self.read_here, list, age);
         let fresh_loads = self.loads.iter().filter(|(_, (_, told))| now.since(*told) < LOAD_AGE);
         news.loads = fresh_loads.map(|(engine, (load, told))| (engine.clone(), *load, now.since(*told))).collect();
+        let relayed = |(engine, work): (EngineName, OwnWork)| RelayedWork {
+            engine,
+            requests: work.requests,
+            tokens: work.tokens,
+            unread_tokens: work.unread_tokens,
+        };
+        news.work = self.selector.own_work().into_iter().map(relayed).collect();
         news
     }
 
-    fn take_relayed(&mut self, news: RelayNews, arrived: Instant) {
+    fn take_relayed(&mut self, router: NodeId, news: RelayNews, arrived: Instant) {
+        let told = news.work.into_iter().map(|RelayedWork { engine, requests, tokens, unread_tokens }| {
+            (engine, OwnWork { requests, tokens, unread_tokens })
+        });
+        if !self.disabled.contains(&Mechanism::PeerWork) {
+            self.selector.note_peer(router, told.collect(), arrived);
+        }
         for (engine, EngineLoad { running, waiting, slots }, age) in news.loads {
             let load = selection::prelude::EngineLoad { running, waiting, slots };
             self.selector.note_load(&engine, load, Instant(arrived.0.saturating_sub(age.0)));
@@ -314,7 +345,10 @@
 
     fn follow_fleet(&mut self) {
         let sight = self.shared.sight();
-        let stores = stores(&sight.state.desired);
+        let stores = match self.disabled.contains(&Mechanism::Store) {
+            true => BTreeMap::new(),
+            false => stores(&sight.state.desired),
+        };
         let mut named: BTreeSet<EngineName> = sight.state.listing.engines.keys().cloned().collect();
         named.extend(stores.keys().map(store_source));
         self.selector.keep_only(&named);
@@ -327,13 +361,18 @@
         let sight = self.shared.sight();
         let planned = &request.planned;
         let candidates = candidates(&sight, &planned.service, planned.head.model.as_ref(), now);
-        let selection_request = planned.selection(&sight, &candidates, &request.tried);
+        self.selections += 1;
+        let mut selection_request = planned.selection(&sight, &candidates, &request.tried, self.selections);
+        if self.disabled.contains(&Mechanism::ZonePenalty) {
+            selection_request.zone_penalty_blocks = 0.0;
+        }
         let tenant = planned.tenant.as_ref().map(|(tenant, _)| tenant.clone()).unwrap_or_default();
         let has_policy = sight.state.desired.policies.contains_key(DEFAULT_POLICY);
         let weigh = |band| match has_policy {
             true => sight.default_table.weight(&tenant, planned.route.name.as_str(), band),
             false => USUAL_OVERLAP_WEIGHT,
         };
+        self.selector.tend_peers(self.shared.router_count() as u64, now);
         let chosen = match self.selector.select(&candidates, &selection_request, weigh, now) {
             Selection::Refused { retry_after } => return Selected::Refused { retry_after },
             Selection::Chosen(chosen) => chosen,
--- a/crates/selection/src/bearing.rs
+++ b/crates/selection/src/bearing.rs
@@ -35,7 +35,7 @@
     known: &Known,
     request: &SelectionRequest,
     crowd: u64,
-    average_tokens: u64,
+    others: &OwnWork,
     now: Instant,
 ) -> Result<Bearing, Span> {
     if request.prompt_tokens > candidate.cache_tokens {
@@ -47,9 +47,8 @@
     let told_slots = known.told_slots(now).unwrap_or(u64::MAX);
     let listed_slots = if candidate.slots == 0 { told_slots } else { candidate.slots };
     let slots = if listed_slots == u64::MAX { 1 } else { listed_slots.min(told_slots) };
-    let load = known.own_requests.saturating_add(known.others(now));
-    let others_tokens = u128::from(known.others(now)) * u128::from(average_tokens);
-    let has_memory = u128::from(known.own_tokens) + others_tokens + u128::from(request.tokens())
+    let load = known.own_requests.saturating_add(others.requests);
+    let has_memory = u128::from(known.own_tokens) + u128::from(others.tokens) + u128::from(request.tokens())
         <= u128::from(candidate.cache_tokens) * MEMORY_PERCENT / 100;
     let is_full = load >= slots || !has_memory;
     let own_bound = slots.saturating_add(slots / 2);
--- a/crates/selection/src/fetch.rs
+++ b/crates/selection/src/fetch.rs
@@ -140,7 +140,7 @@
             return None;
         }
         let move_millis = self.move_millis(place, request, candidate, gain);
-        let read_millis = gain as f64 / self.settings.tokens_per_ms;
+        let read_millis = gain as f64 / self.tokens_per_ms(&candidate.service);
         if move_millis >= read_millis * self.settings.fetch_most_share {
             return None;
         }
--- a/crates/selection/src/known.rs
+++ b/crates/selection/src/known.rs
@@ -78,9 +78,9 @@
         self.others = Some(OthersLoad { requests, waiting, slots: load.slots, told: now });
     }
 
-    /// Requests of others: those it told of, less our own of that time.
-    pub fn others(&self, now: Instant) -> u64 {
-        self.fresh_load(now).map_or(0, |others| others.requests)
+    /// Requests of others, if it told of them lately: less our own of that time.
+    pub fn others(&self, now: Instant) -> Option<u64> {
+        self.fresh_load(now).map(|others| others.requests)
     }
 
     /// Requests of others that waited, and how long ago.
--- a/crates/selection/src/lib.rs
+++ b/crates/selection/src/lib.rs
@@ -8,5 +8,6 @@
 mod bearing;
 mod fetch;
 mod known;
+mod peers;
 mod request;
 mod selector;
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -5,6 +5,8 @@
 /// How much of an engine's average request counts for each new one.
 const AVERAGE_SHARE: f64 = 0.05;
 const FIRST_AVERAGE_TOKENS: f64 = 512.0;
+/// Of two engines drawn by lot the better is far better than any one.
+const LEAST_LOTS: usize = 2;
 
 /// What may be set for a whole node.
 #[derive(Clone, Debug, PartialEq)]
@@ -13,8 +15,8 @@
     pub events_late: Span,
     /// The bound of the node's own history for each engine.
     pub sent_parts: usize,
-    /// How fast an engine reads a prompt.
-    pub tokens_per_ms: f64,
+    /// How fast engines read prompts, for trials; learnt from their answers if it is not stated.
+    pub tokens_per_ms: Option<f64>,
     /// What a fetch takes besides moving the bytes.
     pub fetch_setup_ms: f64,
     /// What fetching kept tokens costs, as a share of reading them: blocks that come from elsewhere need not
@@ -34,6 +36,9 @@
     /// fewer; no such bound if there is no factor.
     pub crowd_factor: Option<f64>,
     pub crowd_base: u64,
+    /// How often all nodes together look at each engine when they choose, besides those that keep the prompt;
+    /// every node looks at all if this is not stated.
+    pub looks_per_engine: Option<f64>,
 }
 
 impl Default for SelectionSettings {
@@ -41,7 +46,7 @@
         SelectionSettings {
             events_late: Span::seconds(2),
             sent_parts: 4096,
-            tokens_per_ms: 112.0,
+            tokens_per_ms: None,
             fetch_setup_ms: 2.0,
             fetch_share: 1.0,
             home_share: 0.0,
@@ -51,6 +56,7 @@
             trouble_cost: 0.0,
             crowd_factor: None,
             crowd_base: 0,
+            looks_per_engine: None,
         }
     }
 }
@@ -64,7 +70,11 @@
     sent: SentParts,
     pub(crate) known: BTreeMap<EngineName, Known>,
     pub(crate) stores: BTreeMap<ServiceName, StorePlace>,
+    reading: BTreeMap<ServiceName, ReadingSpeed>,
     next_index: u32,
+    peers: PeerReports,
+    /// All nodes, this one included, as far as is known.
+    node_count: u64,
     average_tokens: f64,
     /// What an engine has to read of the average request.
     average_unread: f64,
@@ -95,7 +105,10 @@
             settings,
             known: BTreeMap::new(),
             stores: BTreeMap::new(),
+            reading: BTreeMap::new(),
             next_index: 0,
+            peers: PeerReports::default(),
+            node_count: 1,
             average_tokens: FIRST_AVERAGE_TOKENS,
             average_unread: FIRST_AVERAGE_TOKENS,
         }
@@ -121,10 +134,12 @@
         let unknown = Known::default();
         let known_of = |candidate: &Candidate| self.known.get(&candidate.engine).unwrap_or(&unknown);
         let crowd = self.crowd(candidates, now);
+        let peer_factor = self.seen_factor(candidates);
         let mut passing = Vec::new();
         let mut refusals = Vec::new();
         for candidate in candidates.iter().filter(|candidate| !request.tried.contains(&candidate.engine)) {
-            match bearing_of(candidate, known_of(candidate), request, crowd, self.average_tokens as u64, now) {
+            let others = self.others(candidate, known_of(candidate), peer_factor, now);
+            match bearing_of(candidate, known_of(candidate), request, crowd, &others, now) {
                 Ok(bearing) => passing.push((candidate, bearing)),
                 Err(span) => refusals.push(span),
             }
@@ -136,14 +151,19 @@
         let nothing_held = Holdings::default();
         let held_on = |weights: WeightsEdition| holdings.get(&weights).unwrap_or(&nothing_held);
         let home = self.home(&passing, request);
-        passing
+        let scores: Vec<Score<'_>> = passing
             .into_iter()
             .filter(|(_, bearing)| *bearing == best)
             .map(|(candidate, bearing)| {
                 let held = held_on(candidate.weights);
                 let is_home = home == Some(&candidate.engine);
-                self.score(candidate, known_of(candidate), bearing, request, held, is_home, &weigh, now)
+                let known = known_of(candidate);
+                let others = self.others(candidate, known, peer_factor, now);
+                self.score(candidate, known, &others, bearing, request, held, is_home, &weigh, now)
             })
+            .collect();
+        self.drawn(scores, request, home)
+            .into_iter()
             .min_by(|left, right| {
                 left.cost.total_cmp(&right.cost).then_with(|| {
                     let spread = |score: &Score<'_>| self.spread(request, &score.candidate.engine);
@@ -171,12 +191,57 @@
             })
     }
 
+    /// The scores among which the lowest cost decides: those of the engines that keep the most of the prompt, of
+    /// the prompt's home, and of some drawn by lot. Loads are known as they were a moment ago, and alike to many
+    /// nodes; if all of them took the engine that was least loaded then, it would be the most loaded now.
+    fn drawn<'a>(
+        &self,
+        mut scores: Vec<Score<'a>>,
+        request: &SelectionRequest,
+        home: Option<&EngineName>,
+    ) -> Vec<Score<'a>> {
+        let lots = self.lots(scores.len());
+        if lots >= scores.len() {
+            return scores;
+        }
+        let lot = |score: &Score<'a>| {
+            stable_hash(&[
+                &request.lot.to_le_bytes(),
+                &self.node.0.to_le_bytes(),
+                score.candidate.engine.as_str().as_bytes(),
+            ])
+        };
+        scores.sort_by_cached_key(lot);
+        let most_kept = scores.iter().map(|score| score.kept).max().unwrap_or(0);
+        let mut keeping = 0;
+        let mut place = 0;
+        scores.retain(|score| {
+            place += 1;
+            let keeps_most = most_kept > 0 && score.kept == most_kept;
+            keeping += usize::from(keeps_most);
+            place <= lots || (keeps_most && keeping <= lots) || home == Some(&score.candidate.engine)
+        });
+        scores
+    }
+
+    /// How many engines are drawn: all nodes together look at each engine a few times, and none at fewer than
+    /// two. A node that is alone looks at all.
+    fn lots(&self, engines: usize) -> usize {
+        let Some(looks) = self.settings.looks_per_engine else { return engines };
+        let share = looks * engines as f64 / self.node_count.max(1) as f64;
+        (share.ceil() as usize).max(LEAST_LOTS)
+    }
+
     /// How many requests make an engine crowded: a multiple of what the candidates have on average. However
     /// much of a prompt an engine keeps, it gets no more than that while others have room.
     fn crowd(&self, candidates: &[Candidate], now: Instant) -> u64 {
         let Some(factor) = self.settings.crowd_factor else { return u64::MAX };
-        let loads = candidates.iter().filter_map(|candidate| self.known.get(&candidate.engine));
-        let total: u64 = loads.map(|known| known.own_requests.saturating_add(known.others(now))).sum();
+        let peer_factor = self.seen_factor(candidates);
+        let requests_at = |candidate: &Candidate| {
+            let Some(known) = self.known.get(&candidate.engine) else { return 0 };
+            known.own_requests.saturating_add(self.others(candidate, known, peer_factor, now).requests)
+        };
+        let total: u64 = candidates.iter().map(requests_at).sum();
         let average = total as f64 / candidates.len().max(1) as f64;
         (average * factor) as u64 + self.settings.crowd_base
     }
@@ -193,6 +258,7 @@
         &self,
         candidate: &'a Candidate,
         known: &Known,
+        others: &OwnWork,
         bearing: Bearing,
         request: &SelectionRequest,
         held: &Holdings,
@@ -209,10 +275,9 @@
         let kept = kept.min(request.prompt_tokens);
         let block_tokens = request.block_tokens.max(1);
         let lacking = self.lacking_tokens(request, candidate, kept, held, is_home);
-        let ahead = self.unread_ahead(known, now);
+        let ahead = self.unread_ahead(known, others);
         let prefill_blocks = BlockCount(lacking.saturating_add(ahead).div_ceil(block_tokens));
-        let others_tokens = (known.others(now) as f64 * self.average_tokens) as u64;
-        let decode_blocks = BlockCount(known.own_tokens.saturating_add(others_tokens).div_ceil(block_tokens));
+        let decode_blocks = BlockCount(known.own_tokens.saturating_add(others.tokens).div_ceil(block_tokens));
         let zone_blocks = if candidate.zone == self.zone { 0.0 } else { request.zone_penalty_blocks };
         let trouble = known.trouble(now) * self.settings.trouble_cost;
         let cost = cost(weigh(Band::of(decode_blocks)), prefill_blocks, decode_blocks) + zone_blocks + trouble;
@@ -238,16 +303,68 @@
         cheapest.saturating_sub((unknown_shared as f64 * self.settings.home_share) as u64)
     }
 
-    /// Tokens of prompts that the engine has yet to read before it comes to a new one. What others wait for
-    /// is known as it was told; since then the engine has gone on reading.
-    fn unread_ahead(&self, known: &Known, now: Instant) -> u64 {
-        if self.settings.unread_share == 0.0 {
-            return 0;
+    /// Tokens of prompts that the engine has yet to read before it comes to a new one.
+    fn unread_ahead(&self, known: &Known, others: &OwnWork) -> u64 {
+        let unread = known.unread_tokens.saturating_add(others.unread_tokens);
+        (unread as f64 * self.settings.unread_share) as u64
+    }
+
+    /// What the other nodes run on an engine: by the engine's own count if it told one lately, or else by what
+    /// the other nodes tell.
+    fn others(&self, candidate: &Candidate, known: &Known, peer_factor: f64, now: Instant) -> OwnWork {
+        let estimated = self.peers.estimate(&candidate.engine, peer_factor);
+        let Some(requests) = known.others(now) else { return estimated };
+        let waiting_tokens = self.told_unread(known, &candidate.service, now);
+        OwnWork {
+            requests,
+            tokens: (requests as f64 * self.average_tokens) as u64,
+            unread_tokens: estimated.unread_tokens.max(waiting_tokens),
         }
+    }
+
+    /// Tokens that an engine has yet to read for others, as it told by the number of those that wait; since then
+    /// it has gone on reading.
+    fn told_unread(&self, known: &Known, service: &ServiceName, now: Instant) -> u64 {
         let (others_waiting, age) = known.others_waiting(now);
-        let read_since = age.0 as f64 / 1e6 * self.settings.tokens_per_ms;
-        let others = (others_waiting as f64 * self.average_unread - read_since).max(0.0);
-        ((known.unread_tokens as f64 + others) * self.settings.unread_share) as u64
+        let read_since = age.0 as f64 / 1e6 * self.tokens_per_ms(service);
+        (others_waiting as f64 * self.average_unread - read_since).max(0.0) as u64
+    }
+
+    /// By how much the work that peers tell of is multiplied for that of all other nodes.
+    pub fn seen_factor(&self, candidates: &[Candidate]) -> f64 {
+        self.peers.factor(self.node_count.saturating_sub(1), candidates.len() as u64)
+    }
+
+    /// Another node told of all its own work, as it stood at an instant.
+    pub fn note_peer(&mut self, peer: NodeId, work: Vec<(EngineName, OwnWork)>, at: Instant) {
+        self.peers.note(peer, work, at);
+    }
+
+    /// Drops what is too old to be known; there are so many nodes.
+    pub fn tend_peers(&mut self, node_count: u64, now: Instant) {
+        self.node_count = node_count;
+        self.peers.forget_old(now);
+    }
+
+    /// This node's own work on the engines, as other nodes are told it.
+    pub fn own_work(&self) -> Vec<(EngineName, OwnWork)> {
+        let at_work = self.known.iter().filter(|(_, known)| known.own_requests > 0);
+        let told = at_work.map(|(engine, known)| {
+            let Known { own_requests: requests, own_tokens: tokens, unread_tokens, .. } = *known;
+            (engine.clone(), OwnWork { requests, tokens, unread_tokens })
+        });
+        told.collect()
+    }
+
+    /// How fast the engines of a service read prompts.
+    pub fn tokens_per_ms(&self, service: &ServiceName) -> f64 {
+        let learnt = || self.reading.get(service).cloned().unwrap_or_default().tokens_per_ms();
+        self.settings.tokens_per_ms.unwrap_or_else(learnt)
+    }
+
+    /// An engine of the service had so much to read, and its first event came after so long.
+    pub fn note_read(&mut self, service: &ServiceName, read_tokens: u64, waited: Span) {
+        self.reading.entry(service.clone()).or_default().observe(read_tokens, waited);
     }
 
     /// The order among equals, another on every node, so that nodes do not all choose alike.
--- a/crates/selection/tests/selection.rs
+++ b/crates/selection/tests/selection.rs
@@ -37,6 +37,7 @@
         priority: 0,
         block_tokens: 16,
         tie: 7,
+        lot: 7,
         zone_penalty_blocks: 0.0,
         token_bytes: 18_432,
         link_mbps: 370_000.0,
@@ -299,7 +300,8 @@
 
 /// "near" is idle; "keeper" keeps the most and is far too busy.
 fn fetching() -> (Selector, Vec<Candidate>) {
-    let mut selector = selector();
+    let settings = SelectionSettings { tokens_per_ms: Some(112.0), ..SelectionSettings::default() };
+    let mut selector = Selector::with_settings(NodeId(1), "a".into(), settings);
     keep(&mut selector, "near", &[]);
     keep(&mut selector, "keeper", &[("p", 4000), ("q", 1000)]);
     selector.begin(&"keeper".into(), 80_000);
@@ -570,7 +572,7 @@
         fetch_share: 0.15,
         fetch_least_tokens: 16,
         fetch_most_share: 1.0,
-        tokens_per_ms: 100.0,
+        tokens_per_ms: Some(100.0),
         ..SelectionSettings::default()
     }
 }
@@ -621,7 +623,7 @@
 
 #[test]
 fn what_others_wait_for_counts_and_is_read_as_time_passes() {
-    let settings = SelectionSettings { unread_share: 1.0, tokens_per_ms: 10.0, ..SelectionSettings::default() };
+    let settings = SelectionSettings { unread_share: 1.0, tokens_per_ms: Some(10.0), ..SelectionSettings::default() };
     let mut selector = Selector::with_settings(NodeId(1), "a".into(), settings);
     let listed = candidates(&["keeping", "idle"]);
     let asked = request(&[("p", 1600)]);
