selection: the choice in a module of its own; engines drawn by lot taken out again

Refactored: select and score took up to ten things at once; passing, weighing and score are types now, and the choice stands apart from what is learnt. Same choices (selection's tests).

Failed trial, taken out: lots. Cause that was expected: with old news all nodes take what was least loaded a moment ago. A node looked at the engines that keep the prompt, its home, and a few drawn by lot (2 looks for each engine by all nodes together).

--- a/crates/gateway/src/relay_log.rs
+++ b/crates/gateway/src/relay_log.rs
@@ -44,6 +44,7 @@
     /// Loads that engines told the router, and how long ago.
     pub loads: Vec<(EngineName, EngineLoad, Span)>,
     /// All that the router itself runs now.
+    #[serde(default)]
     pub work: Vec<RelayedWork>,
 }
 
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -196,7 +196,6 @@
             trouble_cost: TROUBLE_COST,
             crowd_factor: Some(CROWD_FACTOR),
             crowd_base: CROWD_BASE,
-            looks_per_engine: None,
             ..SelectionSettings::default()
         };
         let selector = Selector::with_settings(node, zone, without(&disabled, settings));
@@ -207,7 +206,6 @@
             disabled,
             shared,
             log: RelayLog::new(Incarnation::random().0),
-            selections: 0,
             read_here: BTreeSet::new(),
             loads: BTreeMap::new(),
             changes,
@@ -226,8 +224,6 @@
     disabled: Disabled,
     shared: Arc<SharedState>,
     log: RelayLog,
-    /// How often an engine was asked for.
-    selections: u64,
     read_here: BTreeSet<EngineName>,
     /// What engines told this router itself of their load.
     loads: BTreeMap<EngineName, (EngineLoad, Instant)>,
@@ -361,8 +357,7 @@
         let sight = self.shared.sight();
         let planned = &request.planned;
         let candidates = candidates(&sight, &planned.service, planned.head.model.as_ref(), now);
-        self.selections += 1;
-        let mut selection_request = planned.selection(&sight, &candidates, &request.tried, self.selections);
+        let mut selection_request = planned.selection(&sight, &candidates, &request.tried);
         if self.disabled.contains(&Mechanism::ZonePenalty) {
             selection_request.zone_penalty_blocks = 0.0;
         }
--- a/crates/selection/src/lib.rs
+++ b/crates/selection/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod prelude;
 
 mod bearing;
+mod choice;
 mod fetch;
 mod known;
 mod peers;
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -1,12 +1,10 @@
-//! The selection itself, and what it learns from.
+//! What a node knows of its engines, and how it learns it. The choice itself is made in `choice`.
 
 use crate::prelude::*;
 
 /// How much of an engine's average request counts for each new one.
 const AVERAGE_SHARE: f64 = 0.05;
 const FIRST_AVERAGE_TOKENS: f64 = 512.0;
-/// Of two engines drawn by lot the better is far better than any one.
-const LEAST_LOTS: usize = 2;
 
 /// What may be set for a whole node.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,9 +34,6 @@
     /// fewer; no such bound if there is no factor.
     pub crowd_factor: Option<f64>,
     pub crowd_base: u64,
-    /// How often all nodes together look at each engine when they choose, besides those that keep the prompt;
-    /// every node looks at all if this is not stated.
-    pub looks_per_engine: Option<f64>,
 }
 
 impl Default for SelectionSettings {
@@ -56,39 +51,27 @@
             trouble_cost: 0.0,
             crowd_factor: None,
             crowd_base: 0,
-            looks_per_engine: None,
         }
     }
 }
 
 #[derive(Debug)]
 pub struct Selector {
-    node: NodeId,
-    zone: Zone,
+    pub(crate) node: NodeId,
+    pub(crate) zone: Zone,
     pub(crate) settings: SelectionSettings,
     pub(crate) index: PartIndex,
-    sent: SentParts,
+    pub(crate) sent: SentParts,
     pub(crate) known: BTreeMap<EngineName, Known>,
     pub(crate) stores: BTreeMap<ServiceName, StorePlace>,
     reading: BTreeMap<ServiceName, ReadingSpeed>,
     next_index: u32,
-    peers: PeerReports,
+    pub(crate) peers: PeerReports,
     /// All nodes, this one included, as far as is known.
-    node_count: u64,
-    average_tokens: f64,
+    pub(crate) node_count: u64,
+    pub(crate) average_tokens: f64,
     /// What an engine has to read of the average request.
-    average_unread: f64,
-}
-
-/// A passing candidate's cost, with what went into it.
-struct Score<'a> {
-    candidate: &'a Candidate,
-    bearing: Bearing,
-    kept: u64,
-    prefill_blocks: BlockCount,
-    decode_blocks: BlockCount,
-    cost: f64,
-    by_events: bool,
+    pub(crate) average_unread: f64,
 }
 
 impl Selector {
@@ -122,219 +105,6 @@
         self.known.get_mut(engine).expect("it was put in above")
     }
 
-    /// The lowest-cost engine among those that pass. Those with a place free go before those whose queue
-    /// takes it, and these before those that rest after a fault.
-    pub fn select(
-        &self,
-        candidates: &[Candidate],
-        request: &SelectionRequest,
-        weigh: impl Fn(Band) -> f64,
-        now: Instant,
-    ) -> Selection {
-        let unknown = Known::default();
-        let known_of = |candidate: &Candidate| self.known.get(&candidate.engine).unwrap_or(&unknown);
-        let crowd = self.crowd(candidates, now);
-        let peer_factor = self.seen_factor(candidates);
-        let mut passing = Vec::new();
-        let mut refusals = Vec::new();
-        for candidate in candidates.iter().filter(|candidate| !request.tried.contains(&candidate.engine)) {
-            let others = self.others(candidate, known_of(candidate), peer_factor, now);
-            match bearing_of(candidate, known_of(candidate), request, crowd, &others, now) {
-                Ok(bearing) => passing.push((candidate, bearing)),
-                Err(span) => refusals.push(span),
-            }
-        }
-        let Some(best) = passing.iter().map(|(_, bearing)| *bearing).min() else {
-            return Selection::Refused { retry_after: retry_after(refusals.into_iter(), request.priority) };
-        };
-        let holdings = self.holdings(candidates, request, now);
-        let nothing_held = Holdings::default();
-        let held_on = |weights: WeightsEdition| holdings.get(&weights).unwrap_or(&nothing_held);
-        let home = self.home(&passing, request);
-        let scores: Vec<Score<'_>> = passing
-            .into_iter()
-            .filter(|(_, bearing)| *bearing == best)
-            .map(|(candidate, bearing)| {
-                let held = held_on(candidate.weights);
-                let is_home = home == Some(&candidate.engine);
-                let known = known_of(candidate);
-                let others = self.others(candidate, known, peer_factor, now);
-                self.score(candidate, known, &others, bearing, request, held, is_home, &weigh, now)
-            })
-            .collect();
-        self.drawn(scores, request, home)
-            .into_iter()
-            .min_by(|left, right| {
-                left.cost.total_cmp(&right.cost).then_with(|| {
-                    let spread = |score: &Score<'_>| self.spread(request, &score.candidate.engine);
-                    spread(left).cmp(&spread(right))
-                })
-            })
-            .map_or(Selection::Refused { retry_after: retry_after(std::iter::empty(), request.priority) }, |score| {
-                let held = held_on(score.candidate.weights);
-                let fetch = self.fetch_source(held, request, score.candidate, score.kept);
-                let fetched = fetch.as_ref().map_or(0, |fetch| fetch.tokens);
-                let sink = self.sink(request, score.candidate, score.kept + fetched, now);
-                Selection::Chosen(Chosen {
-                    engine: score.candidate.engine.clone(),
-                    address: score.candidate.address.clone(),
-                    weights: score.candidate.weights,
-                    prefill_blocks: score.prefill_blocks,
-                    decode_blocks: score.decode_blocks,
-                    unread_tokens: request.prompt_tokens.saturating_sub(score.kept + fetched),
-                    cost: score.cost,
-                    by_events: score.by_events,
-                    is_queued: matches!(score.bearing, Bearing::Queued(_)),
-                    fetch,
-                    sink,
-                })
-            })
-    }
-
-    /// The scores among which the lowest cost decides: those of the engines that keep the most of the prompt, of
-    /// the prompt's home, and of some drawn by lot. Loads are known as they were a moment ago, and alike to many
-    /// nodes; if all of them took the engine that was least loaded then, it would be the most loaded now.
-    fn drawn<'a>(
-        &self,
-        mut scores: Vec<Score<'a>>,
-        request: &SelectionRequest,
-        home: Option<&EngineName>,
-    ) -> Vec<Score<'a>> {
-        let lots = self.lots(scores.len());
-        if lots >= scores.len() {
-            return scores;
-        }
-        let lot = |score: &Score<'a>| {
-            stable_hash(&[
-                &request.lot.to_le_bytes(),
-                &self.node.0.to_le_bytes(),
-                score.candidate.engine.as_str().as_bytes(),
-            ])
-        };
-        scores.sort_by_cached_key(lot);
-        let most_kept = scores.iter().map(|score| score.kept).max().unwrap_or(0);
-        let mut keeping = 0;
-        let mut place = 0;
-        scores.retain(|score| {
-            place += 1;
-            let keeps_most = most_kept > 0 && score.kept == most_kept;
-            keeping += usize::from(keeps_most);
-            place <= lots || (keeps_most && keeping <= lots) || home == Some(&score.candidate.engine)
-        });
-        scores
-    }
-
-    /// How many engines are drawn: all nodes together look at each engine a few times, and none at fewer than
-    /// two. A node that is alone looks at all.
-    fn lots(&self, engines: usize) -> usize {
-        let Some(looks) = self.settings.looks_per_engine else { return engines };
-        let share = looks * engines as f64 / self.node_count.max(1) as f64;
-        (share.ceil() as usize).max(LEAST_LOTS)
-    }
-
-    /// How many requests make an engine crowded: a multiple of what the candidates have on average. However
-    /// much of a prompt an engine keeps, it gets no more than that while others have room.
-    fn crowd(&self, candidates: &[Candidate], now: Instant) -> u64 {
-        let Some(factor) = self.settings.crowd_factor else { return u64::MAX };
-        let peer_factor = self.seen_factor(candidates);
-        let requests_at = |candidate: &Candidate| {
-            let Some(known) = self.known.get(&candidate.engine) else { return 0 };
-            known.own_requests.saturating_add(self.others(candidate, known, peer_factor, now).requests)
-        };
-        let total: u64 = candidates.iter().map(requests_at).sum();
-        let average = total as f64 / candidates.len().max(1) as f64;
-        (average * factor) as u64 + self.settings.crowd_base
-    }
-
-    /// The engine at which all nodes expect a prompt's shared parts that nobody is known to keep yet: by a
-    /// hash of the parts and the engine alone, so that nodes that do not know of each other agree.
-    fn home<'a>(&self, passing: &[(&'a Candidate, Bearing)], request: &SelectionRequest) -> Option<&'a EngineName> {
-        let rank = |engine: &EngineName| stable_hash(&[&request.tie.to_le_bytes(), engine.as_str().as_bytes()]);
-        passing.iter().map(|(candidate, _)| &candidate.engine).max_by_key(|engine| rank(engine))
-    }
-
-    #[allow(clippy::too_many_arguments)]
-    fn score<'a>(
-        &self,
-        candidate: &'a Candidate,
-        known: &Known,
-        others: &OwnWork,
-        bearing: Bearing,
-        request: &SelectionRequest,
-        held: &Holdings,
-        is_home: bool,
-        weigh: impl Fn(Band) -> f64,
-        now: Instant,
-    ) -> Score<'a> {
-        let parts = request.parts(candidate.weights);
-        let by_events = !known.events_are_late(self.settings.events_late, now);
-        let kept = match by_events {
-            true => self.index.kept_tokens(known.index, parts),
-            false => self.sent.kept_tokens(known.index, parts),
-        };
-        let kept = kept.min(request.prompt_tokens);
-        let block_tokens = request.block_tokens.max(1);
-        let lacking = self.lacking_tokens(request, candidate, kept, held, is_home);
-        let ahead = self.unread_ahead(known, others);
-        let prefill_blocks = BlockCount(lacking.saturating_add(ahead).div_ceil(block_tokens));
-        let decode_blocks = BlockCount(known.own_tokens.saturating_add(others.tokens).div_ceil(block_tokens));
-        let zone_blocks = if candidate.zone == self.zone { 0.0 } else { request.zone_penalty_blocks };
-        let trouble = known.trouble(now) * self.settings.trouble_cost;
-        let cost = cost(weigh(Band::of(decode_blocks)), prefill_blocks, decode_blocks) + zone_blocks + trouble;
-        Score { candidate, bearing, kept, prefill_blocks, decode_blocks, cost, by_events }
-    }
-
-    /// Tokens that the engine would have to read. What another source keeps may be fetched for less; what
-    /// nobody is known to keep may be on its way to the prompt's home.
-    fn lacking_tokens(
-        &self,
-        request: &SelectionRequest,
-        candidate: &Candidate,
-        kept: u64,
-        held: &Holdings,
-        is_home: bool,
-    ) -> u64 {
-        let cheapest = self.cheapest_tokens(held, request, candidate, kept);
-        if !is_home {
-            return cheapest;
-        }
-        let shared: u64 = request.parts(candidate.weights).iter().rev().skip(1).map(|(_, tokens)| *tokens).sum();
-        let unknown_shared = shared.saturating_sub(held.best_kept().max(kept));
-        cheapest.saturating_sub((unknown_shared as f64 * self.settings.home_share) as u64)
-    }
-
-    /// Tokens of prompts that the engine has yet to read before it comes to a new one.
-    fn unread_ahead(&self, known: &Known, others: &OwnWork) -> u64 {
-        let unread = known.unread_tokens.saturating_add(others.unread_tokens);
-        (unread as f64 * self.settings.unread_share) as u64
-    }
-
-    /// What the other nodes run on an engine: by the engine's own count if it told one lately, or else by what
-    /// the other nodes tell.
-    fn others(&self, candidate: &Candidate, known: &Known, peer_factor: f64, now: Instant) -> OwnWork {
-        let estimated = self.peers.estimate(&candidate.engine, peer_factor);
-        let Some(requests) = known.others(now) else { return estimated };
-        let waiting_tokens = self.told_unread(known, &candidate.service, now);
-        OwnWork {
-            requests,
-            tokens: (requests as f64 * self.average_tokens) as u64,
-            unread_tokens: estimated.unread_tokens.max(waiting_tokens),
-        }
-    }
-
-    /// Tokens that an engine has yet to read for others, as it told by the number of those that wait; since then
-    /// it has gone on reading.
-    fn told_unread(&self, known: &Known, service: &ServiceName, now: Instant) -> u64 {
-        let (others_waiting, age) = known.others_waiting(now);
-        let read_since = age.0 as f64 / 1e6 * self.tokens_per_ms(service);
-        (others_waiting as f64 * self.average_unread - read_since).max(0.0) as u64
-    }
-
-    /// By how much the work that peers tell of is multiplied for that of all other nodes.
-    pub fn seen_factor(&self, candidates: &[Candidate]) -> f64 {
-        self.peers.factor(self.node_count.saturating_sub(1), candidates.len() as u64)
-    }
-
     /// Another node told of all its own work, as it stood at an instant.
     pub fn note_peer(&mut self, peer: NodeId, work: Vec<(EngineName, OwnWork)>, at: Instant) {
         self.peers.note(peer, work, at);
@@ -367,11 +137,6 @@
         self.reading.entry(service.clone()).or_default().observe(read_tokens, waited);
     }
 
-    /// The order among equals, another on every node, so that nodes do not all choose alike.
-    pub(crate) fn spread(&self, request: &SelectionRequest, engine: &EngineName) -> u64 {
-        stable_hash(&[&request.tie.to_le_bytes(), &self.node.0.to_le_bytes(), engine.as_str().as_bytes()])
-    }
-
     /// A request goes to the engine; tokens are those of prompt and output.
     pub fn begin(&mut self, engine: &EngineName, tokens: u64) {
         self.average_tokens += (tokens as f64 - self.average_tokens) * AVERAGE_SHARE;
