--- a/crates/gateway/src/mechanism.rs
+++ b/crates/gateway/src/mechanism.rs
@@ -23,6 +23,8 @@
     FaultCost,
     /// Engines of other zones cost more.
     ZonePenalty,
+    /// Engines are drawn by lot where many nodes choose on the same news.
+    Lots,
     /// Other routers' own work counts in an engine's load.
     PeerWork,
     /// How fast engines read is learnt.
@@ -58,6 +60,7 @@
             Mechanism::Crowding => settings.crowd_factor = None,
             Mechanism::UnreadAhead => settings.unread_share = 0.0,
             Mechanism::FaultCost => settings.trouble_cost = 0.0,
+            Mechanism::Lots => settings.looks_per_engine = None,
             Mechanism::ReadingSpeed => settings.tokens_per_ms = Some(FIXED_TOKENS_PER_MS),
             Mechanism::Store | Mechanism::ZonePenalty | Mechanism::PeerWork | Mechanism::KeptConnections => {}
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -66,8 +66,14 @@
         shared.fold(PartName::of(&salt.0, "").0, |prefix, part| PartName::of(&prefix.to_string(), &part.id).0)
     }
 
-    /// What the selection is asked.
-    pub fn selection(&self, sight: &FleetSight, candidates: &[Candidate], tried: &[EngineName]) -> SelectionRequest {
+    /// What the selection is asked; `lot` differs for each question.
+    pub fn selection(
+        &self,
+        sight: &FleetSight,
+        candidates: &[Candidate],
+        tried: &[EngineName],
+        lot: u64,
+    ) -> SelectionRequest {
         let editions: BTreeSet<WeightsEdition> = candidates.iter().map(|candidate| candidate.weights).collect();
         let service = sight.state.desired.services.get(&self.service).cloned().unwrap_or_default();
         SelectionRequest {
@@ -78,6 +84,7 @@
             priority: self.priority(sight),
             block_tokens: BLOCK_TOKENS,
             tie: self.shared_prefix(sight, editions.last().copied()),
+            lot,
             zone_penalty_blocks: ZONE_PENALTY_BLOCKS,
             token_bytes: service.token_bytes,
             link_mbps: service.link_mbps,
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -13,6 +13,8 @@
 /// An engine is crowded with so many times the average of requests, and a few more.
 const CROWD_FACTOR: f64 = 3.0;
 const CROWD_BASE: u64 = 6;
+/// How often all routers together look at each engine when they choose: docs/decisions.md, "Lots".
+const LOOKS_PER_ENGINE: f64 = 2.0;
 /// How old a load may be that is told to other routers.
 const LOAD_AGE: Span = Span::millis(1500);
 /// What each of its latest failures adds to an engine's cost: as much as reading some 4000 tokens.
@@ -196,6 +198,7 @@
             trouble_cost: TROUBLE_COST,
             crowd_factor: Some(CROWD_FACTOR),
             crowd_base: CROWD_BASE,
+            looks_per_engine: Some(LOOKS_PER_ENGINE),
             ..SelectionSettings::default()
         };
         let selector = Selector::with_settings(node, zone, without(&disabled, settings));
@@ -206,6 +209,7 @@
             disabled,
             shared,
             log: RelayLog::new(Incarnation::random().0),
+            selections: 0,
             read_here: BTreeSet::new(),
             loads: BTreeMap::new(),
             changes,
@@ -224,6 +228,8 @@
     disabled: Disabled,
     shared: Arc<SharedState>,
     log: RelayLog,
+    /// How often an engine was asked for.
+    selections: u64,
     read_here: BTreeSet<EngineName>,
     /// What engines told this router itself of their load.
     loads: BTreeMap<EngineName, (EngineLoad, Instant)>,
@@ -357,7 +363,8 @@
         let sight = self.shared.sight();
         let planned = &request.planned;
         let candidates = candidates(&sight, &planned.service, planned.head.model.as_ref(), now);
-        let mut selection_request = planned.selection(&sight, &candidates, &request.tried);
+        self.selections += 1;
+        let mut selection_request = planned.selection(&sight, &candidates, &request.tried, self.selections);
         if self.disabled.contains(&Mechanism::ZonePenalty) {
             selection_request.zone_penalty_blocks = 0.0;
         }
--- a/crates/selection/src/choice.rs
+++ b/crates/selection/src/choice.rs
@@ -3,6 +3,9 @@
 
 use crate::prelude::*;
 
+/// Of two engines drawn by lot the better is far better than any one.
+const LEAST_LOTS: usize = 2;
+
 /// A candidate that can take the request, with what is known of it.
 struct Passing<'a> {
     candidate: &'a Candidate,
@@ -63,9 +66,11 @@
         };
         let best = passing.iter().map(|passing| passing.bearing).min();
         let scores = passing.iter().filter(|passing| Some(passing.bearing) == best);
-        let scores = scores.map(|passing| self.score(passing, &weighing, &weigh));
+        let scores = scores.map(|passing| self.score(passing, &weighing, &weigh)).collect();
         let spread = |score: &Score<'_>| self.spread(request, &score.candidate.engine);
-        let lowest = scores
+        let lowest = self
+            .drawn(scores, &weighing)
+            .into_iter()
             .min_by(|left, right| left.cost.total_cmp(&right.cost).then_with(|| spread(left).cmp(&spread(right))));
         match lowest {
             Some(score) => Selection::Chosen(self.chosen(&score, &weighing)),
@@ -107,6 +112,37 @@
         }
     }
 
+    /// The scores among which the lowest cost decides: those of the engines that keep the most of the prompt, of
+    /// the prompt's home, and of some drawn by lot. Loads are known as they were a moment ago, and alike to many
+    /// nodes; if all of them took the engine that was least loaded then, it would be the most loaded now.
+    fn drawn<'a>(&self, mut scores: Vec<Score<'a>>, weighing: &Weighing<'_>) -> Vec<Score<'a>> {
+        let lots = self.lots(scores.len());
+        if lots >= scores.len() {
+            return scores;
+        }
+        let lot = weighing.request.lot.to_le_bytes();
+        let node = self.node.0.to_le_bytes();
+        scores.sort_by_cached_key(|score| stable_hash(&[&lot, &node, score.candidate.engine.as_str().as_bytes()]));
+        let most_kept = scores.iter().map(|score| score.kept).max().unwrap_or(0);
+        let (mut place, mut keeping) = (0, 0);
+        scores.retain(|score| {
+            let keeps_most = most_kept > 0 && score.kept == most_kept;
+            place += 1;
+            keeping += usize::from(keeps_most);
+            let is_home = weighing.home.as_ref() == Some(&score.candidate.engine);
+            place <= lots || (keeps_most && keeping <= lots) || is_home
+        });
+        scores
+    }
+
+    /// How many engines are drawn: all nodes together look at each engine a few times, and none at fewer than
+    /// two. A node that is alone looks at all.
+    fn lots(&self, engines: usize) -> usize {
+        let Some(looks) = self.settings.looks_per_engine else { return engines };
+        let share = looks * engines as f64 / self.node_count.max(1) as f64;
+        (share.ceil() as usize).max(LEAST_LOTS)
+    }
+
     /// How many requests make an engine crowded: a multiple of what the candidates have on average. However
     /// much of a prompt an engine keeps, it gets no more than that while others have room.
     fn crowd(&self, requests: impl ExactSizeIterator<Item = u64>) -> u64 {
--- a/crates/selection/src/request.rs
+++ b/crates/selection/src/request.rs
@@ -31,6 +31,8 @@
     pub block_tokens: u64,
     /// By which equal costs are spread: the same for requests that share a prefix.
     pub tie: u64,
+    /// By which engines are drawn by lot: another for each request.
+    pub lot: u64,
     /// Added to the cost of an engine in another zone than the node's.
     pub zone_penalty_blocks: f64,
     /// Bytes moved for a token of a kept part.
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -34,6 +34,9 @@
     /// fewer; no such bound if there is no factor.
     pub crowd_factor: Option<f64>,
     pub crowd_base: u64,
+    /// How often all nodes together look at each engine when they choose, besides those that keep the prompt;
+    /// every node looks at all if this is not stated.
+    pub looks_per_engine: Option<f64>,
 }
 
 impl Default for SelectionSettings {
@@ -51,6 +54,7 @@
             trouble_cost: 0.0,
             crowd_factor: None,
             crowd_base: 0,
+            looks_per_engine: None,
         }
     }
 }
--- a/crates/selection/tests/peers.rs
+++ b/crates/selection/tests/peers.rs
@@ -32,6 +32,7 @@
         priority: 0,
         block_tokens: 16,
         tie,
+        lot: tie,
         zone_penalty_blocks: 0.0,
         token_bytes: 1,
         link_mbps: 1000.0,
@@ -159,3 +160,45 @@
     let [estimated, as_seen, by_share] = errors;
     assert!(estimated < as_seen && estimated < by_share, "{estimated} {as_seen} {by_share}");
 }
+
+/// With lots, many nodes that choose on the same news of a moment ago spread over the engines; without, all take
+/// the engine that was least loaded then.
+#[test]
+fn nodes_that_choose_on_the_same_old_news_do_not_pile_up() {
+    const NODES: u64 = 90;
+    const ENGINES: u64 = 60;
+    let most_at_one = |looks_per_engine: Option<f64>, seed: u64| {
+        let mut counts = std::collections::BTreeMap::<String, u64>::new();
+        for node in 1..=NODES {
+            let settings = SelectionSettings { looks_per_engine, unread_share: 1.0, ..SelectionSettings::default() };
+            let mut selector = Selector::with_settings(NodeId(node), "a".into(), settings);
+            selector.tend_peers(NODES, NOW);
+            for number in 0..ENGINES {
+                let running = if number == seed { 0 } else { 1 + (number * 7 + seed) % 9 };
+                let load = EngineLoad { running, waiting: 0, slots: 64 };
+                selector.note_load(&EngineName(format!("e{number}")), load, NOW);
+            }
+            *counts.entry(chosen(&selector, &candidates(ENGINES), seed * NODES + node)).or_default() += 1;
+        }
+        counts.values().max().copied().unwrap_or(0)
+    };
+    for seed in 0..20 {
+        let (all, drawn) = (most_at_one(None, seed), most_at_one(Some(2.0), seed));
+        assert!(drawn <= 16, "seed {seed}: {drawn} of {NODES} at one engine");
+        assert_eq!(all, NODES, "seed {seed}: without lots");
+    }
+}
+
+#[test]
+fn a_node_that_is_alone_looks_at_all_engines() {
+    for seed in 0..SEEDS {
+        let settings =
+            SelectionSettings { looks_per_engine: Some(2.0), unread_share: 1.0, ..SelectionSettings::default() };
+        let mut selector = Selector::with_settings(NodeId(1), "a".into(), settings);
+        selector.tend_peers(1, NOW);
+        for number in 0..40 {
+            selector.begin(&EngineName(format!("e{number}")), if number == 23 { 100 } else { 5000 });
+        }
+        assert_eq!(chosen(&selector, &candidates(40), seed), "e23", "seed {seed}");
+    }
+}
--- a/crates/selection/tests/selection.rs
+++ b/crates/selection/tests/selection.rs
@@ -37,6 +37,7 @@
         priority: 0,
         block_tokens: 16,
         tie: 7,
+        lot: 7,
         zone_penalty_blocks: 0.0,
         token_bytes: 18_432,
         link_mbps: 370_000.0,
