A node that others are granted leases without stops before it is out of date

Cause: a change is acknowledged once a silent node has been waited for, while that node's lease runs on (4.3 s of 6.5 s; 13 s of 15 s where strict_revoke is false), so a node that starves alone served an old configuration beyond apply_ms (class of docs/incidents/few-routers-read-for-all.md).

Change: a router without a new grant goes on on its own word for the wait plus apply_ms less 1 s, then only while other routers know of no newer grant (lease::GrantWatch, gateway::GrantInquiry). Wire format 7.

Ruled out: a shorter lease (ends service in each outage), going by whether a keeper is reached (the incident's routers reached nobody).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod followers;
 mod front;
 mod gate;
+mod grant_news;
 mod mechanism;
 mod ownership;
 mod process;
--- a/crates/gateway/src/prelude.rs
+++ b/crates/gateway/src/prelude.rs
@@ -7,6 +7,7 @@
 pub use crate::followers::*;
 pub use crate::front::*;
 pub use crate::gate::*;
+pub use crate::grant_news::*;
 pub use crate::mechanism::*;
 pub use crate::ownership::*;
 pub use crate::process::*;
@@ -26,7 +27,8 @@
 pub(crate) use process::prelude::{Report, event, miette, sha256_hex};
 pub(crate) use queues::prelude::*;
 pub use router::prelude::RouterAddress;
-pub(crate) use router::prelude::{CoreLine, FeedPlan, SharedState, keep_feed};
+pub use router::prelude::Timing;
+pub(crate) use router::prelude::{CoreLine, FeedPlan, GrantNews, SharedState, keep_feed};
 pub(crate) use routes::prelude::{NamedRoute, Variant};
 pub use selection::prelude::{
     Band, Candidate, Chosen, FaultKind, FollowOutcome, OwnWork, Selection, SelectionRequest, SelectionSettings,
@@ -41,6 +43,7 @@
 pub use units::prelude::*;
 pub(crate) use web::prelude::{
     Asked, BodyExt, BodyFault, CallerBounds, Incoming, KeptConnection, OpenConnections, OutcomeFuture, PieceSender,
-    Response, Site, WebOutcome, WebOutcomeExt, bind, outcome_bytes, outcome_pieces, read_whole, serve, serve_within,
+    Question, Response, Site, WebOutcome, WebOutcomeExt, ask_whole, bind, outcome_bytes, outcome_pieces, read_whole,
+    serve, serve_within,
 };
 pub use web::prelude::{Bytes, Full, HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -10,15 +10,11 @@
     pub relay: Option<std::net::SocketAddr>,
     pub agent_address: String,
     pub zone: Zone,
-    /// How long old weights may be used after newer ones were committed.
-    pub old_weights_span: Span,
+    /// All waits: of leases, of old weights, of a router that is told to stop.
+    pub timing: Timing,
     /// Whether that span is counted from the last disturbance of the core, where that came later.
     pub counts_undisturbed_time: bool,
     pub retry_bounds: RetryBounds,
-    /// How long the process goes on taking requests after it was told to stop.
-    pub intake_span: Span,
-    /// How long the process may go on in all after it was told to stop.
-    pub drain_span: Span,
     pub protocol: Arc<dyn Protocol>,
     /// Mechanisms that are switched off, for trials alone.
     pub disabled: Disabled,
@@ -39,8 +35,8 @@
     let node = NodeId::random();
     let callers = bind(plan.callers).map_err(|fault| miette!("callers: {}: {fault}", plan.callers))?;
     let address = callers.local_addr().map_err(|fault| miette!("callers: {fault}"))?;
-    let shared = Arc::new(SharedState::default());
-    let old_weights_span = OldWeightsSpan(plan.old_weights_span);
+    let shared = Arc::new(SharedState::under(plan.timing));
+    let old_weights_span = OldWeightsSpan(plan.timing.old_weights_span);
     let disturbed = match plan.counts_undisturbed_time {
         true => shared.count_undisturbed_time(),
         false => Arc::default(),
@@ -82,7 +78,11 @@
         }
         if let Some(relay) = plan.relay {
             let listener = bind(relay).map_err(|fault| miette!("relay: {relay}: {fault}"))?;
-            tokio::spawn(serve(listener, Arc::new(RelaySite { table: table.clone(), changes })));
+            tokio::spawn(GrantInquiry { node, shared: Arc::clone(&shared) }.keep());
+            tokio::spawn(serve(
+                listener,
+                Arc::new(RelaySite { table: table.clone(), changes, shared: Arc::clone(&shared) }),
+            ));
         }
         let front = Arc::new(Front {
             shared: Arc::clone(&shared),
@@ -128,9 +128,9 @@
 ) {
     const LOOK_EVERY: Duration = Duration::from_millis(20);
     shared.draining.store(true, Ordering::SeqCst);
-    let end = boot_now() + plan.drain_span;
+    let end = boot_now() + plan.timing.drain_span;
     event!(info, "draining", running = shared.counts.running.load(Ordering::SeqCst));
-    tokio::time::sleep(plan.intake_span.min(plan.drain_span).as_duration()).await;
+    tokio::time::sleep(plan.timing.intake_span.min(plan.timing.drain_span).as_duration()).await;
     serving.abort();
     connections.close();
     let is_busy = || shared.counts.running.load(Ordering::SeqCst) > 0 || connections.count() > 0;
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -54,6 +54,8 @@
         }
         let lease_left = self.shared.lease_left(boot_now()).as_millis();
         text.push_str(&format!("haremount_gateway_lease_left_ms {lease_left}\n"));
+        let is_passed_over = u8::from(self.shared.watch_grants(|grants| grants.is_passed_over()));
+        text.push_str(&format!("haremount_gateway_passed_over {is_passed_over}\n"));
         outcome_bytes(StatusCode::OK, "text/plain; version=0.0.4", text)
     }
 }
--- a/crates/gateway/src/relay_site.rs
+++ b/crates/gateway/src/relay_site.rs
@@ -1,4 +1,5 @@
-//! The page on which other routers ask for news of the sources read here, held until there is some.
+//! The pages on which other routers ask: for news of the sources read here, held until there is some, and for
+//! when a lease was granted last.
 
 use crate::prelude::*;
 
@@ -11,11 +12,15 @@
     pub table: TableHandle,
     /// Counts the changes of the log.
     pub changes: tokio::sync::watch::Receiver<u64>,
+    pub shared: Arc<SharedState>,
 }
 
 impl Site for RelaySite {
     fn outcome(self: Arc<Self>, mut asked: Asked) -> OutcomeFuture {
         Box::pin(async move {
+            if asked.uri.path() == GRANT_PAGE {
+                return self.grant_news();
+            }
             let body = asked.read_body(MOST_QUESTION_BYTES).await.unwrap_or_default();
             let question = rmp_serde::from_slice::<RelayQuestion>(&body);
             let (RELAY_PAGE, Ok(question)) = (asked.uri.path(), question) else {
@@ -30,6 +35,12 @@
 }
 
 impl RelaySite {
+    fn grant_news(&self) -> WebOutcome {
+        let news = self.shared.watch_grants(|grants| grants.news(boot_now()));
+        let bytes = rmp_serde::to_vec(&news).unwrap_or_default();
+        outcome_bytes(StatusCode::OK, "application/octet-stream", bytes)
+    }
+
     async fn answer(&self, question: RelayQuestion) -> Option<RelayNews> {
         let mut changes = self.changes.clone();
         changes.borrow_and_update();
--- a/crates/lease/src/prelude.rs
+++ b/crates/lease/src/prelude.rs
@@ -1,9 +1,12 @@
 //! The one import of this package's files.
 
+pub use crate::grant_watch::*;
 pub use crate::held::*;
 pub use crate::nodes::*;
 pub use crate::read::*;
+pub(crate) use serde::{Deserialize, Serialize};
 pub(crate) use std::collections::BTreeMap;
+pub(crate) use timing::prelude::PEER_ANSWER_LIMIT;
 pub use timing::prelude::{LEASE_MARGIN, Timing};
 pub(crate) use units::prelude::*;
 
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -108,8 +108,8 @@
                 self.plan.core_line.settle(ticket, outcome);
             }
             LinkEvent::Said(_, RouterDown::Routers(routers)) => self.plan.shared.know_routers(routers),
-            LinkEvent::Said(_, RouterDown::Lease { until, disturbed }) => {
-                self.plan.shared.extend_lease(until);
+            LinkEvent::Said(_, RouterDown::Lease { asked, until, disturbed }) => {
+                self.plan.shared.renew_lease(asked, until);
                 self.plan.shared.note_disturbed(disturbed);
             }
             LinkEvent::Said(_, RouterDown::Snapshot { state, gave_way }) => {
--- a/crates/router/src/shared_state.rs
+++ b/crates/router/src/shared_state.rs
@@ -11,7 +11,9 @@
 pub struct SharedState {
     news: tokio::sync::watch::Sender<u64>,
     sight: RwLock<Arc<FleetSight>>,
+    /// The end of the lease as the watch tells it, for those who only look at it.
     lease_until: AtomicU64,
+    grants: Mutex<GrantWatch>,
     pub draining: AtomicBool,
     pub counts: Counts,
     routers: Mutex<RouterRoster>,
@@ -66,6 +68,11 @@
 }
 
 impl SharedState {
+    /// The state of a router that has heard of nothing yet.
+    pub fn under(timing: Timing) -> SharedState {
+        SharedState { grants: Mutex::new(GrantWatch::new(timing)), ..SharedState::default() }
+    }
+
     pub fn sight(&self) -> Arc<FleetSight> {
         Arc::clone(&self.sight.read().expect("no holder of this lock panics"))
     }
@@ -133,8 +140,17 @@
         self.routers().iter().find(|listed| listed.router == router).map(|listed| listed.address.clone())
     }
 
-    pub fn extend_lease(&self, until: Instant) {
-        self.lease_until.fetch_max(until.0, Ordering::SeqCst);
+    /// A renewal sent at `asked` was granted.
+    pub fn renew_lease(&self, asked: Instant, until: Instant) {
+        self.watch_grants(|grants| grants.renew(asked, until));
+    }
+
+    /// Looks at the watch over grants, or tells it something; the end of the lease follows.
+    pub fn watch_grants<T>(&self, look: impl FnOnce(&mut GrantWatch) -> T) -> T {
+        let mut grants = self.grants.lock().expect("no holder of this lock panics");
+        let told = look(&mut grants);
+        self.lease_until.fetch_max(grants.until().0, Ordering::SeqCst);
+        told
     }
 
     /// From now on old weights are given up by undisturbed time alone.
--- a/crates/subscription/src/machine.rs
+++ b/crates/subscription/src/machine.rs
@@ -2,10 +2,6 @@
 
 use crate::prelude::*;
 
-/// A lease is renewed so many times over its span, and no more seldom than this: a tail that is lost must
-/// be noticed by its silence.
-const RENEWALS: u64 = 5;
-const LONGEST_RENEWAL: Span = Span::millis(600);
 const USUAL_RENEWAL: Span = Span::millis(400);
 const SHORTEST_PAUSE: Span = Span::millis(20);
 const EAGER_SPAN: Span = Span::millis(100);
@@ -255,7 +251,7 @@
             NodeDown::Membership(view) => self.hear_membership(view, now),
             NodeDown::Granted { sent, span, life, undisturbed } => {
                 self.last_granted = now;
-                self.renew_span = Span(span.0 / RENEWALS).min(LONGEST_RENEWAL);
+                self.renew_span = renewal_span(span);
                 self.said_since = self.said_since.max(sent);
                 self.behind_since = None;
                 self.redirect = None;
@@ -263,8 +259,8 @@
                 if asked_for_this_life {
                     self.lease_until = self.lease_until.max(sent + span);
                     let disturbed = self.when(undisturbed);
-                    self.plan
-                        .push(SubscriptionEffect::SayRouter(RouterDown::Lease { until: sent + span, disturbed }));
+                    let lease = RouterDown::Lease { asked: sent, until: sent + span, disturbed };
+                    self.plan.push(SubscriptionEffect::SayRouter(lease));
                 }
             }
             NodeDown::NotNow => {}
--- a/crates/subscription/src/messages.rs
+++ b/crates/subscription/src/messages.rs
@@ -44,6 +44,8 @@
     },
     /// The lease, and when the core was last disturbed: never later than it was.
     Lease {
+        /// When the renewal that was granted left here.
+        asked: Instant,
         /// Until when the router may start anything.
         until: Instant,
         /// When the core was last disturbed.
--- a/crates/timing/src/derive.rs
+++ b/crates/timing/src/derive.rs
@@ -16,7 +16,16 @@
 /// Where withdrawn keys bind no machine that is out of touch: the lease, and how long a silent node is
 /// waited for.
 const EASY_LEASE: Span = Span::seconds(15);
-const EASY_WAIT: Span = Span::millis(1000);
+const EASY_WAIT: Span = Span::millis(2000);
+/// A lease is renewed so many times over its span, and no more seldom than the longest pause: a tail that is
+/// lost must be noticed by its silence.
+const RENEWALS: u64 = 5;
+const LONGEST_RENEWAL: Span = Span::millis(600);
+/// An answer of another node that took longer than this says nothing about the present.
+pub const PEER_ANSWER_LIMIT: Span = Span::millis(200);
+/// Of the bound on changes in force, what a node without a new grant leaves unused: its last requests are still
+/// on their way.
+const APPLY_MARGIN: Span = Span::millis(1000);
 const DUTY_LEASE: Span = Span::millis(1000);
 /// Between the orders of two holders, besides the bound: an order on its way.
 const ORDER_MARGIN: Span = Span::millis(300);
@@ -37,6 +46,10 @@
     pub node_lease: Span,
     /// A change counts as in force once each leased node has applied it or has at most this left.
     pub revoke_slack: Span,
+    /// How long a node may start requests after a renewal on nobody's word but its own.
+    pub unconfirmed_span: Span,
+    /// A node is passed over if another one was granted a lease so much later than it was.
+    pub passed_over_span: Span,
     /// How long a duty's holder may act after a renewal.
     pub duty_lease: Span,
     /// How long a new holder of the orders' duty waits: the one before may have been granted a lease up to
@@ -64,6 +77,11 @@
     Span(span.0.saturating_sub(taken.0))
 }
 
+/// Between two renewals of a lease of that span.
+pub fn renewal_span(lease: Span) -> Span {
+    Span(lease.0 / RENEWALS).min(LONGEST_RENEWAL)
+}
+
 /// What is taken late is given the greater part of the grace to end.
 fn intake_within(grace: Span) -> Span {
     Span(grace.0 * 2 / 5)
@@ -74,6 +92,8 @@
     pub const USUAL: Timing = Timing {
         node_lease: Span::millis(2000),
         revoke_slack: Span(0),
+        unconfirmed_span: Span::millis(2000),
+        passed_over_span: Span::millis(1500),
         duty_lease: Span::millis(2000),
         duty_gap: Span::millis(5300),
         replace_after: Span::seconds(8),
@@ -110,9 +130,12 @@
         if !faults.is_empty() {
             return Err(faults);
         }
+        let silence = less(node_lease, revoke_slack);
         Ok(Timing {
             node_lease,
             revoke_slack,
+            unconfirmed_span: node_lease.min(silence + less(bounds.apply, APPLY_MARGIN)),
+            passed_over_span: less(silence, renewal_span(node_lease) + PEER_ANSWER_LIMIT),
             duty_lease: DUTY_LEASE,
             duty_gap: DUTY_LEASE + LEASE_MARGIN + bounds.lease + ORDER_MARGIN,
             replace_after: less(bounds.catch_up, REPLACE_MARGIN).max(SOONEST_REPLACEMENT),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -3,7 +3,7 @@
 use crate::prelude::*;
 
 /// The number of this wire format; a process that speaks another is refused with both named.
-pub const FORMAT: u64 = 6;
+pub const FORMAT: u64 = 7;
 pub const MOST_FRAME_BYTES: usize = 64 << 20;
 const MAGIC: [u8; 4] = *b"HARE";
 
