An engine gets no request that the prompts waiting there would make late

Of 51 M tokens read, some 10 M were for tries given up at their deadline (1347) and 15 M shared parts read again. Each step then reads 2048 tokens beside the tokens put out, so runs last 1.6 s in place of 0.6 s, take the memory that kept parts need, and more must be read: a metastable state. Queues were bounded by slots (128), which never bind there.

Change: an engine whose waiting prompts take longer to be read than the request's target (less for the less urgent) does not pass; where none passes the request is refused at once with the time when one may take it.

Mechanism wait-bound can be switched off.

--- a/crates/gateway/src/mechanism.rs
+++ b/crates/gateway/src/mechanism.rs
@@ -19,6 +19,8 @@
     Crowding,
     /// Prompts that wait to be read at an engine count in its cost.
     UnreadAhead,
+    /// Engines get no request that the prompts waiting there would make late.
+    WaitBound,
     /// Latest failures count in an engine's cost.
     FaultCost,
     /// Engines of other zones cost more.
@@ -59,6 +61,7 @@
             Mechanism::Moves => settings.fetch_least_tokens = u64::MAX,
             Mechanism::Crowding => settings.crowd_factor = None,
             Mechanism::UnreadAhead => settings.unread_share = 0.0,
+            Mechanism::WaitBound => settings.bounds_wait = false,
             Mechanism::FaultCost => settings.trouble_cost = 0.0,
             Mechanism::Lots => settings.looks_per_engine = None,
             Mechanism::ReadingSpeed => settings.tokens_per_ms = Some(FIXED_TOKENS_PER_MS),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -82,6 +82,7 @@
             output_tokens: self.head.output_tokens,
             tried: tried.to_vec(),
             priority: self.priority(sight),
+            target: self.route.wish.target,
             block_tokens: BLOCK_TOKENS,
             tie: self.shared_prefix(sight, editions.last().copied()),
             lot,
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -195,6 +195,7 @@
             fetch_least_tokens: BLOCK_TOKENS,
             fetch_most_share: FETCH_MOST_SHARE,
             unread_share: 1.0,
+            bounds_wait: true,
             trouble_cost: TROUBLE_COST,
             crowd_factor: Some(CROWD_FACTOR),
             crowd_base: CROWD_BASE,
--- a/crates/selection/src/bearing.rs
+++ b/crates/selection/src/bearing.rs
@@ -6,9 +6,21 @@
 /// The longest queue, of the most urgent, in quarters of the slots; and the shortest.
 const LONGEST_QUEUE_QUARTERS: u64 = 6;
 const SHORTEST_QUEUE_QUARTERS: u64 = 2;
+/// When to come back to an engine at which too many prompts wait, at the soonest.
+const RETRY_WHEN_READ: Span = Span::millis(50);
 const RETRY_BASE: Span = Span::millis(200);
 const RETRY_LONGEST: Span = Span::seconds(2);
 
+/// Of prompts that wait to be read at an engine, how many milliseconds a request bears: those of its target, fewer
+/// if it is less urgent. Behind more of them it would come late, and so would all that come after it.
+pub(crate) fn longest_wait_ms(request: &SelectionRequest) -> f64 {
+    if request.target == Span(0) {
+        return f64::INFINITY;
+    }
+    let urgency = LONGEST_QUEUE_QUARTERS.saturating_sub(request.priority).max(SHORTEST_QUEUE_QUARTERS);
+    request.target.0 as f64 / 1e6 * urgency as f64 / LONGEST_QUEUE_QUARTERS as f64
+}
+
 /// How an engine passes, the best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Bearing {
@@ -65,6 +77,11 @@
     if load >= crowd { Ok(Bearing::Crowded) } else { Ok(Bearing::Free) }
 }
 
+/// When an engine may take the request at which prompts wait for so much longer than the request bears.
+pub(crate) fn retry_when_read(excess_ms: f64) -> Span {
+    Span((excess_ms.max(0.0) * 1e6) as u64).clamp(RETRY_WHEN_READ, RETRY_LONGEST)
+}
+
 /// When to come back: as soon as the first engine may take it, later for the less urgent.
 pub(crate) fn retry_after(spans: impl Iterator<Item = Span>, priority: u64) -> Span {
     let soonest = spans.min().unwrap_or(RETRY_LONGEST);
--- a/crates/selection/src/choice.rs
+++ b/crates/selection/src/choice.rs
@@ -101,7 +101,8 @@
             if request.tried.contains(&candidate.engine) {
                 continue;
             }
-            match bearing_of(candidate, known, request, crowd, &others, now) {
+            let bearing = bearing_of(candidate, known, request, crowd, &others, now);
+            match bearing.and_then(|bearing| self.in_time(bearing, candidate, known, &others, request)) {
                 Ok(bearing) => passing.push(Passing { candidate, known, others, bearing }),
                 Err(span) => refusals.push(span),
             }
@@ -112,6 +113,23 @@
         }
     }
 
+    /// Whether the prompts that wait at an engine leave the request in time, or else when they may.
+    fn in_time(
+        &self,
+        bearing: Bearing,
+        candidate: &Candidate,
+        known: &Known,
+        others: &OwnWork,
+        request: &SelectionRequest,
+    ) -> Result<Bearing, Span> {
+        if !self.settings.bounds_wait {
+            return Ok(bearing);
+        }
+        let wait_ms = self.unread_ahead(known, others) as f64 / self.tokens_per_ms(&candidate.service);
+        let excess_ms = wait_ms - longest_wait_ms(request);
+        if excess_ms > 0.0 { Err(retry_when_read(excess_ms)) } else { Ok(bearing) }
+    }
+
     /// The scores among which the lowest cost decides: those of the engines that keep the most of the prompt, of
     /// the prompt's home, and of some drawn by lot. Loads are known as they were a moment ago, and alike to many
     /// nodes; if all of them took the engine that was least loaded then, it would be the most loaded now.
--- a/crates/selection/src/request.rs
+++ b/crates/selection/src/request.rs
@@ -28,6 +28,8 @@
     /// 0 is the most urgent. It never lets a request past another engine's bounds; when refused, a less
     /// urgent one is told a later time.
     pub priority: u64,
+    /// The time within which its answer should begin; none if that is zero.
+    pub target: Span,
     pub block_tokens: u64,
     /// By which equal costs are spread: the same for requests that share a prefix.
     pub tie: u64,
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -28,6 +28,8 @@
     pub fetch_most_share: f64,
     /// How much of the prompts that wait to be read at an engine counts as prefill blocks of the next one.
     pub unread_share: f64,
+    /// Whether an engine gets no request that the prompts waiting there would make late.
+    pub bounds_wait: bool,
     /// What each of its latest failures adds to an engine's cost.
     pub trouble_cost: f64,
     /// An engine that has so many times the average of requests, and a few more, is taken only if none has
@@ -51,6 +53,7 @@
             fetch_least_tokens: FETCH_LEAST_TOKENS,
             fetch_most_share: 0.5,
             unread_share: 0.0,
+            bounds_wait: false,
             trouble_cost: 0.0,
             crowd_factor: None,
             crowd_base: 0,
--- a/crates/selection/tests/peers.rs
+++ b/crates/selection/tests/peers.rs
@@ -30,6 +30,7 @@
         output_tokens: 16,
         tried: Vec::new(),
         priority: 0,
+        target: Span(0),
         block_tokens: 16,
         tie,
         lot: tie,
--- a/crates/selection/tests/selection.rs
+++ b/crates/selection/tests/selection.rs
@@ -35,6 +35,7 @@
         output_tokens: 80,
         tried: Vec::new(),
         priority: 0,
+        target: Span(0),
         block_tokens: 16,
         tie: 7,
         lot: 7,
