--- a/crates/simulator/src/callers.rs
+++ b/crates/simulator/src/callers.rs
@@ -191,7 +191,7 @@
                 caller.line.pieces = piece.place;
                 caller.line.adapter = written(piece.adapter.as_ref());
                 if !piece.attempt.starts_with(&format!("{}.", caller.line.run)) {
-                    caller.line.wrong = format!("the answer of shot {}", piece.attempt);
+                    caller.line.wrong = format!("the answer of attempt {}", piece.attempt);
                 } else if piece.place != caller.request.tokens {
                     caller.line.wrong = format!("{} of {} pieces", piece.place, caller.request.tokens);
                 }
@@ -225,9 +225,9 @@
             line.adapter = written(piece.adapter.as_ref());
         }
         let fault = if !piece.attempt.starts_with(&format!("{}.", line.run)) {
-            Some(format!("a piece of shot {}", piece.attempt))
+            Some(format!("a piece of attempt {}", piece.attempt))
         } else if piece.attempt != line.attempt {
-            Some(format!("joins shots {} and {}", line.attempt, piece.attempt))
+            Some(format!("joins attempts {} and {}", line.attempt, piece.attempt))
         } else if written(piece.adapter.as_ref()) != line.adapter {
             Some("joins two adapters".into())
         } else if piece.place != line.pieces {
--- a/crates/testbed/src/report.rs
+++ b/crates/testbed/src/report.rs
@@ -64,7 +64,7 @@
         let counts: Vec<u64> = self.engine_starts.values().copied().collect();
         let mean = counts.iter().sum::<u64>() as f64 / counts.len().max(1) as f64;
         text.push_str(&format!(
-            "\nreused blocks: {:.1} %\nengine starts: least {} mean {mean:.1} most {}\nsecond shots: {:.2} %\n",
+            "\nreused blocks: {:.1} %\nengine starts: least {} mean {mean:.1} most {}\nfurther attempts: {:.2} %\n",
             self.reused_share * 100.0,
             counts.iter().min().unwrap_or(&0),
             counts.iter().max().unwrap_or(&0),
--- a/crates/testbed/tests/data.rs
+++ b/crates/testbed/tests/data.rs
@@ -274,7 +274,7 @@
     assert_eq!(firsts, 60);
     assert!(
         (1..=8).contains(&retries),
-        "{retries} second shots on 60 first ones; a tenth and two saved up are allowed"
+        "{retries} further attempts on 60 first ones; a tenth and two saved up are allowed"
     );
 }
 
--- a/crates/verdict/src/adapted.rs
+++ b/crates/verdict/src/adapted.rs
@@ -45,7 +45,10 @@
             Some(own) => may_run_on(own, &work.adapter, work.at),
         };
         if !is_own {
-            found.push(format!("shot {} of {tenant} ran on adapter {:?} at {}", work.attempt, work.adapter, work.at));
+            found.push(format!(
+                "attempt {} of {tenant} ran on adapter {:?} at {}",
+                work.attempt, work.adapter, work.at
+            ));
         }
     }
     for caller in record.callers.iter().filter(|caller| caller.outcome == "whole" && !caller.attempt.is_empty()) {
@@ -57,13 +60,13 @@
     for line in &record.world {
         match line {
             WorldLine::AdapterMemoryUsed { attempt, adapter, made_under, .. } => {
-                found.push(format!("shot {attempt} on adapter {adapter:?} used memory made under {made_under:?}"));
+                found.push(format!("attempt {attempt} on adapter {adapter:?} used memory made under {made_under:?}"));
             }
             WorldLine::Written { attempt, adapter, .. } => {
                 let began_on = ran_on.get(attempt.as_str()).filter(|began_on| *began_on != adapter);
                 found.extend(began_on.map(|began_on| {
                     format!(
-                        "shot {attempt} ran on {began_on:?}, but its router had {adapter:?} in force at its first byte"
+                        "attempt {attempt} ran on {began_on:?}, but its router had {adapter:?} in force at its first byte"
                     )
                 }));
             }
--- a/crates/verdict/src/answers.rs
+++ b/crates/verdict/src/answers.rs
@@ -57,7 +57,7 @@
             continue;
         }
         if !begun.contains(caller.attempt.as_str()) {
-            found.push(format!("run {}: no engine began shot {}", caller.run, caller.attempt));
+            found.push(format!("run {}: no engine began attempt {}", caller.run, caller.attempt));
         }
         let Some(end) = ends.get(caller.attempt.as_str()) else { continue };
         if caller.outcome == "whole" && !end.whole {
--- a/crates/verdict/src/memory.rs
+++ b/crates/verdict/src/memory.rs
@@ -8,13 +8,13 @@
 pub(crate) fn memory_is_of_its_weights(record: &Record) -> Vec<String> {
     let foreign_starts = record.works().filter(|start| !start.salt.starts_with(&format!("w{}.", start.weights)));
     let mut found: Vec<String> = foreign_starts
-        .map(|start| format!("shot {} ran on weights {} with salt {}", start.attempt, start.weights, start.salt))
+        .map(|start| format!("attempt {} ran on weights {} with salt {}", start.attempt, start.weights, start.salt))
         .collect();
     for line in &record.world {
         if let WorldLine::MemoryUsed { attempt, weights, made_on, .. } = line
             && weights != made_on
         {
-            found.push(format!("shot {attempt} on weights {weights} used memory made on {made_on}"));
+            found.push(format!("attempt {attempt} on weights {weights} used memory made on {made_on}"));
         }
     }
     found
@@ -70,7 +70,9 @@
         for line in &record.world {
             let WorldLine::MemoryUsed { at, attempt, tenant, made_for, .. } = line else { continue };
             if tenant != made_for && in_span(*at) && (tenant == walled || made_for == walled) {
-                found.push(format!("shot {attempt} of {tenant} used memory made for {made_for}, walled at {since}"));
+                found.push(format!(
+                    "attempt {attempt} of {tenant} used memory made for {made_for}, walled at {since}"
+                ));
             }
         }
     }
--- a/crates/verdict/src/service.rs
+++ b/crates/verdict/src/service.rs
@@ -18,14 +18,15 @@
     let first_attempts = record.attempts.saturating_sub(record.retries);
     let allowed = (first_attempts as f64 * RETRY_SHARE) as u64 + RETRY_FLOAT;
     if record.retries > allowed {
-        found.push(format!("{} second shots on {first_attempts} first ones", record.retries));
+        found.push(format!("{} further attempts on {first_attempts} first ones", record.retries));
     }
     for (window, (attempts, retries, router_count)) in retry_windows(record) {
         let first_attempts = attempts.saturating_sub(retries);
         let allowed = (first_attempts as f64 * RETRY_SHARE) as u64 + RETRY_FLOAT_OF_ROUTER * router_count;
         if retries > allowed {
             let from = window * RETRY_WINDOW_MS;
-            found.push(format!("{retries} second shots on {first_attempts} first ones in the window from {from}"));
+            found
+                .push(format!("{retries} further attempts on {first_attempts} first ones in the window from {from}"));
         }
     }
     found
--- a/crates/verdict/src/states.rs
+++ b/crates/verdict/src/states.rs
@@ -39,7 +39,7 @@
         for start in record.works().filter(|start| start.weights < *weights) {
             if start.at > at + WEIGHTS_LIMIT_MS {
                 found.push(format!(
-                    "shot {} began on weights {} {} ms late",
+                    "attempt {} began on weights {} {} ms late",
                     start.attempt,
                     start.weights,
                     start.at - at
