Logs tell when old weights end, what put it off, and responses that begin late

Routers log the naming, the end of the old weights and by how much disturbances lengthened it, and each first event a second or more after that; keepers log answers to orders, orders withheld with what runs at the engine, and each keeper that falls silent or is heard again. EngineReport carries in_flight.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod followers;
 mod gate;
 mod mechanism;
+mod old_weights;
 mod peer_grants;
 mod process;
 mod protocol;
--- a/crates/gateway/src/prelude.rs
+++ b/crates/gateway/src/prelude.rs
@@ -8,6 +8,7 @@
 pub use crate::followers::*;
 pub use crate::gate::*;
 pub use crate::mechanism::*;
+pub use crate::old_weights::*;
 pub use crate::peer_grants::*;
 pub use crate::process::*;
 pub use crate::protocol::*;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -102,6 +102,7 @@
             protocol: Arc::clone(&plan.protocol),
         };
         tokio::spawn(followers.run());
+        tokio::spawn(log_given_up_weights(Arc::clone(&shared)));
         stop.0.notified().await;
         drain(&shared, &plan, serving, &connections).await;
         Ok(())
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -47,6 +47,7 @@
             ("uncertain_total", &counts.unknown),
             ("cut_total", &counts.cut),
             ("refused_total", &counts.refused),
+            ("late_starts_total", &counts.late_starts),
         ];
         let mut text = String::new();
         for (name, counter) in counters {
--- a/crates/gateway/src/relay/engine_reports.rs
+++ b/crates/gateway/src/relay/engine_reports.rs
@@ -3,9 +3,13 @@
 use super::Relay;
 use crate::prelude::*;
 
+/// A response that begins this long after its weights were given up is logged.
+const LATE_START: Span = Span::seconds(1);
+
 impl Relay {
     /// Reports that the engine has finished the prefill, and so caches the prompt's parts.
     pub(super) fn record_prefill(&self, reservation: &mut EngineReservation, weights: WeightsEdition) {
+        self.log_late_start(reservation, weights);
         let parts = self.planned.named_parts(&self.shared.snapshot(), weights);
         let pending_prefill_tokens = reservation.begin_response();
         self.scheduler.tell(SchedulerCommand::ResponseBegan {
@@ -17,6 +21,23 @@
         });
     }
 
+    /// Logs a response that begins on weights that this router has not used for a while.
+    fn log_late_start(&self, reservation: &EngineReservation, weights: WeightsEdition) {
+        let Some(model) = &self.planned.head.model else { return };
+        let given_up = self.shared.snapshot().time_since_given_up(model, weights, boot_now());
+        let Some(given_up) = given_up.filter(|given_up| *given_up >= LATE_START) else { return };
+        self.shared.counts.late_starts.fetch_add(1, Ordering::Relaxed);
+        event!(
+            warn,
+            "late_start",
+            attempt = self.planned.head.attempt,
+            engine = reservation.engine,
+            weights = weights,
+            given_up_ms = given_up.as_millis(),
+            waited_ms = reservation.age().as_millis()
+        );
+    }
+
     /// Reports a failed attempt; the engine is recorded as tried.
     pub(super) fn record_fault(&mut self, engine: &EngineName, kind: FaultKind, reason: &str) {
         event!(debug, "attempt_fault", engine = engine, kind = format!("{kind:?}"), reason = reason);
--- a/crates/keeper/src/executor.rs
+++ b/crates/keeper/src/executor.rs
@@ -350,6 +350,7 @@
         };
         let snapshot = Arc::new(snapshot);
         let earlier = self.publisher.replace(Arc::clone(&snapshot));
+        log_liveness_changes(&earlier.alive, &snapshot.alive);
         if snapshot.requires_notification_after(&earlier, now) {
             self.publisher.changed.notify_waiters();
         }
@@ -357,6 +358,16 @@
     }
 }
 
+/// Logs the keepers that fell silent or are heard again.
+fn log_liveness_changes(earlier: &[NodeId], now: &[NodeId]) {
+    for keeper in earlier.iter().filter(|keeper| !now.contains(keeper)) {
+        event!(info, "keeper_silent", keeper = keeper);
+    }
+    for keeper in now.iter().filter(|keeper| !earlier.contains(keeper)) {
+        event!(info, "keeper_heard", keeper = keeper);
+    }
+}
+
 /// Drops messages planned for a node's earlier link: on its next link the node starts over.
 fn drop_messages_to(effects: &mut Vec<Effect>, to: NodeId) {
     effects.retain(|effect| !matches!(effect, Effect::SendToNode { node, .. } if *node == to));
--- a/crates/keeper/src/ports.rs
+++ b/crates/keeper/src/ports.rs
@@ -35,8 +35,10 @@
     pub weights: BTreeMap<ModelName, WeightsEdition>,
     /// A load order is in progress.
     pub is_loading: bool,
-    /// Requests that have arrived and not started.
+    /// Requests that wait for a slot.
     pub waiting: u64,
+    /// Requests that hold a slot, whether or not they have started.
+    pub in_flight: u64,
 }
 
 /// The protocol for orders to engines and for engines' reports.
--- a/crates/keeper/src/weights_orders.rs
+++ b/crates/keeper/src/weights_orders.rs
@@ -154,6 +154,7 @@
         event!(warn, "order_fault", engine = engine, reason = reason);
         OrderAnswer::NoAnswer
     });
+    event!(info, "order_answered", engine = engine, answer = format!("{answer:?}"));
     StepOutcome::Order(engine, answer)
 }
 
@@ -166,7 +167,8 @@
     order: LoadOrder,
 ) -> StepOutcome {
     let report = fetch_report(&orders, &address).await;
-    if report.is_some_and(|report| report.waiting == 0) {
+    if let Some(report) = report.filter(|report| report.waiting == 0) {
+        event!(info, "order_withheld", engine = engine, in_flight = report.in_flight);
         return StepOutcome::Order(engine, OrderAnswer::NotNeeded);
     }
     event!(info, "order_given_out_of_turn", engine = engine, weights = order.weights, term = order.term);
--- a/crates/placement/src/fleet_snapshot.rs
+++ b/crates/placement/src/fleet_snapshot.rs
@@ -218,8 +218,15 @@
         self.state.adapters.warm_engines(adapter).any(is_usable)
     }
 
+    /// How long ago this router stopped using these weights; `None` if it still may use them.
+    pub fn time_since_given_up(&self, model: &ModelName, weights: WeightsEdition, now: Instant) -> Option<Span> {
+        let is_old = self.state.desired.models.get(model).is_some_and(|spec| weights < spec.weights);
+        let until = self.old_weights_until(model, weights);
+        (is_old && until <= now).then(|| now.since(until))
+    }
+
     /// Until when replaced weights may be used.
-    fn old_weights_until(&self, model: &ModelName, weights: WeightsEdition) -> Instant {
+    pub fn old_weights_until(&self, model: &ModelName, weights: WeightsEdition) -> Instant {
         let since_commit = self.old_weights_deadlines.get(&(model.clone(), weights)).copied().unwrap_or_default();
         let disturbed = Instant(self.disturbed.load(Ordering::Relaxed));
         let since_disturbance = if disturbed == Instant(0) { disturbed } else { disturbed + self.old_weights_span.0 };
--- a/crates/router/src/shared_state.rs
+++ b/crates/router/src/shared_state.rs
@@ -67,6 +67,8 @@
     pub adapter_cold: AtomicU64,
     /// Attempts that an engine refused because it did not hold the adapter.
     pub adapter_refusals: AtomicU64,
+    /// Responses that began on weights that this router had stopped using.
+    pub late_starts: AtomicU64,
 }
 
 impl Counts {
@@ -113,10 +115,16 @@
                 self.policies().clear_tenant(tenant.as_str());
             }
         }
+        log_superseded_weights(&previous, &snapshot);
         *self.snapshot.write().expect("no holder of this lock panics") = Arc::new(snapshot);
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Notifies the receiver of each published snapshot.
+    pub fn subscribe(&self) -> tokio::sync::watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
     fn policies(&self) -> std::sync::MutexGuard<'_, PolicyMetrics> {
         self.policies.lock().expect("no holder of this lock panics")
     }
@@ -225,3 +233,22 @@
         }
     }
 }
+
+/// Logs each model whose weights the new snapshot supersedes, and for how much longer the old ones may be used.
+fn log_superseded_weights(previous: &FleetSnapshot, next: &FleetSnapshot) {
+    let now = boot_now();
+    for (model, spec) in &next.state.desired.models {
+        let Some(known) = previous.state.desired.models.get(model) else { continue };
+        if known.weights < spec.weights {
+            let left = next.old_weights_until(model, known.weights).since(now);
+            event!(
+                info,
+                "weights_superseded",
+                model = model,
+                old = known.weights,
+                new = spec.weights,
+                left_ms = left.as_millis()
+            );
+        }
+    }
+}
