A response that has not begun ends before its weights are too old to begin on

Callers saw responses begin on replaced weights later than version_ms after the newer ones were acknowledged: few at a time, at engines among the last to load.

Cause: the bound is on the first token, but was kept at the sending alone, 1.5 s earlier. A client waits longer than that for a first event, and the conductor turned away only what an engine reports as queued; a prompt that is being read holds a slot and is reported as in flight.

Routers now end an attempt whose response has not begun 0.3 s before the bound (start_limit.rs): the connection closes, and the engine drops the request. Deadlines are kept for a while after they passed.

--- a/crates/conductor/src/rollout.rs
+++ b/crates/conductor/src/rollout.rs
@@ -23,6 +23,9 @@
 const FAULT_PAUSE: Span = Span::millis(700);
 /// For how many of a model's latest weights editions the time they were first wanted is remembered.
 const EDITIONS_KEPT: usize = 16;
+/// How long after an engine may first be ordered out of turn requests that hold a slot are taken for waiting: most
+/// of those sent before routers gave the old weights up have begun or ended by then.
+const IN_FLIGHT_PATIENCE: Span = Span::millis(600);
 /// Time between checks for waiting requests at an engine that is ordered out of turn.
 const NOT_NEEDED_PAUSE: Span = Span::millis(300);
 /// After more consecutive unanswered orders or queries than this an engine no longer delays others.
@@ -54,8 +57,15 @@
     SetEngineStatus { engine: EngineName, status: EngineStatus },
     /// Order the engine to load weights.
     Order { engine: EngineName, address: String, model: ModelName, weights: WeightsEdition },
-    /// Order the engine out of turn, only if requests wait there.
-    OrderIfWaiting { engine: EngineName, address: String, model: ModelName, weights: WeightsEdition },
+    /// Order the engine out of turn, only if requests wait there. With `counts_in_flight` those that hold a slot
+    /// count: the engine may not have begun them.
+    OrderIfWaiting {
+        engine: EngineName,
+        address: String,
+        model: ModelName,
+        weights: WeightsEdition,
+        counts_in_flight: bool,
+    },
     /// Ask the engine which weights of a model it holds and whether it is loading.
     QueryWeights { engine: EngineName, address: String, model: ModelName },
 }
@@ -234,10 +244,11 @@
         progress.not_before = now + FIRST_QUERY_PAUSE;
         progress.ordered = Some(load.clone());
         self.note_due(now + FIRST_QUERY_PAUSE);
+        let counts_in_flight = expedite_from.is_some_and(|from| now >= from + IN_FLIGHT_PATIENCE);
         let (engine, Load { model, weights }) = (engine.clone(), load);
         Some(match has_slot {
             true => RolloutStep::Order { engine, address, model, weights },
-            false => RolloutStep::OrderIfWaiting { engine, address, model, weights },
+            false => RolloutStep::OrderIfWaiting { engine, address, model, weights, counts_in_flight },
         })
     }
 
@@ -272,6 +283,7 @@
             address,
             model: load.model,
             weights: load.weights,
+            counts_in_flight: now >= from + IN_FLIGHT_PATIENCE,
         })
     }
 
--- a/crates/conductor/tests/bringing.rs
+++ b/crates/conductor/tests/bringing.rs
@@ -289,6 +289,37 @@
     assert!(!concerns(&rollout.next_steps(&state, true, at(20_000))));
 }
 
+/// An engine counts a request as in flight while it reads the prompt, before the response begins.
+#[test]
+fn requests_in_flight_count_as_waiting_some_time_after_old_weights_were_given_up() {
+    let mut state = fleet();
+    name_new_weights(&mut state);
+    let engines: Vec<EngineName> = state.listing.engines.keys().cloned().collect();
+    for engine in engines {
+        let closed = EngineStatus { closed: true, ..EngineStatus::default() };
+        apply(&mut state, Command::SetEngineStatus { term: Term(1), engine, status: closed });
+    }
+    let mut rollout = WeightsRollout::expediting_after(Span::millis(13_500));
+    rollout.next_steps(&state, true, at(0));
+    let counted = |rollout: &mut WeightsRollout, now: u64| -> Vec<bool> {
+        let steps = rollout.next_steps(&state, true, at(now));
+        let counted = steps.into_iter().filter_map(|step| match step {
+            RolloutStep::OrderIfWaiting { engine, counts_in_flight, .. } => Some((engine, counts_in_flight)),
+            _ => None,
+        });
+        let counted: Vec<(EngineName, bool)> = counted.collect();
+        for (engine, _) in &counted {
+            rollout.record_answer(engine, OrderAnswer::NotNeeded, at(now));
+        }
+        counted.into_iter().map(|(_, counts_in_flight)| counts_in_flight).collect()
+    };
+    assert!(counted(&mut rollout, 13_400).is_empty(), "routers may still use old weights");
+    for (now, counts_in_flight) in [(13_500, false), (14_000, false), (14_400, true)] {
+        let asked = counted(&mut rollout, now);
+        assert!(!asked.is_empty() && asked.iter().all(|counts| *counts == counts_in_flight), "{now}: {asked:?}");
+    }
+}
+
 #[test]
 fn a_new_holder_closes_no_engine_before_it_may_order() {
     let mut state = fleet();
--- a/crates/gateway/src/prelude.rs
+++ b/crates/gateway/src/prelude.rs
@@ -24,7 +24,7 @@
 pub(crate) use blocks::prelude::Salt;
 pub(crate) use desired::prelude::{DesiredState, ServiceSpec};
 pub use parts::prelude::{PartBatch, PartEvent, PartName, SourcePosition};
-pub(crate) use placement::prelude::{DEFAULT_POLICY, FleetSnapshot, OldWeightsGracePeriod};
+pub(crate) use placement::prelude::{DEFAULT_POLICY, FleetSnapshot, OldWeightsLimits};
 pub(crate) use process::prelude::{Report, event, miette, sha256_hex};
 pub(crate) use queues::prelude::*;
 pub use router::prelude::RouterAddress;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -37,12 +37,13 @@
     let callers = bind(plan.callers).map_err(|error| miette!("callers: {}: {error}", plan.callers))?;
     let address = callers.local_addr().map_err(|error| miette!("callers: {error}"))?;
     let shared = Arc::new(SharedState::with_timing(plan.timing));
-    let old_weights_span = OldWeightsGracePeriod(plan.timing.old_weights_span);
+    let old_weights_limits =
+        OldWeightsLimits { send: plan.timing.old_weights_span, start: plan.timing.old_weights_start_span };
     let disturbed = match plan.counts_undisturbed_time {
         true => shared.track_disturbances(),
         false => Arc::default(),
     };
-    shared.publish(FleetSnapshot { old_weights_span, disturbed, ..FleetSnapshot::default() });
+    shared.publish(FleetSnapshot { old_weights_limits, disturbed, ..FleetSnapshot::default() });
     let (scheduler, changes) =
         start_scheduler(node, plan.zone.clone(), Arc::clone(&shared), plan.retry_bounds, plan.disabled.clone());
     let bounds = Arc::new(ConnectionTimeouts::default());
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -4,6 +4,7 @@
 use super::answer_head::OpenResponse;
 use super::attempt_end::{AttemptEnd, failed};
 use super::overdue::OverdueWatch;
+use super::start_limit::StartLimit;
 use crate::prelude::*;
 
 /// The gate's refusal, if any.
@@ -20,7 +21,8 @@
         let watch = OverdueWatch::begin(self, &chosen.engine);
         self.count_attempt(is_retry);
         let mut connection = self.connect(&chosen).await?;
-        let response = self.send(&chosen, &mut connection, last_event).await?;
+        let limit = StartLimit::of(self, &chosen.engine, chosen.weights);
+        let response = limit.within(self.send(&chosen, &mut connection, last_event)).await?;
         watch.end();
         self.check_head(*chosen, reservation, connection, response).await
     }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod open_stream;
 mod overdue;
 mod pump;
+mod start_limit;
 
 use crate::prelude::*;
 
--- a/crates/gateway/src/relay/open_stream.rs
+++ b/crates/gateway/src/relay/open_stream.rs
@@ -3,6 +3,7 @@
 use super::Relay;
 use super::answer_head::OpenResponse;
 use super::attempt_end::{AttemptEnd, failed};
+use super::start_limit::StartLimit;
 use crate::prelude::*;
 
 /// An engine's open stream, with the events received but not yet forwarded.
@@ -42,6 +43,14 @@
         let answer = self.attempt(is_retry, last_event).await?;
         let splitter = EventSplitter::after(last_event);
         let mut stream = OpenStream { answer, splitter, events: Vec::new(), is_ended: false };
+        let limit = StartLimit::of(self, &stream.answer.reservation.engine, stream.answer.weights);
+        limit.within(self.read_first_event(&mut stream)).await?;
+        self.record_prefill(&mut stream.answer.reservation, stream.answer.weights);
+        Ok(stream)
+    }
+
+    /// Reads until the first event is complete or the stream has ended.
+    async fn read_first_event(&mut self, stream: &mut OpenStream) -> Result<(), AttemptEnd> {
         while stream.events.is_empty() && !stream.is_ended {
             let time_left = self.planned.deadline.since(boot_now()).as_duration();
             match tokio::time::timeout(time_left, stream.read_next()).await {
@@ -53,7 +62,6 @@
                 }
             }
         }
-        self.record_prefill(&mut stream.answer.reservation, stream.answer.weights);
-        Ok(stream)
+        Ok(())
     }
 }
--- a/crates/keeper/src/weights_orders.rs
+++ b/crates/keeper/src/weights_orders.rs
@@ -67,7 +67,7 @@
                                 order,
                             ));
                         }
-                        RolloutStep::OrderIfWaiting { engine, address, model, weights } => {
+                        RolloutStep::OrderIfWaiting { engine, address, model, weights, counts_in_flight } => {
                             let order = LoadOrder { model, weights, holder: me, term };
                             let sending = send_order_if_waiting(
                                 Arc::clone(&orders),
@@ -75,6 +75,7 @@
                                 engine,
                                 address,
                                 order,
+                                counts_in_flight,
                             );
                             tasks.spawn(sending);
                         }
@@ -159,16 +160,21 @@
 }
 
 /// Sends an order unless the engine reports that no requests wait, which would otherwise start on the old weights.
+/// With `counts_in_flight` those that hold a slot count as waiting.
 async fn send_order_if_waiting(
     orders: Arc<dyn EngineOrders>,
     publisher: SharedPublisher,
     engine: EngineName,
     address: String,
     order: LoadOrder,
+    counts_in_flight: bool,
 ) -> StepOutcome {
     let report = fetch_report(&orders, &address).await;
-    if let Some(report) = report.filter(|report| report.waiting == 0) {
-        event!(info, "order_withheld", engine = engine, in_flight = report.in_flight);
+    let is_needed = |report: &EngineReport| report.waiting > 0 || (counts_in_flight && report.in_flight > 0);
+    if let Some(report) = report.filter(|report| !is_needed(report)) {
+        if report.in_flight > 0 {
+            event!(info, "order_withheld", engine = engine, in_flight = report.in_flight);
+        }
         return StepOutcome::Order(engine, OrderAnswer::NotNeeded);
     }
     event!(info, "order_given_out_of_turn", engine = engine, weights = order.weights, term = order.term);
--- a/crates/placement/src/fleet_snapshot.rs
+++ b/crates/placement/src/fleet_snapshot.rs
@@ -5,11 +5,16 @@
 
 /// How long old weights may be used after newer ones were committed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OldWeightsGracePeriod(pub Span);
+pub struct OldWeightsLimits {
+    /// How long requests are sent to engines on the old weights.
+    pub send: Span,
+    /// How long responses may begin on the old weights.
+    pub start: Span,
+}
 
-impl Default for OldWeightsGracePeriod {
-    fn default() -> OldWeightsGracePeriod {
-        OldWeightsGracePeriod(Span::seconds(15))
+impl Default for OldWeightsLimits {
+    fn default() -> OldWeightsLimits {
+        OldWeightsLimits { send: Span::seconds(15), start: Span::millis(16_200) }
     }
 }
 
@@ -38,7 +43,7 @@
     /// The compiled routes.
     pub routes: Arc<RouteTable>,
     /// How long old weights may be used after newer ones were committed.
-    pub old_weights_span: OldWeightsGracePeriod,
+    pub old_weights_limits: OldWeightsLimits,
     /// When the core was last seen disturbed, if the deadline for old weights counts undisturbed time only; 0 if it
     /// counts all time. Shared with the code that receives this information.
     pub disturbed: Arc<AtomicU64>,
@@ -52,11 +57,12 @@
         for (model, wanted) in &state.desired.models {
             let Some(known_model) = self.state.desired.models.get(model) else { continue };
             if known_model.weights < wanted.weights {
-                let until = committed.map_or(now, |committed| committed + self.old_weights_span.0);
+                let until = committed.map_or(now, |committed| committed + self.old_weights_limits.send);
                 old_weights_deadlines.insert((model.clone(), known_model.weights), until);
             }
         }
-        old_weights_deadlines.retain(|_, until| now < *until);
+        // Kept for a while after they have passed, for requests on their way.
+        old_weights_deadlines.retain(|_, until| now < *until + self.old_weights_limits.start);
         let mut leaving_deadlines = self.leaving_deadlines.clone();
         leaving_deadlines.retain(|engine, _| is_listed(&state, engine, Listed::Leaving));
         let same_document = state.desired_edition == self.state.desired_edition && state.desired_edition.0 > 0;
@@ -88,7 +94,7 @@
             old_weights_deadlines,
             leaving_deadlines,
             routes,
-            old_weights_span: self.old_weights_span,
+            old_weights_limits: self.old_weights_limits,
             disturbed: Arc::clone(&self.disturbed),
             state: Arc::new(state),
         }
@@ -115,7 +121,7 @@
     ) -> FleetSnapshot {
         let mut snapshot = self.after_change(state, None, now);
         for (model, weights, since) in replaced_weights {
-            let until = *since + self.old_weights_span.0;
+            let until = *since + self.old_weights_limits.send;
             if now < until {
                 snapshot.old_weights_deadlines.entry((model.clone(), *weights)).or_insert(until);
             }
@@ -225,11 +231,20 @@
         (is_old && until <= now).then(|| now.since(until))
     }
 
+    /// Until when a response may begin on these weights; `None` if they are not old.
+    pub fn latest_start(&self, model: &ModelName, weights: WeightsEdition) -> Option<Instant> {
+        let is_old = self.state.desired.models.get(model).is_some_and(|spec| weights < spec.weights);
+        let limits = self.old_weights_limits;
+        let after_send = Span(limits.start.0.saturating_sub(limits.send.0));
+        is_old.then(|| self.old_weights_until(model, weights) + after_send)
+    }
+
     /// Until when replaced weights may be used.
     pub fn old_weights_until(&self, model: &ModelName, weights: WeightsEdition) -> Instant {
         let since_commit = self.old_weights_deadlines.get(&(model.clone(), weights)).copied().unwrap_or_default();
         let disturbed = Instant(self.disturbed.load(Ordering::Relaxed));
-        let since_disturbance = if disturbed == Instant(0) { disturbed } else { disturbed + self.old_weights_span.0 };
+        let since_disturbance =
+            if disturbed == Instant(0) { disturbed } else { disturbed + self.old_weights_limits.send };
         since_commit.max(since_disturbance)
     }
 
--- a/crates/placement/tests/picker.rs
+++ b/crates/placement/tests/picker.rs
@@ -157,6 +157,21 @@
     assert_eq!(updated_again.usable_weights(&engine, past), None, "a further edition does not extend the deadline");
 }
 
+#[test]
+fn responses_may_begin_on_old_weights_a_little_longer_than_requests_are_sent() {
+    let snapshot = fleet(&["one"], DOCUMENT);
+    let model = "m".into();
+    assert_eq!(snapshot.latest_start(&model, WeightsEdition(1)), None, "these are the wanted weights");
+    let mut state = (*snapshot.state).clone();
+    state.desired.models.get_mut(&"m".into()).unwrap().weights = WeightsEdition(2);
+    let updated = snapshot.after_change(state.clone(), Some(NOW), NOW);
+    let latest_start = updated.latest_start(&model, WeightsEdition(1));
+    assert_eq!(latest_start, Some(NOW + Span::millis(16_200)));
+    let given_up = NOW + Span::seconds(15);
+    let unrelated = updated.after_change(state, Some(given_up), given_up);
+    assert_eq!(unrelated.latest_start(&model, WeightsEdition(1)), latest_start, "a later change moves nothing");
+}
+
 #[test]
 fn missing_blocks_are_fetched_from_the_cheapest_source() {
     let document = |other_zone_us: u64| {
--- a/crates/timing/src/derive.rs
+++ b/crates/timing/src/derive.rs
@@ -29,7 +29,11 @@
 const ORDER_MARGIN: Span = Span::millis(300);
 const REPLACE_MARGIN: Span = Span::millis(1000);
 const MIN_REPLACE_AFTER: Span = Span::millis(2500);
+/// The part of `version` in which no request is sent to an engine on superseded weights; those on their way may
+/// still begin.
 const VERSION_MARGIN: Span = Span::millis(1500);
+/// The part of `version` in which no response may begin on superseded weights, as closing a connection takes time.
+const VERSION_START_MARGIN: Span = Span::millis(300);
 /// How long requests still arrive at a router that is no longer ready: its readiness is probed every second, and it
 /// is taken out of service after two failed probes.
 const UNREADY_INTAKE: Span = Span::millis(2600);
@@ -55,8 +59,10 @@
     pub duty_gap: Span,
     /// A voter silent for this long is replaced by a spare.
     pub replace_after: Span,
-    /// How long routers continue to use superseded weights.
+    /// How long routers continue to send requests to engines on superseded weights.
     pub old_weights_span: Span,
+    /// How long responses may begin on superseded weights; requests that have not begun by then are cancelled.
+    pub old_weights_start_span: Span,
     /// The lease of a node that has not applied a change this old is not renewed.
     pub lag_limit: Span,
     /// How long a stopping router continues to accept requests.
@@ -97,6 +103,7 @@
         duty_gap: Span::millis(5300),
         replace_after: Span::seconds(8),
         old_weights_span: Span::seconds(15),
+        old_weights_start_span: Span::millis(16_200),
         lag_limit: Span::millis(800),
         intake_span: UNREADY_INTAKE,
         drain_span: Span::millis(7400),
@@ -147,6 +154,7 @@
             duty_gap: DUTY_LEASE + LEASE_MARGIN + bounds.lease + ORDER_MARGIN,
             replace_after: saturating_sub(bounds.catch_up, REPLACE_MARGIN).max(MIN_REPLACE_AFTER),
             old_weights_span: saturating_sub(bounds.version, VERSION_MARGIN),
+            old_weights_start_span: saturating_sub(bounds.version, VERSION_START_MARGIN),
             lag_limit: Timing::DEFAULT.lag_limit.min(bounds.apply),
             intake_span: UNREADY_INTAKE.min(intake_within(bounds.grace)),
             drain_span: saturating_sub(bounds.grace, GRACE_MARGIN),
--- a/crates/timing/tests/derivation.rs
+++ b/crates/timing/tests/derivation.rs
@@ -55,6 +55,7 @@
     let timing = Timing::derive(&bounds).unwrap();
     assert_eq!(timing.replace_after, Span::seconds(9));
     assert_eq!(timing.old_weights_span, Span::millis(18_500));
+    assert_eq!(timing.old_weights_start_span, Span::millis(19_700));
     let hasty = Timing::derive(&Bounds { catch_up: Span::seconds(1), ..Bounds::default() }).unwrap();
     assert_eq!(hasty.replace_after, Span::millis(2500));
 }
