Only restarts of keepers lengthen the use of old weights, and none revives them

Callers saw, or could see, thousands of responses on replaced weights beyond version_ms where a keeper stalled for a second: a late sync, no processor time.

Cause: routers counted the span of old weights anew from the last time at which the tail saw a keeper appear or fall silent for 0.8 s. The same span revived weights that had been given up long before.

Now only a process that was ended and came back counts (another incarnation, or an empty disk at a known address, or the tail's own start), dated by the last word before it, and only where it came before the deadline. From there contact_ms and the span are counted, as the users count them. Wire and disk formats stay.

--- a/crates/conductor/src/rollout.rs
+++ b/crates/conductor/src/rollout.rs
@@ -107,8 +107,8 @@
     expedite_after: Option<Span>,
     /// When each of the latest editions of a model's weights was first wanted.
     wanted_since: BTreeMap<ModelName, BTreeMap<WeightsEdition, Instant>>,
-    /// When the coordinator was last disturbed; routers restart their time limit for old weights then.
-    disturbed: Instant,
+    /// Until when the coordinator was unsettled; routers restart their time limit for old weights then.
+    unsettled_until: Instant,
 }
 
 impl WeightsRollout {
@@ -122,10 +122,10 @@
         self.progress.clear();
     }
 
-    /// Records a disturbance of the coordinator. It delays orders out of turn as it delays the end of old weights
-    /// at routers.
-    pub fn note_disturbed(&mut self, at: Instant) {
-        self.disturbed = self.disturbed.max(at);
+    /// Records until when the coordinator was unsettled. That delays orders out of turn as it delays the end of old
+    /// weights at routers.
+    pub fn note_unsettled_until(&mut self, until: Instant) {
+        self.unsettled_until = self.unsettled_until.max(until);
     }
 
     /// Records when the present weights of each model were first wanted. Called on every keeper, so that a new
@@ -146,7 +146,9 @@
     fn expedite_from(&self, model: &ModelName, held: WeightsEdition) -> Option<Instant> {
         let editions = self.wanted_since.get(model)?;
         let (_, since) = editions.iter().find(|(edition, _)| **edition > held)?;
-        Some((*since).max(self.disturbed) + self.expedite_after?)
+        let span = self.expedite_after?;
+        let from = *since + span;
+        if self.unsettled_until < from { Some(from.max(self.unsettled_until + span)) } else { Some(from) }
     }
 
     /// The steps to take now. Their outcomes come back through `record_answer` and `record_report`, or through the
--- a/crates/conductor/tests/bringing.rs
+++ b/crates/conductor/tests/bringing.rs
@@ -340,7 +340,7 @@
 }
 
 #[test]
-fn the_time_until_orders_out_of_turn_restarts_when_the_coordinator_is_disturbed() {
+fn the_time_until_orders_out_of_turn_restarts_when_the_coordinator_is_unsettled_before_its_end() {
     let mut state = fleet();
     name_new_weights(&mut state);
     let closed_count = |rollout: &mut WeightsRollout, state: &FleetState, now: u64| {
@@ -350,8 +350,10 @@
     let mut rollout = WeightsRollout::expediting_after(Span::millis(10_000));
     let in_turn = closed_count(&mut rollout, &state, 0);
     assert!(in_turn < ENGINES, "{in_turn} are closed at first");
-    rollout.note_disturbed(at(4000));
-    rollout.note_disturbed(at(3000));
+    rollout.note_unsettled_until(at(4000));
+    rollout.note_unsettled_until(at(3000));
     assert_eq!(closed_count(&mut rollout, &state, 13_999), in_turn);
     assert_eq!(closed_count(&mut rollout, &state, 14_000), ENGINES);
+    rollout.note_unsettled_until(at(14_100));
+    assert_eq!(closed_count(&mut rollout, &state, 14_200), ENGINES, "the time has passed");
 }
--- a/crates/coordinator/src/machine.rs
+++ b/crates/coordinator/src/machine.rs
@@ -73,6 +73,9 @@
     /// The nonce of the current catch-up request and when it was first sent.
     pub(crate) catch_up_request: Option<(u64, Instant)>,
     pub(crate) started_at: Instant,
+    /// When this keeper started, or another was last heard before it came back as a new incarnation or with an empty
+    /// disk: at that time or later its process was stopped and started. A silent keeper may just be slow.
+    pub(crate) last_restart: Instant,
     pub(crate) adopted_at: Instant,
     pub(crate) campaign: Option<Campaign>,
     pub(crate) highest_round: u64,
@@ -122,6 +125,7 @@
             nonce: incarnation,
             catch_up_request: None,
             started_at: now,
+            last_restart: now,
             adopted_at: now,
             campaign: None,
             highest_round: 0,
@@ -331,6 +335,7 @@
         }
         let address_moved = self.known_members.get(&from) != Some(&status.member);
         if address_moved {
+            self.note_replacement(&status.member);
             self.forget_address(&status.member.address);
             self.known_members.insert(from, status.member.clone());
         }
@@ -373,6 +378,7 @@
         };
         let peer = self.peers.entry(sender.id).or_insert(heard_first.clone());
         if peer.incarnation != sender.incarnation {
+            self.last_restart = self.last_restart.max(peer.last_heard);
             *peer = heard_first;
         }
         if now.since(peer.last_heard) >= SUSPECT_TIMEOUT {
@@ -382,6 +388,19 @@
         peer.status.replace(status.clone())
     }
 
+    /// Records the restart of a keeper whose address now belongs to one with an empty disk.
+    fn note_replacement(&mut self, successor: &Member) {
+        let replaced = self.known_members.values();
+        let replaced = replaced.filter(|member| member.id != successor.id && member.address == successor.address);
+        let last_heard = replaced.filter_map(|member| Some(self.peers.get(&member.id)?.last_heard)).max();
+        self.last_restart = self.last_restart.max(last_heard.unwrap_or_default());
+    }
+
+    /// When a keeper's process was last known to run before a restart, or this one's start if that is later.
+    pub fn last_restart(&self) -> Instant {
+        self.last_restart
+    }
+
     /// Removes other members known at an address: that machine came back with an empty disk.
     fn forget_address(&mut self, address: &str) {
         let me = self.me.id;
--- a/crates/coordinator/src/messages.rs
+++ b/crates/coordinator/src/messages.rs
@@ -190,8 +190,9 @@
         span: Span,
         #[serde(rename = "life")]
         incarnation: u64,
-        /// Time since a core machine last failed or returned.
-        undisturbed: Span,
+        /// Time since a keeper's process was last known to run before a restart.
+        #[serde(rename = "undisturbed")]
+        since_restart: Span,
     },
     /// Lease not renewed: the core's listing is not known to be fresh.
     NotNow,
--- a/crates/coordinator/src/tail/nodes.rs
+++ b/crates/coordinator/src/tail/nodes.rs
@@ -56,7 +56,7 @@
         let core_is_fresh = self.listing_is_fresh(last_edition, now);
         let node_is_fresh = self.listing_is_fresh(applied.unwrap_or_default(), now);
         let span = self.settings.timing.node_lease;
-        let undisturbed = now.since(self.last_liveness_change(now));
+        let since_restart = now.since(self.last_restart);
         let read_until = self.read_until();
         let Some(tail) = self.tail.as_mut() else { return };
         tail.record_push_state(node, incarnation, known_edition);
@@ -66,7 +66,7 @@
             KeeperToAgent::NotNow
         } else if node_is_fresh && tail.renew_lease(node, known_edition, now) {
             same_address.into_iter().for_each(|earlier| tail.leases.remove(earlier));
-            KeeperToAgent::Granted { sent, span, incarnation, undisturbed }
+            KeeperToAgent::Granted { sent, span, incarnation, since_restart }
         } else {
             KeeperToAgent::Behind
         };
@@ -81,14 +81,4 @@
         let reports = tail.demand.values();
         reports.map(|(report, at)| AgedDemandReport { report: report.clone(), age: now.since(*at) }).collect()
     }
-
-    /// When a core machine was last seen to fail or return: this keeper's own start, the return of a peer, or the
-    /// last message of a silent peer.
-    pub fn last_liveness_change(&self, now: Instant) -> Instant {
-        let of_peers = self.peers.iter().map(|(node, peer)| {
-            let is_silent = !self.is_alive(*node, now);
-            if is_silent { peer.last_heard } else { peer.heard_since }
-        });
-        of_peers.max().unwrap_or_default().max(self.started_at)
-    }
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -12,8 +12,6 @@
     pub zone: Zone,
     /// All time limits, including those of leases, old weights and draining.
     pub timing: Timing,
-    /// Whether the grace period of old weights counts from the last disturbance of the core, if that is later.
-    pub counts_undisturbed_time: bool,
     pub retry_bounds: RetryBounds,
     pub protocol: Arc<dyn Protocol>,
     /// The mechanisms disabled for trials.
@@ -37,13 +35,12 @@
     let callers = bind(plan.callers).map_err(|error| miette!("callers: {}: {error}", plan.callers))?;
     let address = callers.local_addr().map_err(|error| miette!("callers: {error}"))?;
     let shared = Arc::new(SharedState::with_timing(plan.timing));
-    let old_weights_limits =
-        OldWeightsLimits { send: plan.timing.old_weights_span, start: plan.timing.old_weights_start_span };
-    let disturbed = match plan.counts_undisturbed_time {
-        true => shared.track_disturbances(),
-        false => Arc::default(),
+    let old_weights_limits = OldWeightsLimits {
+        send: plan.timing.old_weights_span,
+        start: plan.timing.old_weights_start_span,
+        settle: Some(plan.timing.settle_span),
     };
-    shared.publish(FleetSnapshot { old_weights_limits, disturbed, ..FleetSnapshot::default() });
+    shared.publish(FleetSnapshot { old_weights_limits, ..FleetSnapshot::default() });
     let (scheduler, changes) =
         start_scheduler(node, plan.zone.clone(), Arc::clone(&shared), plan.retry_bounds, plan.disabled.clone());
     let bounds = Arc::new(ConnectionTimeouts::default());
--- a/crates/keeper/src/executor.rs
+++ b/crates/keeper/src/executor.rs
@@ -343,7 +343,7 @@
             conductor: self.coordinator.actionable_duty(DutyKind::Conductor, now),
             leased_conductor: self.coordinator.leased_duty(DutyKind::Conductor, now),
             view,
-            last_liveness_change: self.coordinator.last_liveness_change(now),
+            last_restart: self.coordinator.last_restart(),
             state: Arc::clone(&self.published_state),
             last_sync_micros: self.last_sync_micros,
             disk_refuses: false,
--- a/crates/keeper/src/publisher.rs
+++ b/crates/keeper/src/publisher.rs
@@ -14,8 +14,8 @@
     pub conductor: Option<(Term, Instant)>,
     /// The leased conductor duty, also while the previous holder may still have orders in flight.
     pub leased_conductor: Option<(Term, Instant)>,
-    /// When a core machine was last seen to appear or disappear.
-    pub last_liveness_change: Instant,
+    /// When a keeper's process was last known to run before a restart.
+    pub last_restart: Instant,
     pub last_sync_micros: u64,
     /// The disk refuses writes, and the executor waits until it accepts them again.
     pub disk_refuses: bool,
--- a/crates/keeper/src/weights_orders.rs
+++ b/crates/keeper/src/weights_orders.rs
@@ -37,7 +37,7 @@
     loop {
         let snapshot = latest_snapshot(&publisher);
         let now = boot_now();
-        rollout.note_disturbed(snapshot.last_liveness_change);
+        rollout.note_unsettled_until(snapshot.last_restart + timing.settle_span);
         match snapshot.leased_conductor.filter(|(_, until)| now < *until) {
             Some((term, _)) => {
                 if term != current_term {
--- a/crates/placement/src/fleet_snapshot.rs
+++ b/crates/placement/src/fleet_snapshot.rs
@@ -10,11 +10,13 @@
     pub send: Span,
     /// How long responses may begin on the old weights.
     pub start: Span,
+    /// How long after a restart of a keeper the times begin anew, if they have not passed by then; never if `None`.
+    pub settle: Option<Span>,
 }
 
 impl Default for OldWeightsLimits {
     fn default() -> OldWeightsLimits {
-        OldWeightsLimits { send: Span::seconds(15), start: Span::millis(16_200) }
+        OldWeightsLimits { send: Span::seconds(15), start: Span::millis(16_200), settle: None }
     }
 }
 
@@ -44,9 +46,8 @@
     pub routes: Arc<RouteTable>,
     /// How long old weights may be used after newer ones were committed.
     pub old_weights_limits: OldWeightsLimits,
-    /// When the core was last seen disturbed, if the deadline for old weights counts undisturbed time only; 0 if it
-    /// counts all time. Shared with the code that receives this information.
-    pub disturbed: Arc<AtomicU64>,
+    /// When a keeper's process was last known to run before a restart.
+    pub last_restart: Instant,
 }
 
 impl FleetSnapshot {
@@ -57,7 +58,7 @@
         for (model, wanted) in &state.desired.models {
             let Some(known_model) = self.state.desired.models.get(model) else { continue };
             if known_model.weights < wanted.weights {
-                let until = committed.map_or(now, |committed| committed + self.old_weights_limits.send);
+                let until = committed.map_or(now, |committed| self.deadline_after(committed));
                 old_weights_deadlines.insert((model.clone(), known_model.weights), until);
             }
         }
@@ -95,7 +96,7 @@
             leaving_deadlines,
             routes,
             old_weights_limits: self.old_weights_limits,
-            disturbed: Arc::clone(&self.disturbed),
+            last_restart: self.last_restart,
             state: Arc::new(state),
         }
     }
@@ -121,7 +122,7 @@
     ) -> FleetSnapshot {
         let mut snapshot = self.after_change(state, None, now);
         for (model, weights, since) in replaced_weights {
-            let until = *since + self.old_weights_limits.send;
+            let until = self.deadline_after(*since);
             if now < until {
                 snapshot.old_weights_deadlines.entry((model.clone(), *weights)).or_insert(until);
             }
@@ -241,11 +242,35 @@
 
     /// Until when replaced weights may be used.
     pub fn old_weights_until(&self, model: &ModelName, weights: WeightsEdition) -> Instant {
-        let since_commit = self.old_weights_deadlines.get(&(model.clone(), weights)).copied().unwrap_or_default();
-        let disturbed = Instant(self.disturbed.load(Ordering::Relaxed));
-        let since_disturbance =
-            if disturbed == Instant(0) { disturbed } else { disturbed + self.old_weights_limits.send };
-        since_commit.max(since_disturbance)
+        self.old_weights_deadlines.get(&(model.clone(), weights)).copied().unwrap_or_default()
+    }
+
+    /// The deadline of weights that were replaced at an instant.
+    fn deadline_after(&self, replaced: Instant) -> Instant {
+        self.extended(replaced + self.old_weights_limits.send)
+    }
+
+    /// A deadline, later if a keeper was restarted before it.
+    fn extended(&self, deadline: Instant) -> Instant {
+        match self.old_weights_limits.settle {
+            Some(settle) if self.last_restart < deadline => {
+                deadline.max(self.last_restart + settle + self.old_weights_limits.send)
+            }
+            _ => deadline,
+        }
+    }
+
+    /// The snapshot once a keeper is known to have been restarted; `None` if that changes nothing. Weights that were
+    /// given up before the restart stay given up.
+    pub fn after_restart(&self, restarted: Instant) -> Option<FleetSnapshot> {
+        if restarted <= self.last_restart || self.old_weights_limits.settle.is_none() {
+            return None;
+        }
+        let mut snapshot = FleetSnapshot { last_restart: restarted, ..self.clone() };
+        let extended =
+            self.old_weights_deadlines.iter().map(|(edition, until)| (edition.clone(), snapshot.extended(*until)));
+        snapshot.old_weights_deadlines = extended.collect();
+        Some(snapshot)
     }
 
     /// All usable weights editions of a model, including those on leaving engines.
--- a/crates/placement/src/prelude.rs
+++ b/crates/placement/src/prelude.rs
@@ -13,5 +13,4 @@
 pub use routes::prelude::RouteTable;
 pub(crate) use std::collections::{BTreeMap, HashMap};
 pub(crate) use std::sync::Arc;
-pub(crate) use std::sync::atomic::{AtomicU64, Ordering};
 pub(crate) use units::prelude::*;
--- a/crates/placement/tests/picker.rs
+++ b/crates/placement/tests/picker.rs
@@ -157,6 +157,31 @@
     assert_eq!(updated_again.usable_weights(&engine, past), None, "a further edition does not extend the deadline");
 }
 
+#[test]
+fn a_restart_before_the_deadline_moves_it_and_a_later_one_revives_nothing() {
+    let settle = Span::seconds(3);
+    let limits = OldWeightsLimits { settle: Some(settle), ..OldWeightsLimits::default() };
+    let snapshot = FleetSnapshot { old_weights_limits: limits, ..fleet(&["one"], DOCUMENT) };
+    let mut state = (*snapshot.state).clone();
+    state.desired.models.get_mut(&"m".into()).unwrap().weights = WeightsEdition(2);
+    let engine = "one".into();
+    let updated = snapshot.after_change(state.clone(), Some(NOW), NOW);
+    let given_up = NOW + limits.send;
+    assert!(updated.after_restart(Instant(0)).is_none(), "it is not newer than the known one");
+    let restarted = NOW + Span::seconds(4);
+    let moved = updated.after_restart(restarted).unwrap();
+    let moved_end = restarted + settle + limits.send;
+    assert_eq!(moved.usable_weights(&engine, Instant(moved_end.0 - 1)), Some(WeightsEdition(1)));
+    assert_eq!(moved.usable_weights(&engine, moved_end), None);
+    let revived = updated.after_restart(given_up).unwrap();
+    assert_eq!(revived.usable_weights(&engine, given_up), None, "they were given up before the restart");
+    let known = FleetSnapshot { last_restart: Instant(NOW.0 - Span::seconds(1).0), ..snapshot };
+    let named_after = known.after_change(state, Some(NOW), NOW);
+    let named_after_end = NOW + Span::seconds(2) + limits.send;
+    assert_eq!(named_after.usable_weights(&engine, Instant(named_after_end.0 - 1)), Some(WeightsEdition(1)));
+    assert_eq!(named_after.usable_weights(&engine, named_after_end), None);
+}
+
 #[test]
 fn responses_may_begin_on_old_weights_a_little_longer_than_requests_are_sent() {
     let snapshot = fleet(&["one"], DOCUMENT);
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -119,9 +119,9 @@
                 self.config.coordinator.settle(ticket, outcome);
             }
             LinkEvent::Message(_, AgentToRouter::Routers(routers)) => self.config.shared.update_routers(routers),
-            LinkEvent::Message(_, AgentToRouter::Lease { requested_at, until, disturbed }) => {
+            LinkEvent::Message(_, AgentToRouter::Lease { requested_at, until, restarted }) => {
                 self.config.shared.renew_lease(requested_at, until);
-                self.config.shared.record_disturbance(disturbed);
+                self.config.shared.record_restart(restarted);
             }
             LinkEvent::Message(_, AgentToRouter::Snapshot { state, gave_way }) => {
                 let current = self.config.shared.snapshot();
--- a/crates/router/src/shared_state.rs
+++ b/crates/router/src/shared_state.rs
@@ -19,9 +19,6 @@
     /// Counters for `/metrics`.
     pub counts: Counts,
     routers: Mutex<RouterRoster>,
-    /// The time of the coordinator's last disturbance; set only where the grace period for old weights counts
-    /// undisturbed time.
-    disturbed: std::sync::OnceLock<Arc<AtomicU64>>,
     policies: Mutex<PolicyMetrics>,
     demand: Mutex<DemandMeter>,
 }
@@ -184,16 +181,10 @@
         result
     }
 
-    /// Starts keeping the time of the coordinator's last disturbance, for a grace period for old weights that counts
-    /// undisturbed time only. Returns that time, which later disturbances update.
-    pub fn track_disturbances(&self) -> Arc<AtomicU64> {
-        Arc::clone(self.disturbed.get_or_init(Arc::default))
-    }
-
-    /// Records a disturbance of the coordinator, where that is tracked.
-    pub fn record_disturbance(&self, disturbed: Instant) {
-        if let Some(known) = self.disturbed.get() {
-            known.fetch_max(disturbed.0, Ordering::Relaxed);
+    /// Records a restart of a keeper, which may move the deadlines of old weights.
+    pub fn record_restart(&self, restarted: Instant) {
+        if let Some(snapshot) = self.snapshot().after_restart(restarted) {
+            self.publish(snapshot);
         }
     }
 
--- a/crates/subscription/src/machine.rs
+++ b/crates/subscription/src/machine.rs
@@ -268,7 +268,7 @@
     fn handle_core_message(&mut self, message: KeeperToAgent, now: Instant) {
         match message {
             KeeperToAgent::Membership(view) => self.handle_membership(view, now),
-            KeeperToAgent::Granted { sent, span, incarnation, undisturbed } => {
+            KeeperToAgent::Granted { sent, span, incarnation, since_restart } => {
                 self.last_granted = now;
                 self.renew_interval = renewal_interval(span);
                 self.stream_baseline = self.stream_baseline.max(sent);
@@ -278,8 +278,8 @@
                     self.router.as_ref().is_some_and(|router| router.incarnation == incarnation);
                 if asked_for_this_incarnation {
                     self.lease_until = self.lease_until.max(sent + span);
-                    let disturbed = self.instant_at_age(undisturbed);
-                    let lease = AgentToRouter::Lease { requested_at: sent, until: sent + span, disturbed };
+                    let restarted = self.instant_at_age(since_restart);
+                    let lease = AgentToRouter::Lease { requested_at: sent, until: sent + span, restarted };
                     self.effects.push(SubscriptionEffect::SendToRouter(lease));
                 }
             }
@@ -390,7 +390,7 @@
                 sent,
                 span: Span::seconds(2),
                 incarnation: 1,
-                undisturbed: Span::seconds(60),
+                since_restart: Span::seconds(60),
             })
         };
         subscription.step(granted(at(2)), at(2));
--- a/crates/subscription/src/messages.rs
+++ b/crates/subscription/src/messages.rs
@@ -43,15 +43,16 @@
         /// The commit time, if known.
         committed: Option<Instant>,
     },
-    /// A lease, and the time of the core's last disturbance, which is never later than the actual one.
+    /// A lease, and the time of a keeper's last restart, which is never later than the actual one.
     Lease {
         /// When the granted renewal was sent.
         #[serde(rename = "asked")]
         requested_at: Instant,
         /// The end of the period in which the router may start work.
         until: Instant,
-        /// When a core machine last failed or returned.
-        disturbed: Instant,
+        /// When a keeper's process was last known to run before a restart.
+        #[serde(rename = "disturbed")]
+        restarted: Instant,
     },
     /// The outcome of a command.
     Settled {
--- a/crates/subscription/tests/leaving.rs
+++ b/crates/subscription/tests/leaving.rs
@@ -59,7 +59,7 @@
         subscription.step(SubscriptionInput::CoreConnected, at(310));
     }
     let (sent, span) = (at(400), Span::millis(6500));
-    let granted = KeeperToAgent::Granted { sent, span, incarnation: 1, undisturbed: Span::seconds(60) };
+    let granted = KeeperToAgent::Granted { sent, span, incarnation: 1, since_restart: Span::seconds(60) };
     subscription.step(SubscriptionInput::Core(granted), at(400));
     subscription
 }
@@ -161,7 +161,7 @@
         sent: at(3),
         span: Span::seconds(6),
         incarnation: 1,
-        undisturbed: Span::seconds(60),
+        since_restart: Span::seconds(60),
     };
     subscription.step(SubscriptionInput::Core(granted), at(4));
     for now in 5..500 {
--- a/crates/timing/src/derive.rs
+++ b/crates/timing/src/derive.rs
@@ -63,6 +63,8 @@
     pub old_weights_span: Span,
     /// How long responses may begin on superseded weights; requests that have not begun by then are cancelled.
     pub old_weights_start_span: Span,
+    /// How long after a restart of a keeper the core counts as unsettled.
+    pub settle_span: Span,
     /// The lease of a node that has not applied a change this old is not renewed.
     pub lag_limit: Span,
     /// How long a stopping router continues to accept requests.
@@ -104,6 +106,7 @@
         replace_after: Span::seconds(8),
         old_weights_span: Span::seconds(15),
         old_weights_start_span: Span::millis(16_200),
+        settle_span: Span(0),
         lag_limit: Span::millis(800),
         intake_span: UNREADY_INTAKE,
         drain_span: Span::millis(7400),
@@ -155,6 +158,7 @@
             replace_after: saturating_sub(bounds.catch_up, REPLACE_MARGIN).max(MIN_REPLACE_AFTER),
             old_weights_span: saturating_sub(bounds.version, VERSION_MARGIN),
             old_weights_start_span: saturating_sub(bounds.version, VERSION_START_MARGIN),
+            settle_span: bounds.contact,
             lag_limit: Timing::DEFAULT.lag_limit.min(bounds.apply),
             intake_span: UNREADY_INTAKE.min(intake_within(bounds.grace)),
             drain_span: saturating_sub(bounds.grace, GRACE_MARGIN),
