--- a/crates/gateway/src/old_weights.rs
+++ b/crates/gateway/src/old_weights.rs
@@ -12,10 +12,10 @@
     loop {
         changes.borrow_and_update();
         let snapshot = shared.snapshot();
-        for (edition, until) in &snapshot.old_weights_deadlines {
+        let now = boot_now();
+        for (edition, until) in snapshot.old_weights_deadlines.iter().filter(|(_, until)| now < **until) {
             in_use.entry(edition.clone()).or_insert(*until);
         }
-        let now = boot_now();
         in_use.retain(|(model, weights), first_deadline| {
             let until = snapshot.old_weights_until(model, *weights).max(*first_deadline);
             if now < until {
