--- a/crates/keeper/src/conductor_duty.rs
+++ b/crates/keeper/src/conductor_duty.rs
@@ -26,7 +26,7 @@
     let mut observations = EngineObservations::default();
     let mut interval = tokio::time::interval(ROUND_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut in_flight: HashMap<EngineName, tokio::task::JoinHandle<()>> = HashMap::new();
+    let mut outstanding: HashMap<EngineName, tokio::task::JoinHandle<()>> = HashMap::new();
     loop {
         interval.tick().await;
         planner.note_weights(&latest_snapshot(&publisher).state, boot_now());
@@ -49,14 +49,14 @@
             }
         }
         let snapshot = latest_snapshot(&publisher);
-        in_flight.retain(|_, order| !order.is_finished());
+        outstanding.retain(|_, order| !order.is_finished());
         let warming = planner.next_actions(&snapshot.state, &observations.adapters, boot_now());
         // The previous holder may still have orders in flight: until then only observe.
         if snapshot.conductor.is_none_or(|(acting_term, _)| acting_term != term) {
             continue;
         }
         for action in warming {
-            carry_out_warming(action, &publisher, &executor, &mut in_flight, term, me);
+            carry_out_warming(action, &publisher, &executor, &mut outstanding, term, me);
         }
         for action in conductor.next_actions(&snapshot.state, &observations.conductor, boot_now()) {
             match action {
@@ -74,11 +74,11 @@
                 ConductorAction::SetEngineStatus { engine, status } => {
                     event!(info, "engine_stands", engine = engine, closed = status.closed, term = term);
                     let key = engine.clone();
-                    submit_once(&executor, &mut in_flight, key, Command::SetEngineStatus { term, engine, status });
+                    submit_once(&executor, &mut outstanding, key, Command::SetEngineStatus { term, engine, status });
                 }
                 ConductorAction::Load { engine, address, weights } => {
                     let action = EngineOrderAction::LoadWeights { weights: weights.0 };
-                    send_order(&publisher, &mut in_flight, engine, address, term, me, action);
+                    send_order(&publisher, &mut outstanding, engine, address, term, me, action);
                 }
                 ConductorAction::DoStep { plan, .. }
                     if !planner.closings.may_do_step(&snapshot.state, &observations.adapters, plan, boot_now()) =>
@@ -88,14 +88,14 @@
                 ConductorAction::DoStep { plan, step } => {
                     event!(info, "plan_step", plan = plan, step = step + 1, term = term);
                     let key = EngineName(format!("plan {plan}"));
-                    submit_once(&executor, &mut in_flight, key, Command::DoStep { term, plan, step });
+                    submit_once(&executor, &mut outstanding, key, Command::DoStep { term, plan, step });
                 }
                 ConductorAction::EndPlan { plan, halted } => {
                     let key = EngineName(format!("plan {plan}"));
-                    submit_once(&executor, &mut in_flight, key, Command::EndPlan { term, plan, halted });
+                    submit_once(&executor, &mut outstanding, key, Command::EndPlan { term, plan, halted });
                 }
                 ConductorAction::Open { engine, address } => {
-                    send_order(&publisher, &mut in_flight, engine, address, term, me, EngineOrderAction::Open);
+                    send_order(&publisher, &mut outstanding, engine, address, term, me, EngineOrderAction::Open);
                 }
             }
         }
@@ -107,30 +107,30 @@
     action: WarmingAction,
     publisher: &SharedPublisher,
     executor: &ExecutorClient,
-    in_flight: &mut HashMap<EngineName, tokio::task::JoinHandle<()>>,
+    outstanding: &mut HashMap<EngineName, tokio::task::JoinHandle<()>>,
     term: Term,
     me: NodeId,
 ) {
     match action {
         WarmingAction::Place { engine, adapter, stage } => {
             let key = EngineName(format!("{engine} {adapter}"));
-            if !in_flight.contains_key(&key) {
+            if !outstanding.contains_key(&key) {
                 event!(info, "adapter_placed", engine = engine, adapter = adapter, stage = format!("{stage:?}"));
             }
-            submit_once(executor, in_flight, key, Command::PlaceCopy { term, engine, adapter, stage });
+            submit_once(executor, outstanding, key, Command::PlaceCopy { term, engine, adapter, stage });
         }
         WarmingAction::UseRevision { adapter } => {
             event!(info, "adapter_revision", adapter = adapter, term = term);
             let key = EngineName(format!("revision {}", adapter.name));
-            submit_once(executor, in_flight, key, Command::ActivateRevision { term, adapter });
+            submit_once(executor, outstanding, key, Command::ActivateRevision { term, adapter });
         }
         WarmingAction::Load { engine, address, adapter } => {
             let action = EngineOrderAction::LoadAdapter { adapter: adapter.to_string() };
-            send_order(publisher, in_flight, engine, address, term, me, action);
+            send_order(publisher, outstanding, engine, address, term, me, action);
         }
         WarmingAction::Unload { engine, address, adapter } => {
             let action = EngineOrderAction::UnloadAdapter { adapter: adapter.to_string() };
-            send_order(publisher, in_flight, engine, address, term, me, action);
+            send_order(publisher, outstanding, engine, address, term, me, action);
         }
     }
 }
@@ -138,30 +138,30 @@
 /// Submits a command for an engine or plan, unless an earlier one under the same key is in flight.
 fn submit_once(
     executor: &ExecutorClient,
-    in_flight: &mut HashMap<EngineName, tokio::task::JoinHandle<()>>,
+    outstanding: &mut HashMap<EngineName, tokio::task::JoinHandle<()>>,
     key: EngineName,
     command: Command,
 ) {
-    if in_flight.contains_key(&key) {
+    if outstanding.contains_key(&key) {
         return;
     }
     let executor = executor.clone();
     let submission = async move {
         executor.submit(RequestId::random(), command, SUBMIT_TIMEOUT).await;
     };
-    in_flight.insert(key, tokio::spawn(submission));
+    outstanding.insert(key, tokio::spawn(submission));
 }
 
 fn send_order(
     publisher: &SharedPublisher,
-    in_flight: &mut HashMap<EngineName, tokio::task::JoinHandle<()>>,
+    outstanding: &mut HashMap<EngineName, tokio::task::JoinHandle<()>>,
     engine: EngineName,
     address: String,
     term: Term,
     me: NodeId,
     action: EngineOrderAction,
 ) {
-    if in_flight.contains_key(&engine) {
+    if outstanding.contains_key(&engine) {
         return;
     }
     event!(info, "order_given", engine = engine, term = term, wish = format!("{action:?}"));
@@ -185,7 +185,7 @@
             event!(warn, "order_fault", engine = engine, reason = reason);
         }
     };
-    in_flight.insert(key, tokio::spawn(task));
+    outstanding.insert(key, tokio::spawn(task));
 }
 
 async fn observe_engines(state: &FleetState, observations: &mut EngineObservations) {
--- a/crates/keeper/src/ports.rs
+++ b/crates/keeper/src/ports.rs
@@ -38,7 +38,7 @@
     /// Requests that wait for a slot.
     pub waiting: u64,
     /// Requests that hold a slot, whether or not they have started.
-    pub in_flight: u64,
+    pub running: u64,
 }
 
 /// The protocol for orders to engines and for engines' reports.
--- a/crates/keeper/src/weights_orders.rs
+++ b/crates/keeper/src/weights_orders.rs
@@ -32,7 +32,7 @@
     let mut rollout = WeightsRollout::expediting_after(timing.old_weights_span + GIVE_UP_MARGIN);
     let mut current_term = Term(0);
     let mut status_updates: BTreeSet<EngineName> = BTreeSet::new();
-    let mut in_flight: BTreeSet<EngineName> = BTreeSet::new();
+    let mut outstanding: BTreeSet<EngineName> = BTreeSet::new();
     let mut tasks: tokio::task::JoinSet<StepOutcome> = tokio::task::JoinSet::new();
     loop {
         let snapshot = latest_snapshot(&publisher);
@@ -55,7 +55,7 @@
                                 tasks.spawn(submit_status(executor.clone(), engine, command));
                             }
                         }
-                        _ if !in_flight.insert(engine.clone()) => {}
+                        _ if !outstanding.insert(engine.clone()) => {}
                         RolloutStep::Order { engine, address, model, weights } => {
                             event!(info, "order_given", engine = engine, weights = weights, term = term);
                             let order = LoadOrder { model, weights, holder: me, term };
@@ -97,11 +97,11 @@
                 let now = boot_now();
                 match outcome {
                     Ok(StepOutcome::Order(engine, answer)) => {
-                        in_flight.remove(&engine);
+                        outstanding.remove(&engine);
                         rollout.record_answer(&engine, answer, now);
                     }
                     Ok(StepOutcome::Report(engine, report)) => {
-                        in_flight.remove(&engine);
+                        outstanding.remove(&engine);
                         rollout.record_report(&engine, report, now);
                     }
                     Ok(StepOutcome::StatusSettled(engine)) => {
@@ -170,10 +170,10 @@
     counts_in_flight: bool,
 ) -> StepOutcome {
     let report = fetch_report(&orders, &address).await;
-    let is_needed = |report: &EngineReport| report.waiting > 0 || (counts_in_flight && report.in_flight > 0);
+    let is_needed = |report: &EngineReport| report.waiting > 0 || (counts_in_flight && report.running > 0);
     if let Some(report) = report.filter(|report| !is_needed(report)) {
-        if report.in_flight > 0 {
-            event!(info, "order_withheld", engine = engine, in_flight = report.in_flight);
+        if report.running > 0 {
+            event!(info, "order_withheld", engine = engine, running = report.running);
         }
         return StepOutcome::Order(engine, OrderAnswer::NotNeeded);
     }
--- a/crates/selection/src/selector.rs
+++ b/crates/selection/src/selector.rs
@@ -178,7 +178,7 @@
     }
 
     /// The number of this node's requests on the engine, and their tokens.
-    pub fn in_flight(&self, engine: &EngineName) -> (u64, u64) {
+    pub fn outstanding(&self, engine: &EngineName) -> (u64, u64) {
         self.sources.get(engine).map_or((0, 0), |state| (state.own_requests, state.own_tokens))
     }
 
--- a/crates/selection/tests/selection.rs
+++ b/crates/selection/tests/selection.rs
@@ -408,11 +408,11 @@
     selector.begin(&gone, 500);
     selector.retain_sources(&BTreeSet::new());
     assert_eq!((selector.part_count(), selector.position(&gone), selector.position(&idle)), (0, None, None));
-    assert_eq!(selector.in_flight(&gone), (1, 500));
+    assert_eq!(selector.outstanding(&gone), (1, 500));
     selector.end(&gone, 500);
     selector.retain_sources(&BTreeSet::new());
     selector.end(&gone, 500);
-    assert_eq!(selector.in_flight(&gone), (0, 0));
+    assert_eq!(selector.outstanding(&gone), (0, 0));
 }
 
 /// In any state, the chosen engine is a candidate, not tried before and large enough; no request is refused while an
@@ -480,7 +480,7 @@
                                 assert!(request.prompt_tokens <= taken.cache_tokens);
                                 assert_eq!(picked.weights, taken.weights);
                                 let bound = taken.slots.max(4) * 3 / 2 + 1;
-                                assert!(selector.in_flight(&picked.engine).0 < bound);
+                                assert!(selector.outstanding(&picked.engine).0 < bound);
                                 selector.begin(&picked.engine, request.tokens());
                                 running.push((picked.engine, request.tokens()));
                                 chosen_count.set(chosen_count.get() + 1);
@@ -491,7 +491,7 @@
                                     request.tried.contains(&candidate.engine)
                                         || request.prompt_tokens > candidate.cache_tokens
                                         || reporting.contains(&candidate.engine)
-                                        || selector.in_flight(&candidate.engine).0 > 0
+                                        || selector.outstanding(&candidate.engine).0 > 0
                                 }));
                                 refused_count.set(refused_count.get() + 1);
                             }
@@ -503,7 +503,7 @@
                 selector.end(&engine, tokens);
             }
             for engine in 0..=6 {
-                assert_eq!(selector.in_flight(&EngineName(format!("e{engine}"))), (0, 0));
+                assert_eq!(selector.outstanding(&EngineName(format!("e{engine}"))), (0, 0));
             }
             run_count.set(run_count.get() + 1);
             Ok(())
--- a/crates/simulator/src/adapter_traffic.rs
+++ b/crates/simulator/src/adapter_traffic.rs
@@ -276,10 +276,10 @@
     }
 
     fn submit_once(&mut self, number: usize, key: EngineName, command: Command) {
-        if self.keepers[number].in_flight.contains_key(&key) {
+        if self.keepers[number].outstanding.contains_key(&key) {
             return;
         }
-        self.keepers[number].in_flight.insert(key.clone(), self.now + Span::seconds(5));
+        self.keepers[number].outstanding.insert(key.clone(), self.now + Span::seconds(5));
         let request = RequestId(self.rng.next_u64());
         let kind = ChangeKind::ConductorStep { keeper: number, engine: key };
         self.submit(number, Submission { request, command }, Some(kind));
--- a/crates/simulator/src/keepers.rs
+++ b/crates/simulator/src/keepers.rs
@@ -18,7 +18,7 @@
         keeper.conductor = Conductor::default();
         keeper.planner = WarmingPlanner::default();
         keeper.last_demand_query = Instant(0);
-        keeper.in_flight.clear();
+        keeper.outstanding.clear();
         keeper.listing_pending_since = None;
         let settings = CoordinatorSettings {
             requires_fresh_listing: true,
@@ -278,7 +278,7 @@
             })
             .collect();
         let now = self.now;
-        self.keepers[number].in_flight.retain(|_, until| now < *until);
+        self.keepers[number].outstanding.retain(|_, until| now < *until);
         let actions = self.keepers[number].conductor.next_actions(state, &observed, local_now);
         for action in actions {
             match action {
@@ -286,11 +286,11 @@
                     if standing.closed && !self.may_close(number, state, &engine) => {}
                 ConductorAction::SetEngineStatus { engine, status: standing } => {
                     let now = self.now;
-                    let waits = self.keepers[number].in_flight.get(&engine).is_some_and(|until| now < *until);
+                    let waits = self.keepers[number].outstanding.get(&engine).is_some_and(|until| now < *until);
                     if waits {
                         continue;
                     }
-                    self.keepers[number].in_flight.insert(engine.clone(), now + Span::seconds(5));
+                    self.keepers[number].outstanding.insert(engine.clone(), now + Span::seconds(5));
                     let kind = ChangeKind::ConductorStep { keeper: number, engine: engine.clone() };
                     let request = RequestId(self.rng.next_u64());
                     self.submit(
@@ -326,10 +326,10 @@
         kind: SimOrderKind,
     ) {
         let Some(engine) = self.engines.iter().position(|known| known.name == engine) else { return };
-        if self.keepers[number].in_flight.contains_key(&key) {
+        if self.keepers[number].outstanding.contains_key(&key) {
             return;
         }
-        self.keepers[number].in_flight.insert(key, self.now + Span::millis(700));
+        self.keepers[number].outstanding.insert(key, self.now + Span::millis(700));
         let order = SimOrder { holder: self.keepers[number].id.to_string(), term, kind };
         let incarnation = self.keepers[number].incarnation;
         let delay = self.net.delay(&mut self.rng);
@@ -356,10 +356,10 @@
 
     fn submit_plan_step(&mut self, number: usize, plan: Edition, command: Command) {
         let key = EngineName(format!("plan {plan}"));
-        if self.keepers[number].in_flight.contains_key(&key) {
+        if self.keepers[number].outstanding.contains_key(&key) {
             return;
         }
-        self.keepers[number].in_flight.insert(key.clone(), self.now + Span::seconds(5));
+        self.keepers[number].outstanding.insert(key.clone(), self.now + Span::seconds(5));
         let request = RequestId(self.rng.next_u64());
         let kind = ChangeKind::ConductorStep { keeper: number, engine: key };
         self.submit(number, Submission { request, command }, Some(kind));
--- a/crates/simulator/src/machines.rs
+++ b/crates/simulator/src/machines.rs
@@ -46,7 +46,7 @@
     pub planner: WarmingPlanner,
     /// When it last queried the demand for adapters.
     pub last_demand_query: Instant,
-    pub in_flight: BTreeMap<EngineName, Instant>,
+    pub outstanding: BTreeMap<EngineName, Instant>,
 }
 
 impl SimKeeper {
@@ -68,7 +68,7 @@
             conductor: Conductor::default(),
             planner: WarmingPlanner::default(),
             last_demand_query: Instant(0),
-            in_flight: BTreeMap::new(),
+            outstanding: BTreeMap::new(),
         }
     }
 
--- a/crates/simulator/src/operators.rs
+++ b/crates/simulator/src/operators.rs
@@ -10,7 +10,7 @@
         }
         let Some(pending) = self.pending_changes.remove(&ticket) else { return };
         if let Some(ChangeKind::ConductorStep { keeper, engine }) = &pending.kind {
-            self.keepers[*keeper].in_flight.remove(engine);
+            self.keepers[*keeper].outstanding.remove(engine);
         }
         let QueryOutcome::Settled(CommandOutcome::Applied(edition)) = outcome else { return };
         let at = self.millis();
