--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -33,6 +33,7 @@
         "tenant-name" => tenant_name(has_trouble, record),
         "silent-stream" => silent_stream(has_trouble, record),
         "leavers" => leavers(has_trouble, record),
+        "core-of-three" => core_of_three(has_trouble, record),
         _ => Err(format!("no case {name}")),
     };
     played.unwrap_or_else(Outcome::NotRun)
@@ -364,3 +365,39 @@
     }
     false
 }
+
+/// LOST: in a core of three, one machine after the other loses its disk, each `catch_up_s` after the last is back.
+fn core_of_three(has_trouble: bool, record: &Record) -> Result<Outcome, String> {
+    let key = SCORE_KEY;
+    let mut deployment = Deployment::start(&configuration(3, &[tenant("mobo12", key, false)], 15_000), key, record)?;
+    std::thread::sleep(CATCH_UP);
+    let mut revision = 3;
+    for step in 0..LOSSES {
+        let keeper = step % 3;
+        if has_trouble {
+            deployment.fleet.kill_keeper(keeper, step % 2 == 0);
+        }
+        let change =
+            format!(r#"{{"revision":{},"upsert":{{"tenants":[{}]}}}}"#, revision + 2, tenant("mobo12", key, false));
+        let asked = Instant::now();
+        let outcome = deployment.apply("PATCH", revision, &change);
+        record.note(format!("change {} after {} ms: {outcome:?}", revision + 2, asked.elapsed().as_millis()));
+        if outcome.is_err() {
+            return Ok(Outcome::Broken(format!("no acknowledgement in 30 s after loss {step}")));
+        }
+        revision += 2;
+        if has_trouble {
+            std::thread::sleep(Duration::from_millis(500));
+            deployment.fleet.start_keeper(keeper).ok_or("a keeper does not start")?;
+        }
+        std::thread::sleep(CATCH_UP);
+        let read = deployment.fleet.operate("GET", "/v1/config", None, "").map(|(answer, _)| answer.text());
+        if !read.as_ref().is_some_and(|text| text.contains(&format!("\"revision\":{revision}"))) {
+            return Ok(Outcome::Broken(format!("revision {revision} was acknowledged, read back: {read:?}")));
+        }
+    }
+    Ok(Outcome::Held)
+}
+
+const CATCH_UP: Duration = Duration::from_millis(4100);
+const LOSSES: usize = 12;
