Review, case 1: after kills and one lost disk the core agrees on no view again

Cause: keepers outside the chain copy uncommitted records from the head and seal their logs for its campaign. If the head loses its disk then, the only complete copy left is shorter, a sealed keeper takes no shorter log, and no two logs end alike, so no next view can be composed (crates/coordinator, replication.rs and view_composition.rs).

Nothing is fixed.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -33,6 +33,7 @@
         "tenant-name" => tenant_name(has_trouble, record),
         "silent-stream" => silent_stream(has_trouble, record),
         "leavers" => leavers(has_trouble, record),
+        "standstill" => standstill(has_trouble, record),
         _ => Err(format!("no case {name}")),
     };
     played.unwrap_or_else(Outcome::NotRun)
@@ -63,13 +64,19 @@
 impl Deployment {
     /// Starts everything, brings the configuration into force and waits until a first request is served.
     fn start(configuration: &str, key: &str, record: &Record) -> Result<Deployment, String> {
+        Deployment::start_with(3, configuration, key, record)
+    }
+
+    /// The same with this number of keepers.
+    fn start_with(keepers: u8, configuration: &str, key: &str, record: &Record) -> Result<Deployment, String> {
         let program = std::env::var_os("HAREMOUNT").map_or_else(|| "target/release/haremount".into(), PathBuf::from);
         let network = Network::claim().ok_or("no free ports")?;
         let start = |plan, machine| Engine::start(plan, network.ip(machine), record).map_err(|e| e.to_string());
         let (engine, portal_engine) = (start(&ENGINE, 100)?, start(&PORTAL_ENGINE, 101)?);
         let engines = vec![engine.clone(), portal_engine];
         let directory = start_directory(network.ip(250), engines).map_err(|e| e.to_string())?;
-        let fleet = Fleet::start(&network, &program, directory, record).ok_or("the processes do not start")?;
+        let fleet =
+            Fleet::start(&network, &program, directory, keepers, record).ok_or("the processes do not start")?;
         let mut deployment = Deployment { fleet, engine, record: record.clone(), sent: 0 };
         deployment.apply("PUT", 0, configuration)?;
         if !deployment.fleet.wait_until_ready() {
@@ -371,3 +378,115 @@
     }
     false
 }
+
+/// The value of a field of the last log line that names an event.
+fn last_field(logs: &str, event: &str, field: &str) -> Option<String> {
+    let line = logs.lines().rev().find(|line| line.contains(&format!("event={event} ")))?;
+    let value = line.split_whitespace().find_map(|word| word.strip_prefix(&format!("{field}=")))?;
+    Some(value.to_owned())
+}
+
+/// RECOVER: keepers are killed and come back, one of them with an empty disk; does the fleet serve again? Nothing but
+/// the order of the keepers in the chain is taken from the logs, to know which one to kill.
+fn standstill(has_trouble: bool, record: &Record) -> Result<Outcome, String> {
+    let tenants = [tenant("mobo12", SCORE_KEY, false)];
+    let first = configuration(3, &tenants, 15_000);
+    let mut deployment = Deployment::start_with(CORE_OF_SITE, &first, SCORE_KEY, record)?;
+    std::thread::sleep(CATCH_UP);
+    let ids: Vec<String> = (0..4)
+        .map(|keeper| last_field(&deployment.fleet.keeper_logs(keeper), "started", "id").unwrap_or_default())
+        .collect();
+    let chain = last_field(&deployment.fleet.keeper_logs(0), "view_adopted", "chain").ok_or("no view")?;
+    record.note(format!("keepers {ids:?}, chain {chain}"));
+    let members: Vec<usize> = chain.split(',').filter_map(|member| ids.iter().position(|id| id == member)).collect();
+    let [head, first, second, tail] = members[..] else { return Err(format!("the chain is not of four: {chain}")) };
+    if has_trouble {
+        let fleet = &mut deployment.fleet;
+        let adopted =
+            |fleet: &Fleet| last_field(&fleet.keeper_logs(head), "view_adopted", "chain").unwrap_or_default();
+        fleet.kill_keeper(first, false);
+        std::thread::sleep(CATCH_UP);
+        record.note(format!("chain {}", adopted(fleet)));
+        fleet.kill_keeper(second, false);
+        std::thread::sleep(Duration::from_millis(1500));
+        fleet.start_keeper(first).ok_or("a keeper does not start")?;
+        let short = format!("{},{}", ids[head], ids[tail]);
+        let until = Instant::now() + Duration::from_secs(5);
+        while adopted(fleet) != short && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        record.note(format!("chain {}", adopted(fleet)));
+        std::thread::sleep(Duration::from_millis(100));
+        fleet.kill_keeper(tail, false);
+        let operators = Operators::start(fleet.controls[head], &tenants);
+        std::thread::sleep(Duration::from_millis(2000));
+        fleet.start_keeper(second).ok_or("a keeper does not start")?;
+        std::thread::sleep(LAST_ORDER);
+        operators.stop();
+        std::thread::sleep(FREEZE_AFTER);
+        fleet.freeze_keeper(head);
+        std::thread::sleep(Duration::from_millis(1500));
+        fleet.kill_keeper(head, true);
+        std::thread::sleep(Duration::from_millis(1000));
+        fleet.start_keeper(head).ok_or("a keeper does not start")?;
+        fleet.start_keeper(tail).ok_or("a keeper does not start")?;
+    } else {
+        let operators = Operators::start(deployment.fleet.controls[head], &tenants);
+        std::thread::sleep(Duration::from_secs(3));
+        operators.stop();
+    }
+    record.note("all keepers are up from here on");
+    std::thread::sleep(RECOVERY);
+    let mut served = 0;
+    for number in 0..40 {
+        served += usize::from(deployment.send(&format!("/pure/{number}"), SCORE_KEY, "0f:10").status == 200);
+        std::thread::sleep(Duration::from_millis(250));
+    }
+    let read = deployment.fleet.operate("GET", "/v1/config", None, "").map(|(answer, _)| answer.first_line);
+    let text = format!(
+        "{served} of 40 requests sent later than recovery_s after all were back were served; the configuration read \
+         back for 30 s: {}",
+        read.as_deref().unwrap_or("does not come")
+    );
+    record.note(&text);
+    Ok(if served < 10 { Outcome::Broken(text) } else { Outcome::Held })
+}
+
+/// The core machines of the small site ppnc-nuty.
+const CORE_OF_SITE: u8 = 4;
+const CATCH_UP: Duration = Duration::from_millis(4100);
+/// From the start of the fourth keeper to the last order, and from there to the freeze of the head.
+const LAST_ORDER: Duration = Duration::from_millis(700);
+const FREEZE_AFTER: Duration = Duration::from_millis(180);
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// Operators with orders under way at every node, sent again until they are stopped.
+struct Operators {
+    stopping: std::sync::Arc<std::sync::atomic::AtomicBool>,
+}
+
+impl Operators {
+    /// Sends an order to a node every 190 ms and waits 1 s for each answer, so that six are under way at once.
+    fn start(control: std::net::SocketAddr, tenants: &[String]) -> Operators {
+        let stopping = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+        let (is_stopped, tenants) = (stopping.clone(), tenants.to_vec());
+        std::thread::spawn(move || {
+            let began = Instant::now();
+            for number in 1u32.. {
+                if is_stopped.load(std::sync::atomic::Ordering::SeqCst) {
+                    return;
+                }
+                let body = configuration(5 + 2 * u64::from(number), &tenants, 15_000);
+                std::thread::spawn(move || crate::http::put_once(control, &body, Duration::from_secs(1)));
+                std::thread::sleep((began + ORDER_INTERVAL * number).saturating_duration_since(Instant::now()));
+            }
+        });
+        Operators { stopping }
+    }
+
+    fn stop(&self) {
+        self.stopping.store(true, std::sync::atomic::Ordering::SeqCst);
+    }
+}
+
+const ORDER_INTERVAL: Duration = Duration::from_millis(150);
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -1,4 +1,4 @@
-//! A small deployment: three core machines with a keeper each, one edge machine with a router and an agent. Every
+//! A small deployment: core machines with a keeper each, one edge machine with a router and an agent. Every
 //! process is the project's own program, started with the commands of the deploy file.
 
 use crate::http::{self, Message};
@@ -10,6 +10,7 @@
 
 pub const SIGHUP: i32 = 1;
 const SIGKILL: i32 = 9;
+const SIGSTOP: i32 = 19;
 const PR_SET_PDEATHSIG: i32 = 1;
 
 unsafe extern "C" {
@@ -17,7 +18,6 @@
     fn prctl(option: i32, argument: usize, ...) -> i32;
 }
 
-const KEEPERS: u8 = 3;
 const FIRST_KEEPER: u8 = 10;
 const EDGE: u8 = 50;
 const FIRST_PORT: u16 = 20_000;
@@ -59,18 +59,25 @@
     pub router: Child,
     agent: Child,
     keepers: Vec<Child>,
+    program: PathBuf,
     folder: PathBuf,
     record: Record,
 }
 
 impl Fleet {
     /// Starts the processes. `program` is what the deploy file runs.
-    pub fn start(network: &Network, program: &Path, directory: SocketAddr, record: &Record) -> Option<Fleet> {
+    pub fn start(
+        network: &Network,
+        program: &Path,
+        directory: SocketAddr,
+        keepers: u8,
+        record: &Record,
+    ) -> Option<Fleet> {
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).ok()?;
         let controls: Vec<SocketAddr> =
-            (0..KEEPERS).map(|number| (network.ip(FIRST_KEEPER + number), network.port(8)).into()).collect();
+            (0..keepers).map(|number| (network.ip(FIRST_KEEPER + number), network.port(8)).into()).collect();
         let settings = |name: &str, ip: Ipv4Addr, bound: String, is_core: bool| {
             let data = folder.join(name);
             let data_dir = if is_core { format!("{:?}", data.display().to_string()) } else { "null".into() };
@@ -79,7 +86,7 @@
             }
             let class = if is_core { "core" } else { "edge" };
             let serves = if is_core { "control" } else { "edge" };
-            let seeds: Vec<String> = controls.iter().map(|address| format!("\"{address}\"")).collect();
+            let seeds: Vec<String> = controls.iter().take(3).map(|address| format!("\"{address}\"")).collect();
             let (seeds, first, last) = (seeds.join(","), network.port(0), network.port(7));
             let disk = if is_core { 128 } else { 0 };
             let text = format!(
@@ -103,7 +110,17 @@
         let agent = start_process(program, "agent", &path, &folder.join("agent.log"))?;
         let router = start_process(program, "router", &path, &folder.join("router.log"))?;
         record.note(format!("started keepers {controls:?}, router {front}"));
-        Some(Fleet { front, readiness, controls, router, agent, keepers, folder, record: record.clone() })
+        Some(Fleet {
+            front,
+            readiness,
+            controls,
+            router,
+            agent,
+            keepers,
+            program: program.to_owned(),
+            folder,
+            record: record.clone(),
+        })
     }
 
     /// Sends an operator's call to one node after another until its outcome is clear, as PROTOCOL.md says.
@@ -135,6 +152,51 @@
         http::call(self.readiness, "GET", "/v1/ready", &[], "").is_some_and(|answer| answer.status() == 200)
     }
 
+    /// Freezes a keeper.
+    pub fn freeze_keeper(&self, number: usize) {
+        self.record.note(format!("keeper {number} is frozen"));
+        // SAFETY: a plain system call on the id of a child that has not been waited for.
+        unsafe { kill(self.keepers[number].id() as i32, SIGSTOP) };
+    }
+
+    /// Kills a keeper; its disk is emptied if `is_wiped`.
+    pub fn kill_keeper(&mut self, number: usize, is_wiped: bool) {
+        let _ = self.keepers[number].kill();
+        let _ = self.keepers[number].wait();
+        let data = self.folder.join(format!("core-{number}"));
+        if is_wiped {
+            let _ = std::fs::remove_dir_all(&data);
+            let _ = std::fs::create_dir_all(&data);
+        }
+        self.record.note(format!("keeper {number} is killed, disk emptied: {is_wiped}"));
+    }
+
+    /// What a keeper has logged in all its lives.
+    pub fn keeper_logs(&self, number: usize) -> String {
+        let mut names: Vec<PathBuf> = std::fs::read_dir(&self.folder)
+            .map(|entries| entries.flatten().map(|entry| entry.path()).collect())
+            .unwrap_or_default();
+        let prefix = format!("core-{number}.");
+        let is_log = |path: &PathBuf| {
+            let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
+            name.starts_with(&prefix) && name.ends_with(".log")
+        };
+        names.retain(is_log);
+        names.sort_by_key(|path| std::fs::metadata(path).and_then(|data| data.created()).ok());
+        names.iter().filter_map(|path| std::fs::read_to_string(path).ok()).collect()
+    }
+
+    /// Starts a killed keeper again, with `bootstrap` false.
+    pub fn start_keeper(&mut self, number: usize) -> Option<()> {
+        let path = self.folder.join(format!("core-{number}.json"));
+        let text = std::fs::read_to_string(&path).ok()?.replace(r#""bootstrap":true"#, r#""bootstrap":false"#);
+        std::fs::write(&path, text).ok()?;
+        let log = self.folder.join(format!("core-{number}.{}.log", self.keepers[number].id()));
+        self.keepers[number] = start_process(&self.program, "keeper", &path, &log)?;
+        self.record.note(format!("keeper {number} is started"));
+        Some(())
+    }
+
     /// Signals the router, as the platform does.
     pub fn signal_router(&self, signal: i32) {
         self.record.note(format!("the router gets signal {signal}"));
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -117,3 +117,12 @@
     read_body(&mut reader, &mut answer);
     Some(answer)
 }
+
+/// Sends a configuration on top of revision 3 and waits a while for the answer.
+pub fn put_once(address: SocketAddr, body: &str, patience: Duration) {
+    let Ok(mut stream) = TcpStream::connect_timeout(&address, patience) else { return };
+    let _ = stream.set_read_timeout(Some(patience));
+    let headers = [("Host", address.to_string()), ("If-Match", "3".into()), ("Connection", "close".into())];
+    let _ = stream.write_all(&encode("PUT /v1/config HTTP/1.1", &headers, body));
+    let _ = read_head(&mut BufReader::new(stream));
+}
