Connections: a budget drawn from the machine, the longest stalled gives way

Callers saw: with more clients than descriptors every process accepted on (4096 at each port whatever max_fds says); idle connections held the places of those with something to ask. Cause: a constant number of permits for each port; memory_mb was read and used nowhere, max_fds not read. A full port dropped the newcomer, so a crowd of silent connections kept it for itself. Why it works: the new package budget keeps an account for each connection. When a share is full, connections that wait for their peer are closed, the one without progress for the longest time first; one whose request is being served never is. The programs of the own interface have the settings memory_mb and max_fds with defaults.

--- a/crates/gateway/src/prelude.rs
+++ b/crates/gateway/src/prelude.rs
@@ -22,6 +22,7 @@
 pub(crate) use admission::prelude::RetryBudget;
 pub(crate) use attempts::prelude::is_leased;
 pub(crate) use blocks::prelude::Salt;
+pub use budget::prelude::{ProcessLimits, Share};
 pub(crate) use desired::prelude::{DesiredState, ServiceSpec};
 pub use parts::prelude::{PartBatch, PartEvent, PartName, SourcePosition};
 pub(crate) use placement::prelude::{DEFAULT_POLICY, FleetSnapshot, OldWeightsLimits};
@@ -44,7 +45,7 @@
 pub use units::prelude::*;
 pub(crate) use web::prelude::{
     BodyExt, BodyFault, BodySender, ConnectionTimeouts, Incoming, IncomingRequest, OpenConnections, OutgoingRequest,
-    PersistentConnection, RequestHandler, Response, ResponseFuture, WebResponse, WebResponseExt, bind,
-    bytes_response, fetch_response, read_whole, serve, serve_with_timeouts, streaming_response,
+    PersistentConnection, RequestHandler, Response, ResponseFuture, ServerOptions, WebResponse, WebResponseExt, bind,
+    bytes_response, fetch_response, read_whole, serve_with_options, streaming_response,
 };
 pub use web::prelude::{Bytes, Full, HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -13,11 +13,18 @@
     /// All time limits, including those of leases, old weights and draining.
     pub timing: Timing,
     pub retry_bounds: RetryBounds,
+    /// The limits of this process, of which each of its servers may fill a share.
+    pub limits: ProcessLimits,
     pub protocol: Arc<dyn Protocol>,
     /// The mechanisms disabled for trials.
     pub disabled: DisabledMechanisms,
 }
 
+const CALLERS_SHARE: Share = Share { memory_divisor: 4, descriptors_divisor: 2 };
+/// Every router of the fleet may follow this one.
+const RELAY_SHARE: Share = Share { memory_divisor: 8, descriptors_divisor: 4 };
+const READINESS_SHARE: Share = Share { memory_divisor: 32, descriptors_divisor: 16 };
+
 /// Tells a running gateway to drain and stop.
 #[derive(Clone, Default)]
 pub struct StopSignal(Arc<tokio::sync::Notify>);
@@ -73,15 +80,16 @@
         if let Some(readiness) = plan.readiness {
             let listener = bind(readiness).map_err(|error| miette!("readiness: {readiness}: {error}"))?;
             let ready_page = plan.protocol.ready_page();
-            tokio::spawn(serve(listener, Arc::new(Readiness { shared: Arc::clone(&shared), ready_page })));
+            let page = Arc::new(Readiness { shared: Arc::clone(&shared), ready_page });
+            let options = ServerOptions::within(plan.limits.share(READINESS_SHARE));
+            tokio::spawn(serve_with_options(listener, page, options));
         }
         if let Some(relay) = plan.relay {
             let listener = bind(relay).map_err(|error| miette!("relay: {relay}: {error}"))?;
             tokio::spawn(PeerGrantQuery { node, shared: Arc::clone(&shared) }.run());
-            tokio::spawn(serve(
-                listener,
-                Arc::new(RelayHandler { scheduler: scheduler.clone(), changes, shared: Arc::clone(&shared) }),
-            ));
+            let handler = RelayHandler { scheduler: scheduler.clone(), changes, shared: Arc::clone(&shared) };
+            let options = ServerOptions::within(plan.limits.share(RELAY_SHARE));
+            tokio::spawn(serve_with_options(listener, Arc::new(handler), options));
         }
         let caller_handler = Arc::new(CallerHandler {
             shared: Arc::clone(&shared),
@@ -90,8 +98,9 @@
             protocol: Arc::clone(&plan.protocol),
             samples: AtomicU64::new(node.0),
         });
-        let connections = Arc::new(OpenConnections::default());
-        let serving = tokio::spawn(serve_with_timeouts(callers, caller_handler, bounds, Arc::clone(&connections)));
+        let options = ServerOptions { timeouts: bounds, ..ServerOptions::within(plan.limits.share(CALLERS_SHARE)) };
+        let connections = Arc::clone(&options.connections);
+        let serving = tokio::spawn(serve_with_options(callers, caller_handler, options));
         let followers = PartFollowers {
             node,
             shared: Arc::clone(&shared),
--- a/crates/keeper/src/main.rs
+++ b/crates/keeper/src/main.rs
@@ -24,6 +24,8 @@
         #[cfg(feature = "faults")]
         setting("disk_faults", SettingKind::Path, None, "for tests: a file that controls injected disk faults"),
         setting("threads", SettingKind::Integer(1, 64), Some("2"), "threads for HTTP"),
+        MEMORY_MB,
+        MAX_FDS,
         LOG_LEVEL,
     ],
 };
@@ -63,6 +65,7 @@
         engines: platform.map_or(EngineSource::None, EngineSource::Listing),
         orders: EngineOrderSource::BuiltIn,
         operators: OperatorSource::BuiltIn,
+        limits: process_limits(&settings)?,
         threads: settings.whole("threads")? as usize,
     };
     let handle_signals = move |handle: KeeperHandle| {
--- a/crates/keeper/src/prelude.rs
+++ b/crates/keeper/src/prelude.rs
@@ -16,6 +16,7 @@
 pub use crate::state_store::*;
 pub(crate) use crate::weights_orders::*;
 pub(crate) use adapters::prelude::{AdapterReport, RATE_UNIT, WarmingAction, WarmingPlanner};
+pub(crate) use budget::prelude::Share;
 pub use conductor::prelude::OrderAnswer;
 pub(crate) use conductor::prelude::{Conductor, ConductorAction, EngineObservation, RolloutStep, WeightsRollout};
 pub(crate) use contract::prelude::*;
@@ -40,7 +41,8 @@
 pub(crate) use units::prelude::*;
 pub use web::prelude::{HeaderMap, Method, StatusCode, bind};
 pub(crate) use web::prelude::{
-    IncomingRequest, RequestHandler, ResponseFuture, WebResponse, WebResponseExt, bytes_response, error_response,
-    fetch_response, json_response, not_found_response, open_stream, serve, small_runtime,
+    IncomingRequest, RequestHandler, ResponseFuture, ServerOptions, WebResponse, WebResponseExt, bytes_response,
+    error_response, fetch_response, json_response, not_found_response, open_stream, serve_with_options,
+    small_runtime,
 };
 pub(crate) use wire::prelude::Inbound;
--- a/crates/keeper/src/run.rs
+++ b/crates/keeper/src/run.rs
@@ -54,9 +54,13 @@
     pub engines: EngineSource,
     pub orders: EngineOrderSource,
     pub operators: OperatorSource,
+    /// The limits of this process, of which each of its servers may fill a share.
+    pub limits: ProcessLimits,
     pub threads: usize,
 }
 
+const OPERATORS_SHARE: Share = Share { memory_divisor: 4, descriptors_divisor: 4 };
+
 /// Controls a running keeper.
 #[derive(Clone)]
 pub struct KeeperHandle {
@@ -154,7 +158,8 @@
         }),
         OperatorSource::Protocol(protocol) => Arc::new(ProtocolInterface { executor: client, protocol }),
     };
-    runtime.spawn(serve(config.operator_listener, site));
+    let options = ServerOptions::within(config.limits.share(OPERATORS_SHARE));
+    runtime.spawn(serve_with_options(config.operator_listener, site, options));
     on_ready(identity);
     event!(info, "started", id = identity, address = me.address, door = me.door);
     let outcome = executor.run();
--- a/crates/process/src/prelude.rs
+++ b/crates/process/src/prelude.rs
@@ -5,6 +5,7 @@
 pub use crate::logs::*;
 pub use crate::settings::*;
 pub use crate::signals::*;
+pub use budget::prelude::ProcessLimits;
 pub(crate) use desired::prelude::{Bounds, ObjectReader, parse_bounded};
 pub(crate) use flexi_logger::{DeferredNow, LogSpecification, Logger};
 pub use miette::{Report, miette};
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -18,10 +18,13 @@
         setting("record", SettingKind::Path, None, "folder for recordings of runs; if left out, none are made"),
         setting("record_mb", SettingKind::Integer(1, 4096), Some("64"), "size of a recording file; four are kept"),
         setting("threads", SettingKind::Integer(1, 64), Some("2"), "threads for HTTP"),
+        MEMORY_MB,
+        MAX_FDS,
         LOG_LEVEL,
     ],
 };
 
+const CALLERS_SHARE: Share = Share { memory_divisor: 4, descriptors_divisor: 2 };
 /// How often draining checks whether requests still run.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// How long tasks of the runtime may take to stop after draining.
@@ -70,7 +73,8 @@
         coordinator,
         recorder,
     });
-    runtime.spawn(serve(listener, api_handler));
+    let options = ServerOptions::within(process_limits(&settings)?.share(CALLERS_SHARE));
+    runtime.spawn(serve_with_options(listener, api_handler, options));
     let stop = Arc::new(tokio::sync::Notify::new());
     let stop_notice = Arc::clone(&stop);
     handle_signals(&PROGRAM, settings, logs, move || stop_notice.notify_one(), |_| {})?;
--- a/crates/router/src/prelude.rs
+++ b/crates/router/src/prelude.rs
@@ -17,6 +17,7 @@
 pub use admission::prelude::{ConcurrencyShares, RetryBudget};
 pub use attempts::prelude::*;
 pub use blocks::prelude::{BLOCK_TOKENS, Salt, blocks_needed, hash_blocks};
+pub use budget::prelude::Share;
 pub use contract::prelude::*;
 pub use desired::prelude::{Command, CommandOutcome, Submission};
 pub use figures::prelude::{PolicyMetrics, TrafficMetrics};
@@ -35,8 +36,8 @@
 pub use units::prelude::*;
 pub use web::prelude::{
     BodyFault, BodySender, Bytes, IncomingRequest, IncomingResponse, Method, OpenStream, OutgoingRequest,
-    RequestHandler, ResponseFuture, SendFault, StatusCode, WebResponse, WebResponseExt, bind, bytes_response,
-    error_response, json_response, not_found_response, open_stream, read_whole, serve, small_runtime,
-    streaming_response,
+    RequestHandler, ResponseFuture, SendFault, ServerOptions, StatusCode, WebResponse, WebResponseExt, bind,
+    bytes_response, error_response, json_response, not_found_response, open_stream, read_whole, serve_with_options,
+    small_runtime, streaming_response,
 };
 pub use wire::prelude::{AgentToRouter, RouterAddress, RouterToAgent};
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -41,6 +41,39 @@
     }
 }
 
+/// A response's body. Its client is being served until the body is dropped.
+pub(crate) struct ServedBody {
+    body: GothamBody,
+    _serving: ServingGuard,
+}
+
+impl ServedBody {
+    /// Keeps the guard for as long as the response has a body.
+    pub(crate) fn of(response: WebResponse, serving: ServingGuard) -> WebResponse {
+        response.map(|body| UnsyncBoxBody::new(ServedBody { body, _serving: serving }))
+    }
+}
+
+impl Body for ServedBody {
+    type Data = Bytes;
+    type Error = <GothamBody as Body>::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// The sending end of a streamed response. The stream ends cleanly only after `finish`. If the sender is dropped
 /// without it, the client receives what was sent, the final chunk given to `cut` if any, and an aborted stream.
 pub struct BodySender {
--- a/crates/web/src/framing.rs
+++ b/crates/web/src/framing.rs
@@ -76,6 +76,11 @@
         matches!(self.phase, Phase::Head) && (!self.is_first_line || !self.line.is_empty())
     }
 
+    /// Whether the rest of a request is still to come.
+    pub fn awaits_rest(&self) -> bool {
+        self.is_in_head() || !matches!(self.phase, Phase::Head)
+    }
+
     /// Checks the next bytes of the connection.
     pub fn inspect(&mut self, mut bytes: &[u8]) -> Result<(), FramingFault> {
         while !bytes.is_empty() {
--- a/crates/web/src/guard.rs
+++ b/crates/web/src/guard.rs
@@ -41,7 +41,7 @@
 /// A byte that makes the HTTP library answer with 400 and close the connection.
 const INVALID_BYTE: u8 = 0;
 
-/// A client connection with its timeouts and framing checks.
+/// A client connection with its timeouts, framing checks and account.
 pub(crate) struct GuardedStream {
     stream: TcpStream,
     idle: Pin<Box<tokio::time::Sleep>>,
@@ -51,18 +51,21 @@
     head_started: Option<tokio::time::Instant>,
     /// A request is completely received, and no byte of its response is sent.
     awaits_response: bool,
-    _permit: tokio::sync::OwnedSemaphorePermit,
+    client: ClientAccount,
 }
 
 impl GuardedStream {
-    pub(crate) fn new(
-        stream: TcpStream,
-        permit: tokio::sync::OwnedSemaphorePermit,
-        timeouts: Arc<ConnectionTimeouts>,
-    ) -> GuardedStream {
+    pub(crate) fn new(stream: TcpStream, client: ClientAccount, timeouts: Arc<ConnectionTimeouts>) -> GuardedStream {
         let idle = Box::pin(tokio::time::sleep(timeouts.idle_timeout()));
-        let framing = RequestFraming::default();
-        GuardedStream { stream, idle, timeouts, framing, head_started: None, awaits_response: false, _permit: permit }
+        GuardedStream {
+            stream,
+            idle,
+            timeouts,
+            framing: RequestFraming::default(),
+            head_started: None,
+            awaits_response: false,
+            client,
+        }
     }
 
     /// Restarts the timer after progress.
@@ -72,6 +75,25 @@
         self.idle.as_mut().reset(head_end.map_or(idle_end, |head_end| idle_end.min(head_end)));
     }
 
+    /// Fails if the connection has to give way while no handler can refuse its request.
+    fn check_eviction(&self) -> io::Result<()> {
+        let has_handler = self.framing.awaits_rest() && !self.framing.is_in_head();
+        match self.client.is_evicted() && !has_handler {
+            true => Err(io::ErrorKind::ConnectionAborted.into()),
+            false => Ok(()),
+        }
+    }
+
+    /// Restarts the timer after a write, and records whether the client takes what is written.
+    fn end_write(&mut self, context: &mut Context<'_>, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.awaits_response &= polled.is_pending();
+        self.client.set_blocked(polled.is_pending());
+        if polled.is_ready() {
+            self.client.record_progress(self.framing.awaits_rest());
+        }
+        self.check_timer(context, polled)
+    }
+
     /// Fails a pending operation when the timer has expired, except while a response is being prepared.
     fn check_timer<T>(&mut self, context: &mut Context<'_>, polled: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         if polled.is_ready() {
@@ -96,6 +118,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.check_eviction()?;
         let filled_before = buffer.filled().len();
         let complete_before = self.framing.complete_count();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
@@ -108,15 +131,18 @@
             true => Some(self.head_started.unwrap_or_else(tokio::time::Instant::now)),
             false => None,
         };
+        if buffer.filled().len() > filled_before {
+            self.client.record_progress(self.framing.awaits_rest());
+        }
         self.check_timer(context, polled)
     }
 }
 
 impl AsyncWrite for GuardedStream {
     fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.check_eviction()?;
         let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.awaits_response &= polled.is_pending();
-        self.check_timer(context, polled)
+        self.end_write(context, polled)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod client;
+mod client_account;
 mod closing;
 mod framing;
 mod guard;
--- a/crates/web/src/prelude.rs
+++ b/crates/web/src/prelude.rs
@@ -2,12 +2,14 @@
 
 pub use crate::body::*;
 pub use crate::client::*;
+pub use crate::client_account::*;
 pub use crate::closing::*;
 pub use crate::framing::*;
 pub use crate::guard::*;
 pub use crate::persistent::*;
 pub use crate::server::*;
 pub use crate::sockets::*;
+pub use budget::prelude::*;
 pub use bytes::Bytes;
 pub(crate) use gotham::handler::HandlerFuture;
 pub(crate) use gotham::helpers::http::Body as GothamBody;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -2,7 +2,8 @@
 
 use crate::prelude::*;
 
-const MAX_CONNECTIONS: usize = 4096;
+/// A server without limits of its own may hold this part of a machine's defaults.
+const DEFAULT_SHARE: Share = Share { memory_divisor: 1, descriptors_divisor: 1 };
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// A request with more header lines gets 431. Handlers limit the bytes of the headers themselves, and the library's
 /// default of 100 lines would refuse heads well within those limits. The value is fixed, so that a handler's limit
@@ -134,21 +135,42 @@
     Ok(listener)
 }
 
-/// Serves requests on a bound listener, with default timeouts.
+/// What a server allows its clients.
+#[derive(Clone)]
+pub struct ServerOptions {
+    /// What all clients of the server may hold together.
+    pub budget: Arc<Budget>,
+    /// Timeouts that may change while the server runs.
+    pub timeouts: Arc<ConnectionTimeouts>,
+    /// Closes the open connections, even after the server's future was dropped.
+    pub connections: Arc<OpenConnections>,
+}
+
+impl ServerOptions {
+    /// Default timeouts, and a budget within these limits.
+    pub fn within(limits: BudgetLimits) -> ServerOptions {
+        ServerOptions { budget: Budget::new(limits), timeouts: Arc::default(), connections: Arc::default() }
+    }
+}
+
+impl Default for ServerOptions {
+    fn default() -> ServerOptions {
+        ServerOptions::within(ProcessLimits::default().share(DEFAULT_SHARE))
+    }
+}
+
+/// Serves requests on a bound listener with default options.
 pub async fn serve(listener: std::net::TcpListener, request_handler: Arc<dyn RequestHandler>) -> io::Result<()> {
-    serve_with_timeouts(listener, request_handler, Arc::default(), Arc::default()).await
+    serve_with_options(listener, request_handler, ServerOptions::default()).await
 }
 
-/// Serves requests with timeouts that may change while it runs. `connections` can close the open connections, even
-/// after this future was dropped.
-pub async fn serve_with_timeouts(
+/// Serves requests on a bound listener.
+pub async fn serve_with_options(
     listener: std::net::TcpListener,
     request_handler: Arc<dyn RequestHandler>,
-    timeouts: Arc<ConnectionTimeouts>,
-    connections: Arc<OpenConnections>,
+    options: ServerOptions,
 ) -> io::Result<()> {
     let listener = TcpListener::from_std(listener)?;
-    let permits = Arc::new(tokio::sync::Semaphore::new(MAX_CONNECTIONS));
     let protocol = Arc::new(connection_builder());
     let handler = Arc::new(GothamHandler(std::panic::AssertUnwindSafe(request_handler)));
     loop {
@@ -160,20 +182,27 @@
                 continue;
             }
         };
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else { continue };
+        let Ok(client) = ClientAccount::open(&options.budget) else { continue };
         let _ = stream.set_nodelay(true);
         set_user_timeout(&stream, CLIENT_USER_TIMEOUT);
-        let guarded = TokioIo::new(GuardedStream::new(stream, permit, Arc::clone(&timeouts)));
-        let handler = Arc::clone(&handler);
-        let service = hyper::service::service_fn(move |request| answer(Arc::clone(&handler), request, address));
+        let guarded = TokioIo::new(GuardedStream::new(stream, client.clone(), Arc::clone(&options.timeouts)));
+        let (handler, serving_client) = (Arc::clone(&handler), client.clone());
+        let service = hyper::service::service_fn(move |request| {
+            answer(Arc::clone(&handler), request, address, serving_client.clone())
+        });
         let protocol = Arc::clone(&protocol);
-        let open = connections.enter();
+        let open = options.connections.enter();
         // An error or panic on one connection affects only that connection.
         tokio::spawn(async move {
             let mut connection = std::pin::pin!(protocol.serve_connection(guarded, service));
             tokio::select! {
                 _ = connection.as_mut() => return,
                 () = open.closing() => connection.as_mut().graceful_shutdown(),
+                () = client.evicted() => connection.as_mut().graceful_shutdown(),
+            }
+            tokio::select! {
+                _ = connection.as_mut() => return,
+                () = client.evicted() => {}
             }
             let _ = connection.await;
         });
@@ -192,14 +221,17 @@
     handler: Arc<GothamHandler>,
     request: Request<Incoming>,
     address: std::net::SocketAddr,
+    client: ClientAccount,
 ) -> gotham::anyhow::Result<WebResponse> {
+    let serving = client.serve();
     if head_bytes(request.headers()) > MAX_HEAD_BYTES {
         let reason = format!("at most {MAX_HEAD_BYTES} bytes of headers");
         let refusal = error_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large", &reason);
         return Ok(refusal.with_header("connection", "close"));
     }
     let state = State::from_request(request, address);
-    gotham::service::call_handler(handler, std::panic::AssertUnwindSafe(state)).await
+    let response = gotham::service::call_handler(handler, std::panic::AssertUnwindSafe(state)).await?;
+    Ok(ServedBody::of(response, serving))
 }
 
 /// The size of the header lines as received, since the library enforces its own limit only roughly.
--- a/crates/web/tests/closing.rs
+++ b/crates/web/tests/closing.rs
@@ -42,7 +42,8 @@
     let allowed = Arc::new(tokio::sync::Semaphore::new(permits));
     let handler = Arc::new(GatedHandler { entered: entered_sender, allowed: Arc::clone(&allowed) });
     let connections = Arc::new(OpenConnections::default());
-    runtime.spawn(serve_with_timeouts(listener, handler, Arc::default(), Arc::clone(&connections)));
+    let options = ServerOptions { connections: Arc::clone(&connections), ..ServerOptions::default() };
+    runtime.spawn(serve_with_options(listener, handler, options));
     TestServer { address, connections, entered, allowed, _runtime: runtime }
 }
 
