Bodies count against the budget as they arrive, and give way

Callers saw: 60 bodies of 4 MB that stopped a byte short made a router hold 281 to 416 MB of 160, 60 of 7 MB a keeper 473 to 475 MB of 256. Cause: each body was collected in memory up to its own limit; nothing added them up, so the clients decided how much a process held. Bodies over the limit still get 413 alone. Why it works: bytes are charged to the connection's account when they arrive, whatever length was announced, and given back when the last user drops them (after the last retry). A charge beyond the share closes the connection that has stalled longest; its handler answers 503 with retry-after, since nothing has run. Requests that are being served keep what they hold. A keeper answers 503 and 408 where it answered 400, which ended an operator's call for good though the body was only late.

--- a/crates/budget/src/account.rs
+++ b/crates/budget/src/account.rs
@@ -129,6 +129,9 @@
     /// Counts nothing any more.
     pub fn clear(&mut self) {
         let bytes = std::mem::take(&mut self.bytes);
+        if bytes == 0 {
+            return;
+        }
         self.account.0.budget.ledger().release(self.account.0.id, bytes);
     }
 }
--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -168,6 +168,7 @@
     match error {
         BodyFault::TooLarge => Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
         BodyFault::TooSlow => Refusal::new(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"),
+        BodyFault::NoRoom => Refusal::retry_later("too much is held for callers at present", NOT_READY_RETRY_AFTER),
         BodyFault::Broken(reason) => Refusal::new(StatusCode::BAD_REQUEST, reason),
     }
 }
--- a/crates/keeper/src/operator_interface.rs
+++ b/crates/keeper/src/operator_interface.rs
@@ -107,10 +107,7 @@
         };
         let body = match request.read_body(MAX_REQUEST_BODY).await {
             Ok(body) => body,
-            Err(web::prelude::BodyFault::TooLarge) => {
-                return error_response(StatusCode::PAYLOAD_TOO_LARGE, "too_large", "at most 1 MiB");
-            }
-            Err(_) => return error_response(StatusCode::BAD_REQUEST, "bad_request", "the body did not arrive whole"),
+            Err(fault) => return body_fault_response(fault),
         };
         let Ok(text) = String::from_utf8(body.to_vec()) else {
             return error_response(StatusCode::BAD_REQUEST, "bad_request", "not UTF-8");
@@ -135,7 +132,11 @@
 
     /// Submits an intent and answers with the plan of steps made from it.
     async fn create_plan(&self, mut request: IncomingRequest) -> WebResponse {
-        let intent = match read_json_body(&mut request).await.and_then(|document| read_intent(&document)) {
+        let intent = match read_json_body(&mut request).await {
+            Ok(document) => read_intent(&document),
+            Err(response) => return *response,
+        };
+        let intent = match intent {
             Ok(intent) => intent,
             Err(errors) => return validation_response(&errors),
         };
@@ -264,11 +265,12 @@
     }
 }
 
-async fn read_json_body(request: &mut IncomingRequest) -> Result<JsonValue, Vec<ValidationError>> {
-    let unreadable = |reason: &str| vec![ValidationError::at("", reason)];
-    let body = request.read_body(1 << 20).await.map_err(|fault| unreadable(&format!("{fault:?}")))?;
-    let text = std::str::from_utf8(&body).map_err(|_| unreadable("not UTF-8"))?;
-    parse_bounded(text, DOCUMENT_BOUNDS).map_err(|error| vec![error])
+/// Reads a body as JSON; an error is the response to be sent.
+async fn read_json_body(request: &mut IncomingRequest) -> Result<JsonValue, Box<WebResponse>> {
+    let refuse = |error: ValidationError| Box::new(validation_response(&[error]));
+    let body = request.read_body(1 << 20).await.map_err(|fault| Box::new(body_fault_response(fault)))?;
+    let text = std::str::from_utf8(&body).map_err(|_| refuse(ValidationError::at("", "not UTF-8")))?;
+    parse_bounded(text, DOCUMENT_BOUNDS).map_err(refuse)
 }
 
 fn find_plan<'a>(state: &'a FleetState, number_text: &str) -> Option<(Edition, &'a Plan)> {
@@ -312,7 +314,7 @@
 async fn check_policy(state: &FleetState, mut request: IncomingRequest) -> WebResponse {
     let document = match read_json_body(&mut request).await {
         Ok(document) => document,
-        Err(errors) => return validation_response(&errors),
+        Err(response) => return *response,
     };
     let policies = JsonValue::Object([("checked".to_owned(), document)].into());
     let patch = JsonValue::Object([("policies".to_owned(), policies)].into());
--- a/crates/keeper/src/prelude.rs
+++ b/crates/keeper/src/prelude.rs
@@ -41,8 +41,8 @@
 pub(crate) use units::prelude::*;
 pub use web::prelude::{HeaderMap, Method, StatusCode, bind};
 pub(crate) use web::prelude::{
-    IncomingRequest, RequestHandler, ResponseFuture, ServerOptions, WebResponse, WebResponseExt, bytes_response,
-    error_response, fetch_response, json_response, not_found_response, open_stream, serve_with_options,
-    small_runtime,
+    IncomingRequest, RequestHandler, ResponseFuture, ServerOptions, WebResponse, WebResponseExt, body_fault_response,
+    bytes_response, error_response, fetch_response, json_response, not_found_response, open_stream,
+    serve_with_options, small_runtime,
 };
 pub(crate) use wire::prelude::Inbound;
--- a/crates/keeper/src/protocol_interface.rs
+++ b/crates/keeper/src/protocol_interface.rs
@@ -33,10 +33,7 @@
         }
         let body = match request.read_body(BODY_BOUNDS.bytes).await {
             Ok(body) => body,
-            Err(web::prelude::BodyFault::TooLarge) => {
-                return error_response(StatusCode::PAYLOAD_TOO_LARGE, "too_large", "the body is too large");
-            }
-            Err(_) => return error_response(StatusCode::BAD_REQUEST, "bad_request", "the body did not arrive whole"),
+            Err(fault) => return body_fault_response(fault),
         };
         let read = std::str::from_utf8(&body).map_err(|_| ValidationError::at("", "not UTF-8"));
         let body = match read.and_then(|text| parse_bounded(text, BODY_BOUNDS)) {
--- a/crates/router/src/api_handler.rs
+++ b/crates/router/src/api_handler.rs
@@ -156,6 +156,10 @@
                 Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large", reason)
             }
             BodyFault::TooSlow => Refusal::new(StatusCode::REQUEST_TIMEOUT, "too_slow", "the body came too slowly"),
+            BodyFault::NoRoom => {
+                let reason = "too much is held for callers at present";
+                Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no_room", reason)
+            }
             BodyFault::Broken(reason) => Refusal::new(StatusCode::BAD_REQUEST, "bad_request", reason),
         })?;
         let caller_request: CallerRequest = serde_json::from_slice(&body)
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -7,6 +7,8 @@
 pub enum BodyFault {
     TooLarge,
     TooSlow,
+    /// The process may not hold more for its clients at present.
+    NoRoom,
     Broken(String),
 }
 
@@ -21,26 +23,73 @@
     B: Body<Data = Bytes> + Send,
     B::Error: std::fmt::Display,
 {
-    let mut body = std::pin::pin!(body);
     let mut received = Vec::new();
-    let reading = async {
-        while let Some(frame) = body.as_mut().frame().await {
-            let frame = frame.map_err(|fault| BodyFault::Broken(fault.to_string()))?;
-            if let Some(data) = frame.data_ref() {
-                if received.len() + data.len() > max_bytes {
-                    return Err(BodyFault::TooLarge);
-                }
-                received.extend_from_slice(data);
-            }
-        }
-        Ok(())
-    };
+    let reading = read_frames(body, |data| append(&mut received, data, max_bytes));
     match tokio::time::timeout(limit, reading).await {
         Ok(outcome) => outcome.map(|()| Bytes::from(received)),
         Err(_) => Err(BodyFault::TooSlow),
     }
 }
 
+/// Like `read_whole`, with the bytes counted as held by a client from their arrival until the result is dropped.
+pub async fn read_within_budget<B>(
+    body: B,
+    max_bytes: usize,
+    limit: Duration,
+    client: &ClientAccount,
+) -> Result<Bytes, BodyFault>
+where
+    B: Body<Data = Bytes> + Send,
+    B::Error: std::fmt::Display,
+{
+    let mut received = CountedBytes { bytes: Vec::new(), held: client.hold() };
+    let reading = read_frames(body, |data| {
+        append(&mut received.bytes, data, max_bytes)?;
+        received.held.grow(data.len() as u64).map_err(|Exhausted| BodyFault::NoRoom)
+    });
+    tokio::select! {
+        outcome = tokio::time::timeout(limit, reading) => outcome.unwrap_or(Err(BodyFault::TooSlow))?,
+        () = client.evicted() => return Err(BodyFault::NoRoom),
+    }
+    Ok(Bytes::from_owner(received))
+}
+
+/// Passes each frame's data on, up to the body's clean end.
+async fn read_frames<B>(body: B, mut receive: impl FnMut(&Bytes) -> Result<(), BodyFault>) -> Result<(), BodyFault>
+where
+    B: Body<Data = Bytes> + Send,
+    B::Error: std::fmt::Display,
+{
+    let mut body = std::pin::pin!(body);
+    while let Some(frame) = body.as_mut().frame().await {
+        let frame = frame.map_err(|fault| BodyFault::Broken(fault.to_string()))?;
+        if let Some(data) = frame.data_ref() {
+            receive(data)?;
+        }
+    }
+    Ok(())
+}
+
+fn append(received: &mut Vec<u8>, data: &Bytes, max_bytes: usize) -> Result<(), BodyFault> {
+    if received.len() + data.len() > max_bytes {
+        return Err(BodyFault::TooLarge);
+    }
+    received.extend_from_slice(data);
+    Ok(())
+}
+
+/// The bytes of a body, which count against a client's budget while they exist.
+struct CountedBytes {
+    bytes: Vec<u8>,
+    held: HeldBytes,
+}
+
+impl AsRef<[u8]> for CountedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// A response's body. Its client is being served until the body is dropped.
 pub(crate) struct ServedBody {
     body: GothamBody,
--- a/crates/web/src/client_account.rs
+++ b/crates/web/src/client_account.rs
@@ -10,6 +10,8 @@
     is_evicted: watch::Receiver<bool>,
 }
 
+impl gotham::state::StateData for ClientAccount {}
+
 impl ClientAccount {
     /// Opens an account; fails if the budget bears no further connection.
     pub fn open(budget: &Arc<Budget>) -> Result<ClientAccount, Exhausted> {
@@ -20,6 +22,11 @@
         Ok(ClientAccount { account, is_evicted })
     }
 
+    /// Bytes held for this client, none yet.
+    pub fn hold(&self) -> HeldBytes {
+        self.account.hold()
+    }
+
     /// Whether the connection has to give way.
     pub(crate) fn is_evicted(&self) -> bool {
         *self.is_evicted.borrow()
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -4,6 +4,7 @@
 
 /// A server without limits of its own may hold this part of a machine's defaults.
 const DEFAULT_SHARE: Share = Share { memory_divisor: 1, descriptors_divisor: 1 };
+const NO_ROOM_RETRY_AFTER: &str = "0.3";
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// A request with more header lines gets 431. Handlers limit the bytes of the headers themselves, and the library's
 /// default of 100 lines would refuse heads well within those limits. The value is fixed, so that a handler's limit
@@ -23,6 +24,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: std::sync::Mutex<GothamBody>,
+    /// The connection on which it arrived.
+    pub client: ClientAccount,
 }
 
 /// A response of a handler.
@@ -52,6 +55,7 @@
             uri,
             headers: HeaderMap::take_from(self),
             body: std::sync::Mutex::new(GothamBody::take_from(self)),
+            client: ClientAccount::take_from(self),
         }
     }
 }
@@ -81,7 +85,7 @@
     pub async fn read_body(&mut self, max_bytes: usize) -> Result<Bytes, BodyFault> {
         let body = std::mem::replace(&mut self.body, std::sync::Mutex::new(empty_body()));
         let body = body.into_inner().map_err(|_| BodyFault::Broken("poisoned".into()))?;
-        read_whole(body, max_bytes, BODY_READ_TIMEOUT).await
+        read_within_budget(body, max_bytes, BODY_READ_TIMEOUT, &self.client).await
     }
 }
 
@@ -118,6 +122,23 @@
     json_response(status, &json!({"error": {"type": kind, "message": reason}}))
 }
 
+/// The response to a request whose body was not read whole.
+pub fn body_fault_response(fault: BodyFault) -> WebResponse {
+    match fault {
+        BodyFault::TooLarge => error_response(StatusCode::PAYLOAD_TOO_LARGE, "too_large", "the body is too large"),
+        BodyFault::TooSlow => error_response(StatusCode::REQUEST_TIMEOUT, "too_slow", "the body came too slowly"),
+        BodyFault::NoRoom => no_room_response(),
+        BodyFault::Broken(reason) => error_response(StatusCode::BAD_REQUEST, "bad_request", &reason),
+    }
+}
+
+/// The refusal of a server that may not hold more for its clients at present.
+fn no_room_response() -> WebResponse {
+    error_response(StatusCode::SERVICE_UNAVAILABLE, "no_room", "too much is held for clients at present")
+        .with_header("retry-after", NO_ROOM_RETRY_AFTER)
+        .with_header("connection", "close")
+}
+
 /// The 404 response for an unknown path.
 pub fn not_found_response() -> WebResponse {
     error_response(StatusCode::NOT_FOUND, "not_found", "no such page")
@@ -229,7 +250,8 @@
         let refusal = error_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large", &reason);
         return Ok(refusal.with_header("connection", "close"));
     }
-    let state = State::from_request(request, address);
+    let mut state = State::from_request(request, address);
+    state.put(client);
     let response = gotham::service::call_handler(handler, std::panic::AssertUnwindSafe(state)).await?;
     Ok(ServedBody::of(response, serving))
 }
