Heads count against the budget while they arrive

Callers saw: 1,000 heads of 100 KB that stopped short made a router hold 263 MB of 160, 764 MB with the same at its readiness and relay addresses, a keeper 397 MB of 256 (1,500). Cause: the library buffers up to 128 KB of a head for each connection and the framing check a line up to 64 KB; neither was added up. A line beyond 64 KB counted as no head at all, so the time limit of heads did not apply to it, and the check kept the line for as long as the connection lived. The new test of framing fails without the change of is_in_head. Why it works: each byte of a head is charged as it arrives, with the copies made of it, and given back when the head is complete; then the library's buffer is charged by its largest read. An overlong line is part of a head and not kept.

--- a/crates/web/src/framing.rs
+++ b/crates/web/src/framing.rs
@@ -71,9 +71,13 @@
         self.complete_count
     }
 
-    /// Whether the head of a request is partly received.
+    /// Whether the head of a request is partly received. A line too long to be checked counts as one of a head.
     pub fn is_in_head(&self) -> bool {
-        matches!(self.phase, Phase::Head) && (!self.is_first_line || !self.line.is_empty())
+        match self.phase {
+            Phase::Head => !self.is_first_line || !self.line.is_empty(),
+            Phase::Untracked => true,
+            _ => false,
+        }
     }
 
     /// Whether the rest of a request is still to come.
@@ -111,6 +115,7 @@
                         self.end_line()?;
                     } else if self.line.len() > MAX_LINE_BYTES {
                         self.phase = Phase::Untracked;
+                        self.line = Vec::new();
                     }
                 }
             }
--- a/crates/web/src/guard.rs
+++ b/crates/web/src/guard.rs
@@ -41,6 +41,9 @@
 /// A byte that makes the HTTP library answer with 400 and close the connection.
 const INVALID_BYTE: u8 = 0;
 
+/// A byte of a head that is being received is held by the library, by the check of its line and as a parsed field.
+const COPIES_OF_HEAD: u64 = 3;
+
 /// A client connection with its timeouts, framing checks and account.
 pub(crate) struct GuardedStream {
     stream: TcpStream,
@@ -52,6 +55,10 @@
     /// A request is completely received, and no byte of its response is sent.
     awaits_response: bool,
     client: ClientAccount,
+    /// The library's buffer, as large as the largest read.
+    read_buffer: HeldBytes,
+    /// The head being received.
+    head: HeldBytes,
 }
 
 impl GuardedStream {
@@ -64,6 +71,8 @@
             framing: RequestFraming::default(),
             head_started: None,
             awaits_response: false,
+            read_buffer: client.hold(),
+            head: client.hold(),
             client,
         }
     }
@@ -75,6 +84,20 @@
         self.idle.as_mut().reset(head_end.map_or(idle_end, |head_end| idle_end.min(head_end)));
     }
 
+    /// Counts bytes that arrived. Fails if the process may not hold them.
+    fn count_received(&mut self, count: usize) -> io::Result<()> {
+        self.client.record_progress(self.framing.awaits_rest());
+        let bytes = count as u64;
+        let counted = match self.framing.is_in_head() {
+            true => self.head.grow(bytes * COPIES_OF_HEAD),
+            false => {
+                self.head.clear();
+                self.read_buffer.grow_to(bytes)
+            }
+        };
+        counted.map_err(|Exhausted| io::ErrorKind::OutOfMemory.into())
+    }
+
     /// Fails if the connection has to give way while no handler can refuse its request.
     fn check_eviction(&self) -> io::Result<()> {
         let has_handler = self.framing.awaits_rest() && !self.framing.is_in_head();
@@ -131,8 +154,9 @@
             true => Some(self.head_started.unwrap_or_else(tokio::time::Instant::now)),
             false => None,
         };
-        if buffer.filled().len() > filled_before {
-            self.client.record_progress(self.framing.awaits_rest());
+        let received = buffer.filled().len() - filled_before;
+        if received > 0 {
+            self.count_received(received)?;
         }
         self.check_timer(context, polled)
     }
--- a/crates/web/tests/framing.rs
+++ b/crates/web/tests/framing.rs
@@ -57,3 +57,12 @@
     framing.inspect(b"\r\nPOST /b HTTP/1.1\r\nContent-Length: 1\r\n\r\nxG").unwrap();
     assert!(framing.is_in_head() && framing.complete_count() == 2);
 }
+
+/// Otherwise neither the time limit of heads nor the count of their bytes would apply to it.
+#[test]
+fn a_line_too_long_to_be_checked_is_still_part_of_a_head() {
+    let mut framing = RequestFraming::default();
+    framing.inspect(b"GET / HTTP/1.1\r\nX: ").unwrap();
+    framing.inspect(&vec![b'x'; 200 << 10]).unwrap();
+    assert!(framing.is_in_head() && framing.awaits_rest());
+}
