Answers count against the budget until they are written

Callers saw: 24 answers of 16 MB that nobody read made a router hold 455 MB of 160. Cause: an answer that is not a stream is read whole before any of it is passed on, and was then copied into the library's write buffer, where it lay for as long as its client pleased. Evidence: long_answers_that_nobody_reads failed before and passes (79 MB). With the count alone it still failed (478 MB): the copy was not counted, so bodies and answers are now written from where they lie (vectored writes, towards engines too; the gate of a request runs before either kind of write). Why it works: the bytes of an answer are charged while it is read from its engine and given back once written. An answer for which nothing can give way gets 502, since the request has run; other responses of a server that do not fit get 503.

--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -124,6 +124,7 @@
             target: request.uri.path_and_query().map_or_else(|| "/".into(), |target| target.as_str().to_owned()),
             headers: end_to_end(&request.headers),
             body,
+            client: request.client.clone(),
             head,
             route,
             service,
--- a/crates/gateway/src/relay/attempt_end.rs
+++ b/crates/gateway/src/relay/attempt_end.rs
@@ -11,6 +11,8 @@
     NoEngine,
     /// The facts on which the attempt was placed had changed when its first byte was to be written.
     Refused(StartRefusal),
+    /// The response cannot be held for the caller at present.
+    NoRoom,
     /// The request's time limit has passed.
     TimedOut { is_sent: bool },
 }
@@ -33,6 +35,7 @@
             }
             AttemptEnd::NoEngine => Ok(self.retry_state.give_up()),
             AttemptEnd::Refused(refusal) => self.after_refusal(refusal),
+            AttemptEnd::NoRoom => Err(Box::new(self.no_room())),
             AttemptEnd::TimedOut { is_sent } => Ok(self.retry_state.time_out(is_sent)),
         }
     }
@@ -49,6 +52,13 @@
         }
     }
 
+    /// The request has run, and another attempt would need the same room.
+    fn no_room(&self) -> WebResponse {
+        self.shared.counts.unknown.fetch_add(1, Ordering::Relaxed);
+        let refusal = Refusal::new(StatusCode::BAD_GATEWAY, "the answer cannot be held; the request may have run");
+        gateway_response(&*self.protocol, &self.planned.head.attempt, &refusal)
+    }
+
     fn key_withdrawn(&self) -> WebResponse {
         let refusal = Refusal::new(StatusCode::UNAUTHORIZED, "the key was withdrawn");
         gateway_response(&*self.protocol, &self.planned.head.attempt, &refusal)
--- a/crates/gateway/src/relay/buffered_response.rs
+++ b/crates/gateway/src/relay/buffered_response.rs
@@ -21,13 +21,15 @@
     pub(super) async fn read_buffered_response(&mut self, answer: OpenResponse) -> Result<WebResponse, AttemptEnd> {
         let OpenResponse { status, headers, body, head, connection, address, reservation, .. } = answer;
         let time_left = self.planned.deadline.since(boot_now()).as_duration();
-        match read_whole(body, MAX_RESPONSE_BYTES, time_left).await {
+        match read_within_budget(body, MAX_RESPONSE_BYTES, time_left, &self.planned.client).await {
             Ok(bytes) => {
                 self.pool.release(&address, connection, &head, boot_now());
                 let mut response = bytes_response(status, "application/octet-stream", bytes);
                 *response.headers_mut() = end_to_end(&headers);
+                response.extensions_mut().insert(CountedBody);
                 Ok(response)
             }
+            Err(BodyFault::NoRoom) => Err(AttemptEnd::NoRoom),
             Err(BodyFault::TooSlow) => Err(AttemptEnd::TimedOut { is_sent: true }),
             Err(error) => {
                 self.record_fault(&reservation.engine, FaultKind::Broken, &format!("{error:?}"));
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -15,6 +15,8 @@
     /// The caller's end-to-end headers, unchanged.
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// The connection on which it arrived; the response counts against its budget.
+    pub client: ClientAccount,
     pub head: CallerHead,
     pub route: Arc<NamedRoute>,
     pub service: ServiceName,
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -2,6 +2,9 @@
 
 use crate::prelude::*;
 
+/// A response up to this size is sent even if the budget is used up: it says little more than why.
+const SMALL_RESPONSE_BYTES: u64 = 1 << 10;
+
 /// Why a body was not read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BodyFault {
@@ -90,16 +93,43 @@
     }
 }
 
-/// A response's body. Its client is being served until the body is dropped.
+/// The bytes of a response's frame, which count against a client's budget while they exist.
+struct CountedFrame {
+    bytes: Bytes,
+    _held: HeldBytes,
+}
+
+impl AsRef<[u8]> for CountedFrame {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Marks a response whose body counts against a client's budget already.
+#[derive(Clone, Copy)]
+pub struct CountedBody;
+
+/// A response's body. Its client is being served until the body is dropped; its bytes are counted until they are
+/// written.
 pub(crate) struct ServedBody {
     body: GothamBody,
+    /// What the first frame counts for, until there is one: a body of known size has a single frame.
+    held: Option<HeldBytes>,
     _serving: ServingGuard,
 }
 
 impl ServedBody {
-    /// Keeps the guard for as long as the response has a body.
-    pub(crate) fn of(response: WebResponse, serving: ServingGuard) -> WebResponse {
-        response.map(|body| UnsyncBoxBody::new(ServedBody { body, _serving: serving }))
+    /// Counts a response whose size is known; one that the process may not hold is replaced by a refusal.
+    pub(crate) fn within_budget(response: WebResponse, client: &ClientAccount, serving: ServingGuard) -> WebResponse {
+        let is_counted = response.extensions().get::<CountedBody>().is_some();
+        let bytes = response.body().size_hint().exact().filter(|_| !is_counted).unwrap_or_default();
+        let mut held = client.hold();
+        let response = match held.grow(bytes) {
+            Ok(()) => response,
+            Err(Exhausted) if bytes <= SMALL_RESPONSE_BYTES => response,
+            Err(Exhausted) => no_room_response(),
+        };
+        response.map(|body| UnsyncBoxBody::new(ServedBody { body, held: Some(held), _serving: serving }))
     }
 }
 
@@ -111,7 +141,13 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        let Poll::Ready(Some(Ok(frame))) = polled else { return polled };
+        let counted = frame.map_data(|bytes| match self.held.take() {
+            Some(held) => Bytes::from_owner(CountedFrame { bytes, _held: held }),
+            None => bytes,
+        });
+        Poll::Ready(Some(Ok(counted)))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -98,6 +98,20 @@
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.cell.pass()?;
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    /// The library then writes a body from where it lies, instead of a copy.
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(context)
     }
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -133,7 +133,7 @@
 }
 
 /// The refusal of a server that may not hold more for its clients at present.
-fn no_room_response() -> WebResponse {
+pub(crate) fn no_room_response() -> WebResponse {
     error_response(StatusCode::SERVICE_UNAVAILABLE, "no_room", "too much is held for clients at present")
         .with_header("retry-after", NO_ROOM_RETRY_AFTER)
         .with_header("connection", "close")
@@ -251,9 +251,9 @@
         return Ok(refusal.with_header("connection", "close"));
     }
     let mut state = State::from_request(request, address);
-    state.put(client);
+    state.put(client.clone());
     let response = gotham::service::call_handler(handler, std::panic::AssertUnwindSafe(state)).await?;
-    Ok(ServedBody::of(response, serving))
+    Ok(ServedBody::within_budget(response, &client, serving))
 }
 
 /// The size of the header lines as received, since the library enforces its own limit only roughly.
