Operators' documents and reads of the configuration are taken one at a time

Callers saw: 60 clients at each keeper that do not take an 8 MB configuration made the tail hold 1,361 MB of 256. Cause: each read travels from the tail as a copy of the whole configuration, in queues between keepers that no account counts, and all reads ran at once. In the same way every whole document was read as JSON at once, each many times its size, and kept as JSON while its change waited for its outcome. A whole configuration as JSON is dropped before its change waits.

--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -8,6 +8,7 @@
 mod adapters_page;
 mod conductor_duty;
 mod directory_poller;
+mod document_admission;
 mod executor;
 mod listing_poller;
 mod operator_interface;
--- a/crates/keeper/src/prelude.rs
+++ b/crates/keeper/src/prelude.rs
@@ -3,6 +3,7 @@
 pub(crate) use crate::adapters_page::*;
 pub(crate) use crate::conductor_duty::*;
 pub(crate) use crate::directory_poller::*;
+pub use crate::document_admission::*;
 pub use crate::executor::ExecutorCommand;
 pub(crate) use crate::executor::*;
 pub(crate) use crate::listing_poller::*;
--- a/crates/keeper/src/protocol_interface.rs
+++ b/crates/keeper/src/protocol_interface.rs
@@ -16,6 +16,8 @@
 pub struct ProtocolInterface {
     pub executor: ExecutorClient,
     pub protocol: Arc<dyn OperatorProtocol>,
+    /// Bounds the memory that documents take.
+    pub admission: DocumentAdmission,
 }
 
 impl RequestHandler for ProtocolInterface {
@@ -35,20 +37,25 @@
             Ok(body) => body,
             Err(fault) => return body_fault_response(fault),
         };
+        let Some(_permit) = self.admission.admit(body.len()).await else { return outcome_unknown() };
         let read = std::str::from_utf8(&body).map_err(|_| ValidationError::at("", "not UTF-8"));
-        let body = match read.and_then(|text| parse_bounded(text, BODY_BOUNDS)) {
-            Ok(body) => body,
+        let document = match read.and_then(|text| parse_bounded(text, BODY_BOUNDS)) {
+            Ok(document) => document,
             Err(error) => return validation_response(&[error]),
         };
+        drop(body);
         match call {
-            OperatorCall::RaiseWeights => self.raise_weights(&body).await,
-            OperatorCall::Replace | OperatorCall::Patch => self.change(call, &request.headers, &body).await,
+            OperatorCall::RaiseWeights => self.raise_weights(&document).await,
+            OperatorCall::Replace | OperatorCall::Patch => self.change(call, &request.headers, document).await,
             OperatorCall::Read => not_found_response(),
         }
     }
 
     async fn read_back(&self) -> WebResponse {
-        match self.configuration().await {
+        let Some(permit) = self.admission.admit_read().await else { return outcome_unknown() };
+        let configuration = self.configuration().await;
+        drop(permit);
+        match configuration {
             Some((_, source)) if source.is_empty() => {
                 error_response(StatusCode::NOT_FOUND, "not_found", "no configuration was taken yet")
             }
@@ -65,16 +72,19 @@
         }
     }
 
-    async fn change(&self, call: OperatorCall, headers: &HeaderMap, body: &JsonValue) -> WebResponse {
+    async fn change(&self, call: OperatorCall, headers: &HeaderMap, document: JsonValue) -> WebResponse {
         let base = match self.protocol.base_revision(headers) {
             Ok(base) => base,
             Err(reason) => return error_response(StatusCode::BAD_REQUEST, "no_base", &reason),
         };
-        let fingerprint = fingerprint_of(call, base, &write_sorted(body));
-        match call {
-            OperatorCall::Patch => self.patch(base, fingerprint, body).await,
-            _ => self.configure(base, fingerprint, self.protocol.parse_configuration(body)).await,
+        let fingerprint = fingerprint_of(call, base, &write_sorted(&document));
+        if call == OperatorCall::Patch {
+            return self.patch(base, fingerprint, &document).await;
         }
+        let read = self.protocol.parse_configuration(&document);
+        // The document takes much memory, and the change may wait for seconds.
+        drop(document);
+        self.configure(base, fingerprint, read).await
     }
 
     async fn configure(
--- a/crates/keeper/src/run.rs
+++ b/crates/keeper/src/run.rs
@@ -156,7 +156,9 @@
             me: me.clone(),
             listing_health: health,
         }),
-        OperatorSource::Protocol(protocol) => Arc::new(ProtocolInterface { executor: client, protocol }),
+        OperatorSource::Protocol(protocol) => {
+            Arc::new(ProtocolInterface { executor: client, protocol, admission: DocumentAdmission::default() })
+        }
     };
     let options = ServerOptions::within(config.limits.share(OPERATORS_SHARE));
     runtime.spawn(serve_with_options(config.operator_listener, site, options));
