A JSON text has at most 700,000 values; operators' bodies fill an eighth

Callers saw: twenty whole documents of 7 MB made a keeper hold 425 MB of 256 before it refused them. Cause: a value takes many times its size as text once it is parsed, a small one the most; only the bytes of a text were bounded. Evidence: whole_changes_that_are_invalid passes (113 MB; 75 MB with the smaller share). Why it works: values are counted before the text is parsed. 8 MB of routes have about 400,000, so no configuration that a keeper takes meets the limit. At most 100 errors of a document are listed in its refusal.

--- a/crates/desired/src/json_text.rs
+++ b/crates/desired/src/json_text.rs
@@ -38,6 +38,9 @@
 /// The limits of a document translated from a whole configuration, which may be larger.
 pub const CONFIGURATION_BOUNDS: Bounds = Bounds { bytes: 4 << 20, depth: 32 };
 
+/// The most values of a JSON text: each takes many times its size as text, the smallest ones the most.
+const MAX_VALUES: usize = 700_000;
+
 /// Parses a JSON text that must be within bounds.
 pub fn parse_bounded(text: &str, bounds: Bounds) -> Result<JsonValue, ValidationError> {
     if text.len() > bounds.bytes {
@@ -55,17 +58,23 @@
     expects_key: bool,
 }
 
-/// Checks nesting depth and duplicate keys.
+/// Checks nesting depth, the number of values and duplicate keys.
 fn check_structure(text: &str, depth_limit: usize) -> Result<(), ValidationError> {
     let mut levels: Vec<Level> = Vec::new();
     let text_bytes = text.as_bytes();
     let mut position = 0;
+    // Commas and opening brackets: at least as many as there are values within the document.
+    let mut value_count = 0;
     let path_of = |levels: &[Level]| {
         let named: Vec<&str> =
             levels.iter().filter(|level| level.keys.is_some()).map(|level| level.last_key.as_str()).collect();
         named.join(".")
     };
     while position < text_bytes.len() {
+        value_count += usize::from(matches!(text_bytes[position], b'{' | b'[' | b','));
+        if value_count > MAX_VALUES {
+            return Err(ValidationError::at("", format!("too many values: more than {MAX_VALUES}")));
+        }
         match text_bytes[position] {
             opening @ (b'{' | b'[') => {
                 if levels.len() == depth_limit {
--- a/crates/keeper/src/protocol_interface.rs
+++ b/crates/keeper/src/protocol_interface.rs
@@ -8,6 +8,7 @@
 const CHANGE_TIMEOUT: Span = Span::millis(4000);
 const READ_TIMEOUT: Span = Span::millis(900);
 const BODY_BOUNDS: TextBounds = TextBounds { bytes: 8 << 20, depth: 32 };
+const MAX_LISTED_ERRORS: usize = 100;
 const RETRY_AFTER: &str = "0.3";
 /// How often a patch is tried if its base revision comes into force only after the configuration was read.
 const MAX_PATCH_ATTEMPTS: usize = 3;
@@ -184,7 +185,11 @@
 }
 
 fn validation_response(errors: &[ValidationError]) -> WebResponse {
-    let listed: Vec<Value> = errors.iter().map(|error| json!({"path": error.path, "reason": error.reason})).collect();
+    let listed: Vec<Value> = errors
+        .iter()
+        .take(MAX_LISTED_ERRORS)
+        .map(|error| json!({"path": error.path, "reason": error.reason}))
+        .collect();
     let answer = json!({"error": {"type": "refused", "message": "the change was refused", "complaints": listed}});
     json_response(StatusCode::BAD_REQUEST, &answer)
 }
--- a/crates/keeper/src/run.rs
+++ b/crates/keeper/src/run.rs
@@ -59,7 +59,8 @@
     pub threads: usize,
 }
 
-const OPERATORS_SHARE: Share = Share { memory_divisor: 4, descriptors_divisor: 4 };
+/// What operators send takes many times its size once it is read.
+const OPERATORS_SHARE: Share = Share { memory_divisor: 8, descriptors_divisor: 4 };
 
 /// Controls a running keeper.
 #[derive(Clone)]
