Memory is returned to the system once a crowd has gone

Callers saw: after a crowd a router kept 81 MB of 160, a keeper 164 to 213 MB of 256, up to 499 MB in earlier measurements. Cause: the system's allocator raises the size from which it maps blocks one by one, up to 32 MB, whenever such a block is freed. Bodies and documents then came from its heap, which shrinks only at its end. Why it works: the size is fixed at 128 KiB, and the pages of freed small blocks are returned when less than half of the most that was held is left, and after each large document.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -35,6 +35,7 @@
     config: AgentConfig,
     on_ready: impl FnOnce(AgentHandle) -> Result<(), Report>,
 ) -> Result<(), Report> {
+    configure_allocator();
     let node = NodeId::random();
     let fleet = Arc::new(AtomicU64::new(0));
     let (queue, commands) = bounded_queue::<AgentCommand>(4096);
--- a/crates/budget/src/account.rs
+++ b/crates/budget/src/account.rs
@@ -59,7 +59,14 @@
 
 impl Drop for OpenAccount {
     fn drop(&mut self) {
-        self.budget.ledger().close(self.id);
+        let has_declined = {
+            let mut ledger = self.budget.ledger();
+            ledger.close(self.id);
+            ledger.take_decline(&self.budget.limits)
+        };
+        if has_declined {
+            return_unused_memory();
+        }
     }
 }
 
--- a/crates/budget/src/ledger.rs
+++ b/crates/budget/src/ledger.rs
@@ -2,6 +2,9 @@
 
 use crate::prelude::*;
 
+/// Memory is returned to the system only if a notable part of the budget was held.
+const NOTABLE_DIVISOR: u64 = 16;
+
 /// Makes a connection give way.
 pub(crate) type Evict = Arc<dyn Fn() + Send + Sync>;
 
@@ -51,6 +54,8 @@
     held_bytes: u64,
     connections: usize,
     next_id: u64,
+    /// The most bytes held since memory was last returned to the system.
+    peak_bytes: u64,
 }
 
 impl Ledger {
@@ -124,6 +129,7 @@
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.bytes += bytes;
             self.held_bytes += bytes;
+            self.peak_bytes = self.peak_bytes.max(self.held_bytes);
         }
         (Ok(()), evicted)
     }
@@ -136,6 +142,15 @@
         }
     }
 
+    /// Whether so much less is held than before that the memory should be returned to the system; true once.
+    pub(crate) fn take_decline(&mut self, limits: &BudgetLimits) -> bool {
+        let has_declined = self.peak_bytes > limits.bytes / NOTABLE_DIVISOR && self.held_bytes < self.peak_bytes / 2;
+        if has_declined {
+            self.peak_bytes = self.held_bytes;
+        }
+        has_declined
+    }
+
     pub(crate) fn record_progress(&mut self, id: AccountId, now: Instant, awaits_request: bool) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         entry.progress = now;
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod prelude;
 
 mod account;
+mod allocator;
 mod ledger;
 mod limits;
--- a/crates/budget/src/prelude.rs
+++ b/crates/budget/src/prelude.rs
@@ -1,6 +1,7 @@
 //! Common imports of this package's files, and what its users import.
 
 pub use crate::account::*;
+pub use crate::allocator::*;
 pub(crate) use crate::ledger::*;
 pub use crate::limits::*;
 pub(crate) use std::collections::BTreeMap;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -38,6 +38,7 @@
 
 /// Serves until stopped.
 pub fn run_gateway(plan: GatewayPlan, stop: StopSignal) -> Result<(), Report> {
+    configure_allocator();
     let node = NodeId::random();
     let callers = bind(plan.callers).map_err(|error| miette!("callers: {}: {error}", plan.callers))?;
     let address = callers.local_addr().map_err(|error| miette!("callers: {error}"))?;
--- a/crates/keeper/src/document_admission.rs
+++ b/crates/keeper/src/document_admission.rs
@@ -31,11 +31,13 @@
 
 impl DocumentAdmission {
     /// Waits until a document of this size may be read; `None` if that takes too long.
-    pub async fn admit(&self, bytes: usize) -> Option<SemaphorePermit<'_>> {
-        match bytes >= LARGE_FROM_BYTES {
-            true => within(WAIT_LIMIT, self.large.acquire()).await,
-            false => within(WAIT_LIMIT, self.small.acquire_many(bytes as u32)).await,
-        }
+    pub async fn admit(&self, bytes: usize) -> Option<DocumentPermit<'_>> {
+        let is_large = bytes >= LARGE_FROM_BYTES;
+        let permit = match is_large {
+            true => within(WAIT_LIMIT, self.large.acquire()).await?,
+            false => within(WAIT_LIMIT, self.small.acquire_many(bytes as u32)).await?,
+        };
+        Some(DocumentPermit { is_large, _permit: permit })
     }
 
     /// Waits until the configuration may be fetched for an operator; `None` if that takes too long.
@@ -44,6 +46,21 @@
     }
 }
 
+/// Allows a document to be read. To be dropped after the document: the memory of a large one is then returned to the
+/// system, since most of it is in small blocks.
+pub struct DocumentPermit<'a> {
+    is_large: bool,
+    _permit: SemaphorePermit<'a>,
+}
+
+impl Drop for DocumentPermit<'_> {
+    fn drop(&mut self) {
+        if self.is_large {
+            return_unused_memory();
+        }
+    }
+}
+
 async fn within<T, E>(limit: Duration, acquiring: impl Future<Output = Result<T, E>>) -> Option<T> {
     tokio::time::timeout(limit, acquiring).await.ok()?.ok()
 }
--- a/crates/keeper/src/run.rs
+++ b/crates/keeper/src/run.rs
@@ -85,6 +85,7 @@
     handle_signals: impl FnOnce(KeeperHandle) -> Result<(), Report>,
     on_ready: impl FnOnce(NodeId),
 ) -> Result<(), Report> {
+    configure_allocator();
     let folder_name = config.data_folder.display().to_string();
     let (queue, commands) = bounded_queue::<ExecutorCommand>(4096);
     handle_signals(KeeperHandle { queue: queue.clone() })?;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -35,6 +35,7 @@
 }
 
 fn run(settings: Settings) -> Result<(), Report> {
+    configure_allocator();
     let logs = start_logs(PROGRAM.program, settings.text("log_level")?)?;
     let agent_address = settings.address("agent")?.to_string();
     let drain_limit = Span::seconds(settings.whole("drain_s")?);
--- a/crates/router/src/prelude.rs
+++ b/crates/router/src/prelude.rs
@@ -17,7 +17,7 @@
 pub use admission::prelude::{ConcurrencyShares, RetryBudget};
 pub use attempts::prelude::*;
 pub use blocks::prelude::{BLOCK_TOKENS, Salt, blocks_needed, hash_blocks};
-pub use budget::prelude::Share;
+pub use budget::prelude::{Share, configure_allocator};
 pub use contract::prelude::*;
 pub use desired::prelude::{Command, CommandOutcome, Submission};
 pub use figures::prelude::{PolicyMetrics, TrafficMetrics};
