Frames count against the budget; a hello has at most 1 KiB

Callers saw: 40 connections that announced a first frame of 8 MB and stopped a byte short made a keeper hold 357 MB (of 160 in the test). Cause: the first frame of a stream was read up to 64 MB before its sender was known, later frames too, and nothing added them up; 512 connections with three descriptors each were accepted at any limit.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -11,6 +11,8 @@
         setting("listen", SettingKind::Address, Some("127.0.0.1:0"), "where this machine's router reaches the agent"),
         setting("seeds", SettingKind::Addresses, None, "addresses of keepers to contact"),
         setting("zone", SettingKind::Text, Some("a"), "the zone of this machine"),
+        MEMORY_MB,
+        MAX_FDS,
         LOG_LEVEL,
     ],
 };
@@ -31,7 +33,7 @@
     if !address.ip().is_loopback() {
         return Err(miette!("listen: {address}: not a loopback address; an agent serves only its own machine"));
     }
-    let config = AgentConfig { listener, seeds, router_exit_timeout: Span(0) };
+    let config = AgentConfig { listener, seeds, router_exit_timeout: Span(0), limits: process_limits(&settings)? };
     run_agent(config, move |handle| {
         let (stopped, reloaded) = (handle.clone(), handle.clone());
         let reload = move |settings: &Settings| reloaded.set_seeds(settings.addresses("seeds"));
--- a/crates/agent/src/prelude.rs
+++ b/crates/agent/src/prelude.rs
@@ -1,7 +1,7 @@
 //! The items that each file of this crate imports, and the public ones for programs that run an agent.
 
 pub use crate::run::*;
-pub(crate) use budget::prelude::configure_allocator;
+pub(crate) use budget::prelude::{Budget, Share, configure_allocator};
 pub(crate) use coordinator::prelude::KeeperToAgent;
 pub(crate) use links::prelude::{Hello, Link, LinkEvent, LinkId, Purpose, accept_links, dial_and_run};
 pub(crate) use process::prelude::*;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -11,8 +11,12 @@
     pub seeds: Vec<String>,
     /// How long a stopping agent waits for its router to exit first.
     pub router_exit_timeout: Span,
+    /// The limits of this process, of which the peers of its listener may fill a share.
+    pub limits: ProcessLimits,
 }
 
+const LINKS_SHARE: Share = Share { memory_divisor: 8, descriptors_divisor: 4 };
+
 /// Controls a running agent.
 #[derive(Clone)]
 pub struct AgentHandle {
@@ -42,7 +46,8 @@
     let router_queue = queue.clone();
     let hello_fleet = Arc::clone(&fleet);
     let own_hello = move || Hello::new(FleetId(hello_fleet.load(Ordering::SeqCst)), node, Purpose::Agent);
-    accept_links(config.listener, own_hello, move |link_event| {
+    let links_budget = Budget::new(config.limits.share(LINKS_SHARE));
+    accept_links(config.listener, own_hello, links_budget, move |link_event| {
         router_queue.send(AgentCommand::Router(link_event)).is_ok()
     });
     on_ready(AgentHandle { queue: queue.clone(), identity: node })?;
--- a/crates/keeper/src/prelude.rs
+++ b/crates/keeper/src/prelude.rs
@@ -17,7 +17,7 @@
 pub use crate::state_store::*;
 pub(crate) use crate::weights_orders::*;
 pub(crate) use adapters::prelude::{AdapterReport, RATE_UNIT, WarmingAction, WarmingPlanner};
-pub(crate) use budget::prelude::{Share, configure_allocator, return_unused_memory};
+pub(crate) use budget::prelude::{Budget, Share, configure_allocator, return_unused_memory};
 pub use conductor::prelude::OrderAnswer;
 pub(crate) use conductor::prelude::{Conductor, ConductorAction, EngineObservation, RolloutStep, WeightsRollout};
 pub(crate) use contract::prelude::*;
--- a/crates/keeper/src/run.rs
+++ b/crates/keeper/src/run.rs
@@ -61,6 +61,8 @@
 
 /// What operators send takes many times its size once it is read.
 const OPERATORS_SHARE: Share = Share { memory_divisor: 8, descriptors_divisor: 4 };
+/// A keeper that has been away receives the whole state over a link.
+const LINKS_SHARE: Share = Share { memory_divisor: 4, descriptors_divisor: 2 };
 
 /// Controls a running keeper.
 #[derive(Clone)]
@@ -115,7 +117,8 @@
         move || Hello::new(FleetId(fleet.load(Ordering::SeqCst)), identity, Purpose::Keeper)
     };
     let link_queue = queue.clone();
-    accept_links(config.listener, own_hello.clone(), move |link_event| {
+    let links_budget = Budget::new(config.limits.share(LINKS_SHARE));
+    accept_links(config.listener, own_hello.clone(), links_budget, move |link_event| {
         link_queue.send(ExecutorCommand::Link(link_event)).is_ok()
     });
     let publisher = SharedPublisher::default();
--- a/crates/keeper/tests/patience.rs
+++ b/crates/keeper/tests/patience.rs
@@ -1,6 +1,7 @@
 //! Commands for an executor whose disk refuses writes are buffered for a while and then dropped, so that no sender
 //! blocks.
 
+use budget::prelude::{Budget, BudgetLimits};
 use coordinator::prelude::{CoreQuery, QueryOutcome};
 use keeper::prelude::*;
 use ledger::prelude::DiskFault;
@@ -112,7 +113,10 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let own_hello = || Hello::new(FleetId(1), NodeId(7), Purpose::Keeper);
-    accept_links(listener, own_hello, move |link_event| queue.send(ExecutorCommand::Link(link_event)).is_ok());
+    let budget = Budget::new(BudgetLimits { bytes: 1 << 30, connections: 512 });
+    accept_links(listener, own_hello, budget, move |link_event| {
+        queue.send(ExecutorCommand::Link(link_event)).is_ok()
+    });
     let (agent_ended, keeper_ended) = (dial(&address, Purpose::Agent), dial(&address, Purpose::Keeper));
     retry_queue.run_with_retry(refused_for(Duration::from_secs(3)), |_| ()).unwrap();
     assert!(agent_ended.load(Ordering::SeqCst) && !keeper_ended.load(Ordering::SeqCst));
--- a/crates/links/src/peer_sender.rs
+++ b/crates/links/src/peer_sender.rs
@@ -78,8 +78,8 @@
 }
 
 fn open_stream(address: &str, own_hello: &dyn Fn() -> Hello) -> Result<TcpStream, String> {
-    let mut stream = crate::link::dial(address)?;
-    crate::link::handshake(&mut stream, &own_hello())?;
+    let stream = crate::link::dial(address)?;
+    crate::link::handshake(&stream, &own_hello())?;
     Ok(stream)
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -6,6 +6,10 @@
 pub const FORMAT: u64 = 7;
 /// The maximum length of a frame's body.
 pub const MAX_FRAME_BYTES: usize = 64 << 20;
+/// The maximum length of a hello's body.
+const MAX_HELLO_BYTES: usize = 1 << 10;
+/// The pieces in which a frame is counted while it arrives.
+const PIECE_BYTES: usize = 16 << 10;
 const MAGIC: [u8; 4] = *b"HARE";
 
 /// The first frame in each direction of every stream.
@@ -70,19 +74,37 @@
     stream.write_all(&frame).map_err(|fault| fault.to_string())
 }
 
-/// Reads one frame. The body's buffer grows with the bytes received, so a false length prefix cannot force a large
-/// allocation.
+/// Reads one frame.
 pub fn read_frame<T: DeserializeOwned>(stream: &mut impl Read) -> Result<T, String> {
+    read_frame_counted(stream, MAX_FRAME_BYTES, |_| Ok(()))
+}
+
+/// Reads the first frame of a stream, whose sender is not known yet.
+pub fn read_hello(stream: &mut impl Read) -> Result<Hello, String> {
+    read_frame_counted(stream, MAX_HELLO_BYTES, |_| Ok(()))
+}
+
+/// Reads one frame of at most `max_bytes`. `count` is told the bytes of each piece that is awaited, and may refuse to
+/// go on. The body's buffer grows with the bytes received, so a false length prefix cannot force a large allocation.
+pub fn read_frame_counted<T: DeserializeOwned>(
+    stream: &mut impl Read,
+    max_bytes: usize,
+    mut count: impl FnMut(usize) -> Result<(), String>,
+) -> Result<T, String> {
     let mut length_bytes = [0u8; 4];
     stream.read_exact(&mut length_bytes).map_err(|fault| fault.to_string())?;
     let length = u32::from_le_bytes(length_bytes) as usize;
-    if length > MAX_FRAME_BYTES {
-        return Err(format!("frame length {length} exceeds the maximum of {MAX_FRAME_BYTES}"));
+    if length > max_bytes {
+        return Err(format!("frame length {length} exceeds the maximum of {max_bytes}"));
     }
     let mut body = Vec::new();
-    let read_count = stream.take(length as u64).read_to_end(&mut body).map_err(|fault| fault.to_string())?;
-    if read_count < length {
-        return Err("stream ended inside a frame".into());
+    while body.len() < length {
+        let piece = PIECE_BYTES.min(length - body.len());
+        count(piece)?;
+        let received = stream.take(piece as u64).read_to_end(&mut body).map_err(|fault| fault.to_string())?;
+        if received < piece {
+            return Err("stream ended inside a frame".into());
+        }
     }
     rmp_serde::from_slice(&body).map_err(|fault| format!("unknown frame: {fault}"))
 }
