Large bodies that are being served leave room for small requests

Callers would see: with a budget full of whole large bodies at slow engines, every other connection was closed, since what is served never gives way. Cause: nothing was reserved for what is small. Evidence: the new test of budget fails without the reserve. Why it works: a head, body or answer of up to 64 KiB may use the whole budget, a larger one three quarters of it.

--- a/crates/budget/src/account.rs
+++ b/crates/budget/src/account.rs
@@ -118,7 +118,8 @@
     /// Counts more bytes, for which others may be evicted. On failure nothing is added.
     pub fn grow(&mut self, bytes: u64) -> Result<(), Exhausted> {
         let OpenAccount { budget, id } = &*self.account.0;
-        let (grown, evicted) = budget.ledger().grow(&budget.limits, *id, bytes);
+        let limit = budget.limits.limit_for(self.bytes + bytes);
+        let (grown, evicted) = budget.ledger().grow(limit, *id, bytes);
         evict_all(evicted);
         grown?;
         self.bytes += bytes;
--- a/crates/budget/src/ledger.rs
+++ b/crates/budget/src/ledger.rs
@@ -94,7 +94,7 @@
         };
         self.entries.insert(id, entry);
         self.connections += 1;
-        let (grown, more_evicted) = self.grow(limits, id, CONNECTION_BYTES);
+        let (grown, more_evicted) = self.grow(limits.bytes, id, CONNECTION_BYTES);
         evicted.extend(more_evicted);
         if grown.is_err() {
             self.close(id);
@@ -111,18 +111,13 @@
         }
     }
 
-    /// Adds bytes to an account; returns the evictions to be carried out.
-    pub(crate) fn grow(
-        &mut self,
-        limits: &BudgetLimits,
-        id: AccountId,
-        bytes: u64,
-    ) -> (Result<(), Exhausted>, Vec<Evict>) {
+    /// Adds bytes to an account, up to a limit of all held bytes; returns the evictions to be carried out.
+    pub(crate) fn grow(&mut self, limit: u64, id: AccountId, bytes: u64) -> (Result<(), Exhausted>, Vec<Evict>) {
         let mut evicted = Vec::new();
         if self.entries.get(&id).is_none_or(|entry| entry.is_evicted) {
             return (Err(Exhausted), evicted);
         }
-        while self.held_bytes + bytes > limits.bytes {
+        while self.held_bytes + bytes > limit {
             let Some(victim) = self.victim_for_bytes(id) else { return (Err(Exhausted), evicted) };
             evicted.extend(self.mark_evicted(victim));
         }
--- a/crates/budget/src/limits.rs
+++ b/crates/budget/src/limits.rs
@@ -9,6 +9,22 @@
     pub connections: usize,
 }
 
+/// Heads, bodies and answers up to this size may use the whole budget.
+pub const SMALL_BYTES: u64 = 64 << 10;
+/// This part of a budget is reserved for connections and what is small, so that ordinary requests pass while large
+/// bodies and answers that are being served fill the rest.
+const RESERVED_DIVISOR: u64 = 4;
+
+impl BudgetLimits {
+    /// The bytes that all may hold before something of this size is refused.
+    pub(crate) fn limit_for(&self, bytes: u64) -> u64 {
+        match bytes <= SMALL_BYTES {
+            true => self.bytes,
+            false => self.bytes - self.bytes / RESERVED_DIVISOR,
+        }
+    }
+}
+
 /// The limits of a process on its machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessLimits {
--- a/crates/budget/tests/eviction.rs
+++ b/crates/budget/tests/eviction.rs
@@ -103,6 +103,20 @@
     assert!(Peer::open(&budget).is_err());
 }
 
+#[test]
+fn large_bodies_being_served_leave_room_for_connections_and_small_ones() {
+    let budget = Budget::new(BudgetLimits { bytes: 100 * SMALL_BYTES, connections: 100 });
+    let served = Peer::open(&budget).unwrap();
+    let _serving = served.account.serve();
+    let mut body = served.account.hold();
+    while body.grow(1000).is_ok() {}
+    assert!(budget.held_bytes() <= 75 * SMALL_BYTES);
+    let newcomer = Peer::open(&budget).unwrap();
+    let mut small_body = newcomer.account.hold();
+    small_body.grow(SMALL_BYTES).unwrap();
+    assert_eq!(small_body.grow(1), Err(Exhausted), "a large body has to wait");
+}
+
 #[test]
 fn everything_is_given_back() {
     let budget = budget_of(100, 4);
