Metrics: what callers hold, and how many connections gave way

The router's page tells caller_bytes, caller_connections and callers_evicted_total, so that an operator sees a crowd and its end. Checked by budget's test of evictions; the other figures are the budget's own.

--- a/crates/budget/src/account.rs
+++ b/crates/budget/src/account.rs
@@ -36,6 +36,11 @@
         self.ledger().connections()
     }
 
+    /// The connections that had to give way so far.
+    pub fn evictions(&self) -> u64 {
+        self.ledger().evictions()
+    }
+
     fn ledger(&self) -> MutexGuard<'_, Ledger> {
         self.ledger.lock().expect("no holder of this lock panics")
     }
--- a/crates/budget/src/ledger.rs
+++ b/crates/budget/src/ledger.rs
@@ -53,6 +53,7 @@
     entries: BTreeMap<AccountId, Entry>,
     held_bytes: u64,
     connections: usize,
+    evictions: u64,
     next_id: u64,
     /// The most bytes held since memory was last returned to the system.
     peak_bytes: u64,
@@ -67,6 +68,10 @@
         self.connections
     }
 
+    pub(crate) fn evictions(&self) -> u64 {
+        self.evictions
+    }
+
     /// Opens an account; returns the evictions to be carried out.
     pub(crate) fn open(
         &mut self,
@@ -181,6 +186,7 @@
         entry.is_evicted = true;
         self.held_bytes -= entry.bytes;
         self.connections -= 1;
+        self.evictions += 1;
         Some(Arc::clone(&entry.evict))
     }
 }
--- a/crates/budget/tests/eviction.rs
+++ b/crates/budget/tests/eviction.rs
@@ -43,6 +43,7 @@
     first.account.record_progress(true);
     let (third, _third_held) = Peer::sending(&budget, 40);
     assert!(second.is_evicted() && !first.is_evicted() && !third.is_evicted());
+    assert_eq!(budget.evictions(), 1);
     assert_eq!(second_held.grow(1), Err(Exhausted), "what was evicted gets nothing more");
     assert!(budget.held_bytes() <= 100 + 3 * CONNECTION_BYTES);
 }
--- a/crates/gateway/src/prelude.rs
+++ b/crates/gateway/src/prelude.rs
@@ -22,7 +22,7 @@
 pub(crate) use admission::prelude::RetryBudget;
 pub(crate) use attempts::prelude::is_leased;
 pub(crate) use blocks::prelude::Salt;
-pub use budget::prelude::{ProcessLimits, Share, configure_allocator};
+pub use budget::prelude::{Budget, ProcessLimits, Share, configure_allocator};
 pub(crate) use desired::prelude::{DesiredState, ServiceSpec};
 pub use parts::prelude::{PartBatch, PartEvent, PartName, SourcePosition};
 pub(crate) use placement::prelude::{DEFAULT_POLICY, FleetSnapshot, OldWeightsLimits};
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -78,10 +78,13 @@
             true => Arc::new(ConnectionPool::single_use()),
             false => Arc::new(ConnectionPool::default()),
         };
+        let caller_options =
+            ServerOptions { timeouts: bounds, ..ServerOptions::within(plan.limits.share(CALLERS_SHARE)) };
         if let Some(readiness) = plan.readiness {
             let listener = bind(readiness).map_err(|error| miette!("readiness: {readiness}: {error}"))?;
             let ready_page = plan.protocol.ready_page();
-            let page = Arc::new(Readiness { shared: Arc::clone(&shared), ready_page });
+            let callers = Arc::clone(&caller_options.budget);
+            let page = Arc::new(Readiness { shared: Arc::clone(&shared), ready_page, callers });
             let options = ServerOptions::within(plan.limits.share(READINESS_SHARE));
             tokio::spawn(serve_with_options(listener, page, options));
         }
@@ -99,9 +102,8 @@
             protocol: Arc::clone(&plan.protocol),
             samples: AtomicU64::new(node.0),
         });
-        let options = ServerOptions { timeouts: bounds, ..ServerOptions::within(plan.limits.share(CALLERS_SHARE)) };
-        let connections = Arc::clone(&options.connections);
-        let serving = tokio::spawn(serve_with_options(callers, caller_handler, options));
+        let connections = Arc::clone(&caller_options.connections);
+        let serving = tokio::spawn(serve_with_options(callers, caller_handler, caller_options));
         let followers = PartFollowers {
             node,
             shared: Arc::clone(&shared),
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -6,6 +6,8 @@
 pub struct Readiness {
     pub shared: Arc<SharedState>,
     pub ready_page: &'static str,
+    /// What callers hold.
+    pub callers: Arc<Budget>,
 }
 
 /// Whether requests are accepted: the router holds a lease, has a configuration and is not draining.
@@ -57,6 +59,14 @@
         text.push_str(&format!("haremount_gateway_lease_left_ms {lease_left}\n"));
         let is_passed_over = u8::from(self.shared.with_grants(|grants| grants.is_passed_over()));
         text.push_str(&format!("haremount_gateway_passed_over {is_passed_over}\n"));
+        let caller_figures = [
+            ("caller_bytes", self.callers.held_bytes()),
+            ("caller_connections", self.callers.connections() as u64),
+            ("callers_evicted_total", self.callers.evictions()),
+        ];
+        for (name, figure) in caller_figures {
+            text.push_str(&format!("haremount_gateway_{name} {figure}\n"));
+        }
         bytes_response(StatusCode::OK, "text/plain; version=0.0.4", text)
     }
 }
