--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -11,8 +11,8 @@
         setting("listen", SettingKind::Address, Some("127.0.0.1:0"), "where this machine's router reaches the agent"),
         setting("seeds", SettingKind::Addresses, None, "addresses of keepers to contact"),
         setting("zone", SettingKind::Text, Some("a"), "the zone of this machine"),
-        MEMORY_MB,
-        MAX_FDS,
+        MEMORY_LIMIT,
+        DESCRIPTOR_LIMIT,
         LOG_LEVEL,
     ],
 };
--- a/crates/keeper/src/main.rs
+++ b/crates/keeper/src/main.rs
@@ -24,8 +24,8 @@
         #[cfg(feature = "faults")]
         setting("disk_faults", SettingKind::Path, None, "for tests: a file that controls injected disk faults"),
         setting("threads", SettingKind::Integer(1, 64), Some("2"), "threads for HTTP"),
-        MEMORY_MB,
-        MAX_FDS,
+        MEMORY_LIMIT,
+        DESCRIPTOR_LIMIT,
         LOG_LEVEL,
     ],
 };
--- a/crates/process/src/settings.rs
+++ b/crates/process/src/settings.rs
@@ -53,16 +53,16 @@
 );
 
 /// The memory limit setting of a program that serves others.
-pub const MEMORY_MB: Setting = setting(
-    "memory_mb",
+pub const MEMORY_LIMIT: Setting = setting(
+    "memory_limit_mb",
     SettingKind::Integer(16, 1 << 24),
     Some("256"),
     "MB of memory of this process; what its clients may make it hold is a part of it",
 );
 
 /// The descriptor limit setting of a program that serves others.
-pub const MAX_FDS: Setting = setting(
-    "max_fds",
+pub const DESCRIPTOR_LIMIT: Setting = setting(
+    "descriptor_limit",
     SettingKind::Integer(64, 1 << 24),
     Some("4096"),
     "descriptors of this process; the number of its clients' connections is a part of it",
@@ -70,9 +70,9 @@
 
 const MEGABYTE: u64 = 1_000_000;
 
-/// The limits that the settings `memory_mb` and `max_fds` give a process.
+/// The limits that the settings `memory_limit_mb` and `descriptor_limit` give a process.
 pub fn process_limits(settings: &Settings) -> Result<ProcessLimits, Report> {
-    Ok(ProcessLimits::new(settings.whole("memory_mb")? * MEGABYTE, settings.whole("max_fds")?))
+    Ok(ProcessLimits::new(settings.whole("memory_limit_mb")? * MEGABYTE, settings.whole("descriptor_limit")?))
 }
 
 /// A program and its settings table.
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -18,8 +18,8 @@
         setting("record", SettingKind::Path, None, "folder for recordings of runs; if left out, none are made"),
         setting("record_mb", SettingKind::Integer(1, 4096), Some("64"), "size of a recording file; four are kept"),
         setting("threads", SettingKind::Integer(1, 64), Some("2"), "threads for HTTP"),
-        MEMORY_MB,
-        MAX_FDS,
+        MEMORY_LIMIT,
+        DESCRIPTOR_LIMIT,
         LOG_LEVEL,
     ],
 };
