--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -13,6 +13,7 @@
         "idle" => idle(has_trouble),
         "tenant" => tenant(has_trouble),
         "unframed" => unframed(has_trouble),
+        "same-place" => same_place(has_trouble),
         _ => return None,
     };
     record::write(if is_broken { "the rule was broken" } else { "the rule held" });
@@ -390,3 +391,40 @@
         }
     })
 }
+
+/// A change adds a route to another service whose host differs from that of a route in use by the case of its letters.
+fn same_place(has_trouble: bool) -> bool {
+    let plans = [
+        EnginePlan::new("i-1"),
+        EnginePlan { model: OTHER_MODEL.to_owned(), ..EnginePlan::new("o-1").of_service(OTHER_SERVICE) },
+    ];
+    let (fleet, engines) = Fleet::serving(&plan(), &plans, configuration(1));
+    let mut client = Client::keep_alive(fleet.front());
+    let request = || ClientRequest::below(EFFECTFUL_PREFIX);
+    served(&mut client, &request(), "a request of route r-once, before the change");
+    let host = if has_trouble { HOST.to_ascii_uppercase() } else { OTHER_HOST.to_owned() };
+    let added = route("r-twice", EFFECTFUL_PREFIX, "effectful", OTHER_SERVICE);
+    let added = with(&added, json!({"host": host, "rank": 0}));
+    let call = Call::patch(1, json!({"revision": 3, "upsert": {"routes": [added]}}));
+    let body = String::from_utf8_lossy(call.body.as_deref().unwrap_or_default()).into_owned();
+    record::write(&format!("operator: PATCH /v1/config If-Match 1: {body}"));
+    let status = fleet.operator.call(&call).status;
+    record::write(&format!("operator: answered {status}"));
+    wait_until_in_force();
+    let (mut own, mut others) = (0, 0);
+    for model in [MODEL_NAME, OTHER_MODEL] {
+        for _ in 0..5 {
+            let request = ClientRequest { model: model.to_owned(), ..request() };
+            let outcome = client.request(&request).map(|reply| reply.status);
+            let ran: Vec<String> = runs_of(&engines, &request.attempt).into_iter().map(|run| run.engine).collect();
+            let attempt = &request.attempt;
+            record::write(&format!("client: host {HOST}, model {model}, {attempt}: {outcome:?}, ran at {ran:?}"));
+            own += usize::from(ran == ["i-1"]);
+            others += usize::from(ran == ["o-1"]);
+        }
+    }
+    record::write(&format!("requests to host {HOST}: {own} run by the service of r-once, {others} by the other"));
+    // If the hosts are the same, two routes share host and prefix, and the change calls for a 4xx. If they are not,
+    // no configuration lets the other service run requests to this host.
+    status == 200 && others > 0
+}
