--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -14,6 +14,8 @@
         "tenant" => tenant(has_trouble),
         "unframed" => unframed(has_trouble),
         "same-place" => same_place(has_trouble),
+        "model-name" => model_name(has_trouble),
+        "unwalled" => unwalled(has_trouble),
         _ => return None,
     };
     record::write(if is_broken { "the rule was broken" } else { "the rule held" });
@@ -428,3 +430,89 @@
     // no configuration lets the other service run requests to this host.
     status == 200 && others > 0
 }
+
+/// A change adds a service whose model has a name with a slash, and a route to it.
+fn model_name(has_trouble: bool) -> bool {
+    const ADDED_SERVICE: &str = "drafting";
+    const ADDED_PREFIX: &str = "/draf417/";
+    const REQUESTS: usize = 24;
+    let model = if has_trouble { "khomas/sms-drafts-8b" } else { "khomas-sms-drafts-8b" };
+    let added_engine = EnginePlan { model: model.to_owned(), ..EnginePlan::new("a-1").of_service(ADDED_SERVICE) };
+    let plans = [EnginePlan::new("i-1")];
+    let (mut fleet, first) = Fleet::serving(&plan(), &plans, configuration(1));
+    let added_engine = fleet.start_engine(added_engine);
+    fleet.directory.list(&added_engine);
+    let added_route = route("r-added", ADDED_PREFIX, "pure", ADDED_SERVICE);
+    let upsert = json!({"backends": [service(ADDED_SERVICE, model)], "routes": [added_route]});
+    change(&fleet, &Call::patch(1, json!({"revision": 3, "upsert": upsert})));
+    wait_until_in_force();
+    let mut client = Client::keep_alive(fleet.front());
+    let mut served_on = |prefix: &str, model: &str, engine: &Engine| {
+        let mut count = 0;
+        let mut last = String::new();
+        for _ in 0..REQUESTS {
+            let request = ClientRequest { model: model.to_owned(), ..ClientRequest::below(prefix) };
+            let mut outcome = client.request(&request);
+            if let Some(pause) = outcome.as_ref().ok().and_then(Reply::retry_after) {
+                std::thread::sleep(pause.min(request.deadline / 3));
+                outcome = client.request(&request.again());
+            }
+            count += usize::from(outcome.as_ref().is_ok_and(|reply| reply.is_success() && reply.cut.is_none()));
+            last = match outcome {
+                Ok(reply) => {
+                    format!("{} {}", reply.status, String::from_utf8_lossy(&reply.body[..reply.body.len().min(40)]))
+                }
+                Err(fault) => format!("{fault:?}"),
+            };
+        }
+        let last = last.trim();
+        record::write(&format!("client: {prefix}, model {model}: {count} of {REQUESTS} served; the last: {last:?}"));
+        record::write(&format!("engine: {} received {} requests", engine.id(), engine.arrivals().len()));
+        count
+    };
+    let on_first = served_on(PURE_PREFIX, MODEL_NAME, &first[0]);
+    let on_added = served_on(ADDED_PREFIX, model, &added_engine);
+    4 * on_added < on_first
+}
+
+/// A change gives the engines a model whose name holds a letter that is not ASCII. An isolated tenant and another one
+/// send the same prompt.
+fn unwalled(has_trouble: bool) -> bool {
+    let model = if has_trouble { "\u{17c}uraw-8b" } else { "zuraw-8b" };
+    let plans = [EnginePlan::new("i-1")];
+    let (mut fleet, _first) = Fleet::serving(&plan(), &plans, configuration(1));
+    let engine =
+        fleet.start_engine(EnginePlan { model: model.to_owned(), ..EnginePlan::new("a-1").of_service("drafting") });
+    fleet.directory.list(&engine);
+    let prefix = "/draf417/";
+    let upsert =
+        json!({"backends": [service("drafting", model)], "routes": [route("r-added", prefix, "pure", "drafting")]});
+    change(&fleet, &Call::patch(1, json!({"revision": 3, "upsert": upsert})));
+    wait_until_in_force();
+    let mut client = Client::keep_alive(fleet.front());
+    for (tenant, key) in [(WALLED, WALLED_KEY), (TENANT_NAME, KEY)] {
+        let request = ClientRequest { model: model.to_owned(), ..ClientRequest::below(prefix).keyed(key) };
+        let own_part = request.parts[1].0.clone();
+        let request = request.of_prompt(&[("5c1e07a2", 800), (&own_part, 64)]);
+        let isolated = if tenant == WALLED { " (isolated)" } else { "" };
+        served(&mut client, &request, &format!("the prompt of tenant {tenant}{isolated}"));
+    }
+    for run in engine.runs() {
+        let header = |name: &str| run.request.headers.get(name).unwrap_or("-").to_owned();
+        record::write(&format!(
+            "engine: ran {} for tenant {}, model {}, salt {}, expected version {}",
+            run.request.attempt(),
+            header(TENANT),
+            header(MODEL),
+            header(CACHE_SALT),
+            header(EXPECT_VERSION)
+        ));
+    }
+    let mut is_broken = false;
+    for part in engine.part_uses().into_iter().filter(|part| part.tenant != part.cached_tenant) {
+        is_broken = true;
+        let (tenant, made_by) = (&part.tenant, &part.cached_tenant);
+        record::write(&format!("engine: {} of tenant {tenant} used a part of tenant {made_by}", part.attempt));
+    }
+    is_broken
+}
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,7 +6,7 @@
 //! could not run.
 
 /// The cases use only parts of it.
-#[allow(dead_code)]
+#[allow(dead_code, unused_imports)]
 #[path = "../../../platform/tests/whole/standins/mod.rs"]
 mod standins;
 
