Review case 5: a model's name that is not ASCII takes the walls away

Cause: a header's value that is not ASCII counts as none, a request without a model runs on the engine's first model, and one without a model gets no salt.

The cases stand anew, the gravest first: the unframed answer is case 6, the damaged event case 7. The streams that a lower idle_ms cuts, an entry already, are no case any more and stay a driver (idle). Nothing is fixed.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # See claim.txt. Needs the build of the deploy file and review/build-2.sh.
 here="$(cd "$(dirname "$0")" && pwd)"
-exec sh "$here/../standins-2/run-case.sh" unframed "$here"
+exec sh "$here/../standins-2/run-case.sh" unwalled "$here"
