--- a/crates/gateway/src/prelude.rs
+++ b/crates/gateway/src/prelude.rs
@@ -44,9 +44,9 @@
 pub(crate) use tokio::sync::oneshot;
 pub use units::prelude::*;
 pub(crate) use web::prelude::{
-    BodyExt, BodyFault, BodySender, ConnectionTimeouts, CountedBody, Incoming, IncomingRequest, OpenConnections,
-    OutgoingRequest, PersistentConnection, RequestHandler, Response, ResponseFuture, ServerOptions, WebResponse,
-    WebResponseExt, bind, bytes_response, fetch_response, read_whole, read_within_budget, serve_with_options,
-    streaming_response,
+    BodyExt, BodyFault, BodySender, ConnectionTimeouts, CountedBody, Event, EventBlock, EventBlocks, EventFault,
+    Incoming, IncomingRequest, OpenConnections, OutgoingRequest, PersistentConnection, RequestHandler, Response,
+    ResponseFuture, ServerOptions, WebResponse, WebResponseExt, bind, bytes_response, fetch_response, read_whole,
+    read_within_budget, serve_with_options, streaming_response,
 };
 pub use web::prelude::{Bytes, ClientAccount, Full, HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -19,6 +19,8 @@
     planned: Arc<PlannedRequest>,
     retry_state: RetryState,
     tried: Vec<EngineName>,
+    /// What the engines tried so far showed about gaps between the numbers of the stream's events.
+    number_gaps: NumberGaps,
     retry_after: Span,
     shared: Arc<SharedState>,
     scheduler: SchedulerHandle,
@@ -34,6 +36,7 @@
             retry_state: RetryState::new(planned.retry_rules()),
             planned: Arc::new(planned),
             tried: Vec::new(),
+            number_gaps: NumberGaps::default(),
             retry_after: NOT_READY_RETRY_AFTER,
             shared: Arc::clone(&caller_handler.shared),
             scheduler: caller_handler.scheduler.clone(),
--- a/crates/gateway/src/relay/pump.rs
+++ b/crates/gateway/src/relay/pump.rs
@@ -29,8 +29,9 @@
 
     /// Forwards events until the stream ends, on this engine or, if it is resumable, on others.
     async fn pump(mut self, mut stream: OpenStream, pieces: BodySender) {
+        let mut last_event = self.planned.head.last_event;
         loop {
-            let reason = match self.pump_one(&mut stream, &pieces).await {
+            let reason = match self.pump_one(&mut stream, &mut last_event, &pieces).await {
                 PumpEnd::Complete => return self.finish_stream(stream, &pieces),
                 PumpEnd::CallerGone => return self.record_cancelled(),
                 PumpEnd::TimedOut => return self.record_cut("the time limit has passed"),
@@ -38,7 +39,7 @@
             };
             let engine = stream.answer.reservation.engine.clone();
             self.record_fault(&engine, FaultKind::Broken, &reason);
-            let last_event = stream.splitter.last_event();
+            self.number_gaps = stream.splitter.gaps();
             let resuming = self.resume(engine, last_event);
             tokio::select! {
                 resumed = resuming => match resumed {
@@ -50,26 +51,30 @@
         }
     }
 
-    /// Forwards one engine's events until its stream ends or breaks.
-    async fn pump_one(&self, stream: &mut OpenStream, pieces: &BodySender) -> PumpEnd {
+    /// Forwards one engine's events until its stream ends or breaks. `last_event` follows the events that went on.
+    async fn pump_one(&self, stream: &mut OpenStream, last_event: &mut Option<u64>, pieces: &BodySender) -> PumpEnd {
         loop {
-            let events = std::mem::take(&mut stream.events);
+            let events = std::mem::take(&mut stream.received.events);
             if !events.is_empty() && !pieces.send(Bytes::from(events)).await {
                 return PumpEnd::CallerGone;
             }
+            *last_event = stream.received.last_event;
+            if let Some(reason) = stream.fault.take() {
+                return PumpEnd::Broken(reason);
+            }
             if stream.is_ended {
                 return PumpEnd::Complete;
             }
             let time_left = self.planned.deadline.since(boot_now()).as_duration();
             tokio::select! {
-                read = stream.read_next() => if let Err(reason) = read { return PumpEnd::Broken(reason) },
+                () = stream.read_next() => {}
                 () = pieces.gone() => return PumpEnd::CallerGone,
                 () = tokio::time::sleep(time_left) => return PumpEnd::TimedOut,
             }
         }
     }
 
-    /// Continues a broken stream after its last event on another engine, if allowed.
+    /// Continues a broken stream after the last event that went on, at another engine, if allowed.
     async fn resume(&mut self, engine: EngineName, last_event: Option<u64>) -> Option<OpenStream> {
         self.tried.push(engine);
         let mut next = self.retry_state.fail(Failure::Uncertain);
--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -72,19 +72,16 @@
         let Some(response) = self.response.as_mut() else { return no_connection() };
         loop {
             match self.reader.next_data() {
-                Some(data) if data == STREAM_END => return Input::EndMark,
-                Some(data) => return read_piece(&data, self.adapter.as_ref()),
+                Some(Err(reason)) => return Input::Broken(reason),
+                Some(Ok(data)) if data == STREAM_END => return Input::EndMark,
+                Some(Ok(data)) => return read_piece(&data, self.adapter.as_ref()),
                 None if has_end_mark && !self.reader.is_empty() => {
                     return Input::Broken("data after the end mark".into());
                 }
                 None => {}
             }
             match response.next_chunk().await {
-                Ok(Some(bytes)) => {
-                    if let Err(reason) = self.reader.feed(&bytes) {
-                        return Input::Broken(reason);
-                    }
-                }
+                Ok(Some(bytes)) => self.reader.feed(&bytes),
                 Ok(None) => return Input::Closed,
                 Err(reason) => return Input::Broken(reason),
             }
--- a/crates/router/src/pieces.rs
+++ b/crates/router/src/pieces.rs
@@ -3,42 +3,34 @@
 
 use crate::prelude::*;
 
-/// Maximum size of the buffered bytes of an event.
-pub const MAX_EVENT_BYTES: usize = 1 << 20;
-
-/// Splits a byte stream into the data of its server-sent events.
+/// Reads the data of a stream's events.
 #[derive(Default)]
 pub struct EventReader {
-    pending: Vec<u8>,
+    blocks: EventBlocks,
 }
 
 impl EventReader {
     /// Appends bytes of the stream.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<(), String> {
-        if self.pending.len() + bytes.len() > MAX_EVENT_BYTES {
-            return Err("an event exceeds the size limit".into());
-        }
-        self.pending.extend_from_slice(bytes);
-        Ok(())
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.blocks.feed(bytes);
     }
 
-    /// Takes the data of the next complete event.
-    pub fn next_data(&mut self) -> Option<String> {
+    /// Takes the data of the next complete event; an error ends the stream.
+    pub fn next_data(&mut self) -> Option<Result<String, String>> {
         loop {
-            let end = self.pending.windows(2).position(|pair| pair == b"\n\n")?;
-            let event_bytes: Vec<u8> = self.pending.drain(..end + 2).collect();
-            let event_text = String::from_utf8_lossy(&event_bytes).into_owned();
-            let data: Vec<&str> =
-                event_text.lines().filter_map(|line| line.strip_prefix("data:")).map(str::trim_start).collect();
-            if !data.is_empty() {
-                return Some(data.join("\n"));
+            match self.blocks.next_block()? {
+                Ok(EventBlock::Filler(_)) => {}
+                Ok(EventBlock::Event(event)) => {
+                    return Some(String::from_utf8(event.data).map_err(|error| error.to_string()));
+                }
+                Err(fault) => return Some(Err(format!("the engine's stream is unsound: {fault:?}"))),
             }
         }
     }
 
     /// Whether no bytes of an incomplete event are left.
     pub fn is_empty(&self) -> bool {
-        self.pending.is_empty()
+        self.blocks.is_at_boundary()
     }
 }
 
@@ -94,11 +86,12 @@
         let mut reader = EventReader::default();
         let mut found = Vec::new();
         for byte in b"data: {\"a\":1}\n\n: note\n\ndata: x\ndata: y\n\ndata: part" {
-            reader.feed(&[*byte]).unwrap();
+            reader.feed(&[*byte]);
             found.extend(reader.next_data());
         }
-        assert_eq!(found, ["{\"a\":1}", "x\ny"]);
+        assert_eq!(found, [Ok("{\"a\":1}".to_owned()), Ok("x\ny".to_owned())]);
         assert!(!reader.is_empty());
-        assert!(reader.feed(&vec![b'x'; MAX_EVENT_BYTES]).is_err());
+        reader.feed(&vec![b'x'; MAX_EVENT_BYTES]);
+        assert!(matches!(reader.next_data(), Some(Err(_))));
     }
 }
--- a/crates/router/src/prelude.rs
+++ b/crates/router/src/prelude.rs
@@ -34,10 +34,12 @@
 pub use std::time::Duration;
 pub use tokio::sync::oneshot;
 pub use units::prelude::*;
+#[cfg(test)]
+pub(crate) use web::prelude::MAX_EVENT_BYTES;
 pub use web::prelude::{
-    BodyFault, BodySender, Bytes, IncomingRequest, IncomingResponse, Method, OpenStream, OutgoingRequest,
-    RequestHandler, ResponseFuture, SendFault, ServerOptions, StatusCode, WebResponse, WebResponseExt, bind,
-    bytes_response, error_response, json_response, not_found_response, open_stream, read_whole, serve_with_options,
-    small_runtime, streaming_response,
+    BodyFault, BodySender, Bytes, EventBlock, EventBlocks, IncomingRequest, IncomingResponse, Method, OpenStream,
+    OutgoingRequest, RequestHandler, ResponseFuture, SendFault, ServerOptions, StatusCode, WebResponse,
+    WebResponseExt, bind, bytes_response, error_response, json_response, not_found_response, open_stream, read_whole,
+    serve_with_options, small_runtime, streaming_response,
 };
 pub use wire::prelude::{AgentToRouter, RouterAddress, RouterToAgent};
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -8,6 +8,7 @@
 mod client;
 mod client_account;
 mod closing;
+mod event_stream;
 mod framing;
 mod guard;
 mod persistent;
--- a/crates/web/src/prelude.rs
+++ b/crates/web/src/prelude.rs
@@ -4,6 +4,7 @@
 pub use crate::client::*;
 pub use crate::client_account::*;
 pub use crate::closing::*;
+pub use crate::event_stream::*;
 pub use crate::framing::*;
 pub use crate::guard::*;
 pub use crate::persistent::*;
