--- a/crates/desired/src/configuration.rs
+++ b/crates/desired/src/configuration.rs
@@ -98,6 +98,9 @@
         model: &ModelName,
         weights: WeightsEdition,
     ) -> CommandOutcome {
+        if !self.has_room_for_minimum_weights(model) {
+            return CommandOutcome::refused("model", "the weights of too many models are remembered");
+        }
         let minimum = self.minimum_weights.entry(model.clone()).or_default();
         if weights < *minimum {
             let reason = format!("weights must not decrease: {weights} is below {minimum}");
--- a/crates/desired/src/document.rs
+++ b/crates/desired/src/document.rs
@@ -47,6 +47,9 @@
     }
 }
 
+/// The weights of a model for which a document names none.
+pub const FIRST_WEIGHTS: WeightsEdition = WeightsEdition(1);
+
 /// A model and the weights that its engines are to run.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ModelSpec {
@@ -169,7 +172,7 @@
 
 fn read_fields(document: &mut ObjectReader<'_>, desired_state: &mut DesiredState) {
     document.for_each_entry("models", |name, mut model| {
-        let weights = WeightsEdition(model.integer("weights", 1, 1 << 53).unwrap_or(1));
+        let weights = model.integer("weights", 1, 1 << 53).map_or(FIRST_WEIGHTS, WeightsEdition);
         let adapter_places = model.integer("adapter_places", 0, MAX_ADAPTER_PLACES).unwrap_or(0);
         desired_state.models.insert(name.into(), ModelSpec { weights, adapter_places });
         model.finish();
--- a/crates/desired/src/document_changes.rs
+++ b/crates/desired/src/document_changes.rs
@@ -2,6 +2,9 @@
 
 use crate::prelude::*;
 
+/// The number of models whose minimum weights are remembered.
+pub const MAX_MINIMUM_WEIGHTS: usize = 4096;
+
 impl FleetState {
     /// Replaces the document, if its current edition is still `base`.
     pub(crate) fn replace_document(&mut self, number: Edition, base: Option<Edition>, text: &str) -> CommandOutcome {
@@ -51,6 +54,7 @@
             return CommandOutcome::Refused(errors);
         }
         self.update_walls(number, &next_desired);
+        self.minimum_weights = self.minimum_weights_after(&next_desired);
         self.adapters.apply_document(&self.desired, &next_desired);
         self.desired = next_desired;
         self.desired_text = desired_text;
@@ -72,6 +76,23 @@
         }
     }
 
+    /// The minimum weights once a document is in force. A model that it removes keeps its weights as their minimum: its
+    /// name may return.
+    fn minimum_weights_after(&self, next_desired: &DesiredState) -> BTreeMap<ModelName, WeightsEdition> {
+        let mut minimum_weights = self.minimum_weights.clone();
+        let removed = self.desired.models.iter().filter(|(model, _)| !next_desired.models.contains_key(*model));
+        for (model, spec) in removed.filter(|(_, spec)| spec.weights > FIRST_WEIGHTS) {
+            let minimum = minimum_weights.entry(model.clone()).or_default();
+            *minimum = spec.weights.max(*minimum);
+        }
+        minimum_weights
+    }
+
+    /// Whether the minimum weights of another model may be remembered.
+    pub(crate) fn has_room_for_minimum_weights(&self, model: &ModelName) -> bool {
+        self.minimum_weights.len() < MAX_MINIMUM_WEIGHTS || self.minimum_weights.contains_key(model)
+    }
+
     /// Rejects changes that lower a model's weights, remove the last operator key, or break the rules on adapters'
     /// revisions.
     fn check_changes(&self, next_desired: &DesiredState) -> Vec<ValidationError> {
@@ -84,6 +105,9 @@
                 errors.push(ValidationError::at(&format!("models.{model}.weights"), reason));
             }
         }
+        if self.minimum_weights_after(next_desired).len() > MAX_MINIMUM_WEIGHTS {
+            errors.push(ValidationError::at("models", "too many models were removed whose weights are remembered"));
+        }
         if next_desired.operators.is_empty() && !self.desired.operators.is_empty() {
             errors.push(ValidationError::at("operators", "at least one operator key must stay"));
         }
--- a/crates/desired/src/prelude.rs
+++ b/crates/desired/src/prelude.rs
@@ -6,6 +6,7 @@
 pub use crate::commands::*;
 pub use crate::configuration::*;
 pub use crate::document::*;
+pub use crate::document_changes::*;
 pub use crate::duties::*;
 pub use crate::fleet::*;
 pub use crate::json_text::*;
--- a/crates/desired/tests/fleet_state.rs
+++ b/crates/desired/tests/fleet_state.rs
@@ -121,3 +121,34 @@
     submit(&mut state, Command::Release { claim: BlockHash(7), router: NodeId(1), run: 1 });
     assert!(matches!(submit(&mut state, claim(3)), CommandOutcome::Applied(_)));
 }
+
+/// Guards against STALE: a model that was removed and came back took its earlier weights up again.
+#[test]
+fn a_model_that_returns_keeps_its_weights() {
+    let mut state = FleetState::default();
+    merge_in(&mut state, r#"{"models":{"m":{"weights":5},"n":{}}}"#);
+    merge_in(&mut state, r#"{"models":{"m":null,"n":null}}"#);
+    for text in [r#"{"models":{"m":{"weights":2},"n":{}}}"#, r#"{"models":{"m":{},"n":{"weights":1}}}"#] {
+        submit(&mut state, Command::Replace { base: None, text: text.into() });
+        assert_eq!(state.desired.models[&"m".into()].weights, WeightsEdition(5));
+        assert_eq!(state.desired.models[&"n".into()].weights, WeightsEdition(1));
+        merge_in(&mut state, r#"{"models":null}"#);
+    }
+}
+
+/// What models did is remembered within a bound, and refused beyond it rather than forgotten.
+#[test]
+fn the_weights_of_removed_models_are_remembered_within_a_bound() {
+    let mut state = FleetState::default();
+    let models = |first: usize, count: usize| {
+        let named: Vec<String> = (first..first + count).map(|name| format!(r#""m{name}":{{"weights":2}}"#)).collect();
+        Command::Replace { base: None, text: format!(r#"{{"models":{{{}}}}}"#, named.join(",")) }
+    };
+    submit(&mut state, models(0, MAX_MINIMUM_WEIGHTS));
+    assert!(matches!(submit(&mut state, models(MAX_MINIMUM_WEIGHTS, 1)), CommandOutcome::Applied(_)));
+    assert_eq!(state.minimum_weights.len(), MAX_MINIMUM_WEIGHTS);
+    assert!(matches!(submit(&mut state, models(0, 1)), CommandOutcome::Refused(_)));
+    let raise = |model: &str| Command::RaiseWeights { model: model.into(), weights: WeightsEdition(3) };
+    assert!(matches!(submit(&mut state, raise("other")), CommandOutcome::Refused(_)));
+    assert!(matches!(submit(&mut state, raise("m0")), CommandOutcome::Applied(_)));
+}
