--- a/crates/desired/src/fleet.rs
+++ b/crates/desired/src/fleet.rs
@@ -45,6 +45,8 @@
     pub minimum_weights: BTreeMap<ModelName, WeightsEdition>,
     #[serde(default)]
     pub adapters: AdapterPlacements,
+    #[serde(default = "FormerTenants::unknown")]
+    pub former_tenants: FormerTenants,
 }
 
 impl FleetState {
@@ -106,6 +108,7 @@
             configuration: self.configuration.without_source(),
             minimum_weights: self.minimum_weights.clone(),
             adapters: self.adapters.clone(),
+            former_tenants: self.former_tenants.clone(),
         }
     }
 
--- a/crates/simulator/src/events.rs
+++ b/crates/simulator/src/events.rs
@@ -169,6 +169,13 @@
         key_hash: String,
     },
     OperatorChange,
+    /// An operator removes a tenant.
+    TenantLeaves,
+    /// An operator adds a removed tenant again, with a wall or without.
+    TenantReturns {
+        number: usize,
+        walled: bool,
+    },
     ListingChange,
     Fault(Fault),
     /// Ends a retiring keeper once it has left the view, at `until` at the latest.
@@ -256,6 +263,8 @@
             SimEvent::HealNetwork => self.heal_except_held(true),
             SimEvent::WithdrawKeyBehind { node, key_hash } => self.withdraw_key_behind(node, &key_hash),
             SimEvent::OperatorChange => self.operator_change(),
+            SimEvent::TenantLeaves => self.remove_tenant(),
+            SimEvent::TenantReturns { number, walled } => self.return_tenant(number, walled),
             SimEvent::ListingChange => self.change_random_listing(),
             SimEvent::StopKeeper { keeper, incarnation, until } => self.stop_keeper(keeper, incarnation, until),
             SimEvent::Fault(fault) => self.inject_fault(fault),
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -26,6 +26,7 @@
             Some("nothing"),
             "requests for adapters: under all faults, also with foreign answers and changing bindings, or in a shift between regions with losses or leaving engines",
         ),
+        setting("returns", SettingKind::Flag, None, "operators remove tenants, who return with a wall or without"),
         setting("notes", SettingKind::Flag, None, "print notes of what happened"),
     ],
 };
@@ -46,6 +47,7 @@
             _ => AdapterMode::Nothing,
         };
         let disorder = settings.flag("disorder");
+        let tenants_return = settings.flag("returns");
         let first_seed = settings.whole("seed")?;
         let fault_span = Span::seconds(settings.whole("trouble_s")?);
         let keeps_notes = settings.flag("notes");
@@ -57,6 +59,7 @@
                 keeps_notes,
                 disorder,
                 adapters,
+                tenants_return,
                 ..RunPlan::for_seed(seed)
             })
             .collect();
--- a/crates/simulator/src/operators.rs
+++ b/crates/simulator/src/operators.rs
@@ -110,16 +110,48 @@
     }
 
     pub fn set_walled(&mut self, keeper: usize, tenant: String, walled: bool) {
-        let at = self.millis();
         if !walled {
-            self.record.events.push(EventLine::Unwalled { at, tenant: tenant.clone() });
-            self.pending_unwalls.entry(tenant.clone()).or_default().0 += 1;
+            self.note_open_unwall(&tenant);
         }
         let patch = format!(r#"{{"tenants":{{"{tenant}":{{"walled":{walled}}}}}}}"#);
         let kind = if walled { ChangeKind::Walled(tenant) } else { ChangeKind::Unwalled(tenant) };
         self.submit_patch(keeper, patch, kind);
     }
 
+    /// An operator removes a random tenant, who returns later, with a wall or without.
+    pub fn remove_tenant(&mut self) {
+        let keeper = self.rng.below(KEEPERS as u64) as usize;
+        let number = self.rng.below(TENANTS as u64) as usize;
+        let tenant = self.keys[number].1.clone();
+        self.live_keys.retain(|(_, owner, _)| *owner != tenant);
+        self.note_open_unwall(&tenant);
+        let patch = format!(r#"{{"tenants":{{"{tenant}":null}}}}"#);
+        self.submit_patch(keeper, patch, ChangeKind::Unwalled(tenant));
+        let absence = Span::millis(self.rng.between(100, 4_000));
+        let walled = self.rng.chance(70);
+        self.schedule_after(absence, SimEvent::TenantReturns { number, walled });
+    }
+
+    /// The tenant returns with its first key.
+    pub fn return_tenant(&mut self, number: usize, walled: bool) {
+        let keeper = self.rng.below(KEEPERS as u64) as usize;
+        let (key, tenant) = self.keys[number].clone();
+        if !walled {
+            self.note_open_unwall(&tenant);
+        }
+        let spec = format!(r#"{{"walled":{walled},"share":400,"keys":{{"main":"{key}"}}}}"#);
+        let patch = format!(r#"{{"tenants":{{"{tenant}":{spec}}}}}"#);
+        let kind = if walled { ChangeKind::Walled(tenant) } else { ChangeKind::Unwalled(tenant) };
+        self.submit_patch(keeper, patch, kind);
+    }
+
+    /// Records that the tenant's wall may be removed from now on.
+    fn note_open_unwall(&mut self, tenant: &str) {
+        let at = self.millis();
+        self.record.events.push(EventLine::Unwalled { at, tenant: tenant.to_owned() });
+        self.pending_unwalls.entry(tenant.to_owned()).or_default().0 += 1;
+    }
+
     pub fn withdraw_key(&mut self, keeper: usize, index: usize) {
         let (key, tenant, number) = self.live_keys.remove(index);
         let patch = format!(r#"{{"tenants":{{"{tenant}":{{"keys":{{"k{number}":null}}}}}}}}"#);
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -22,6 +22,8 @@
     pub disorder: bool,
     /// Which scenario with adapters to run.
     pub adapters: AdapterMode,
+    /// Operators remove tenants, who return with a wall or without.
+    pub tenants_return: bool,
 }
 
 /// Scenarios with requests for adapters.
@@ -64,6 +66,7 @@
             lasting: Lasting::Nothing,
             disorder: false,
             adapters: AdapterMode::Nothing,
+            tenants_return: false,
         }
     }
 }
@@ -149,6 +152,9 @@
         world.schedule_at(fault_at, SimEvent::Fault(Fault::random(&mut rng, KEEPERS, NODES, ENGINES)));
     }
     schedule_changes(&mut world, &mut rng, faults_end, plan.lasting);
+    if plan.tenants_return {
+        schedule_removals(&mut world, &mut rng, faults_end);
+    }
     if plan.adapters == AdapterMode::Foreign {
         world.schedule_foreign(plan.seed, faults_end);
     }
@@ -189,6 +195,14 @@
     }
 }
 
+fn schedule_removals(world: &mut World, rng: &mut SeededRng, end: Instant) {
+    let mut removal_at = world.now;
+    while removal_at < end {
+        removal_at = removal_at + Span::millis(rng.between(500, 5_000));
+        world.schedule_at(removal_at, SimEvent::TenantLeaves);
+    }
+}
+
 /// Applies the lasting cut, after the chain has had time to fill up again.
 fn apply_lasting_cut(world: &mut World, rng: &mut SeededRng, lasting: Lasting) {
     if lasting == Lasting::Nothing {
--- a/crates/simulator/tests/seeds.rs
+++ b/crates/simulator/tests/seeds.rs
@@ -135,6 +135,15 @@
     assert!(count(&outcomes, "whole") > 120_000, "{} answers", count(&outcomes, "whole"));
 }
 
+/// Guards against rule 5: a tenant that was removed and returned with a wall shared what it had made before.
+#[test]
+fn tenants_that_leave_and_return_break_no_rule() {
+    let plan = |seed| RunPlan { tenants_return: true, ..RunPlan::for_seed(seed) };
+    let outcomes = run_without_violations((3_000..3_080).map(plan).collect());
+    let starts: usize = outcomes.iter().map(|outcome| outcome.starts).sum();
+    assert!(starts > 100_000, "the runs did little: {starts} starts");
+}
+
 #[test]
 fn the_same_seed_gives_the_same_run() {
     let plan = RunPlan { keeps_notes: true, ..RunPlan::for_seed(42) };
