--- a/crates/desired/src/fleet.rs
+++ b/crates/desired/src/fleet.rs
@@ -45,7 +45,7 @@
     pub minimum_weights: BTreeMap<ModelName, WeightsEdition>,
     #[serde(default)]
     pub adapters: AdapterPlacements,
-    #[serde(default = "FormerTenants::unknown")]
+    #[serde(default = "FormerTenants::unknown", skip_serializing_if = "FormerTenants::is_unknown")]
     pub former_tenants: FormerTenants,
 }
 
--- a/crates/desired/src/walls.rs
+++ b/crates/desired/src/walls.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FormerTenants {
     names: BTreeSet<TenantName>,
-    /// Any tenant may be a former one: some names are not remembered.
+    /// Any tenant may be a former one: some names are not remembered. There are no names then.
     is_incomplete: bool,
 }
 
@@ -27,6 +27,11 @@
         FormerTenants { names: BTreeSet::new(), is_incomplete: true }
     }
 
+    /// Whether any tenant may be a former one.
+    pub fn is_unknown(&self) -> bool {
+        self.is_incomplete
+    }
+
     /// Whether a tenant that is not in the document may have made blocks behind the current shared wall.
     fn may_contain(&self, tenant: &TenantName) -> bool {
         self.is_incomplete || self.names.contains(tenant)
