--- a/crates/desired/src/traffic.rs
+++ b/crates/desired/src/traffic.rs
@@ -220,9 +220,14 @@
     fields.finish();
 }
 
+/// The one spelling of a host's name, which does not depend on the case of its letters.
+pub fn normalized_host(host: &str) -> String {
+    host.to_ascii_lowercase()
+}
+
 /// Checks that routes refer to known services and that no two routes match the same requests.
 pub(crate) fn check_traffic(desired_state: &DesiredState, errors: &mut Vec<ValidationError>) {
-    let mut matched: BTreeMap<(&str, &str), &RouteName> = BTreeMap::new();
+    let mut matched: BTreeMap<(String, &str), &RouteName> = BTreeMap::new();
     for (name, route) in &desired_state.routes {
         for branch in &route.branches {
             let is_routable =
@@ -232,7 +237,7 @@
                 errors.push(ValidationError::at(&format!("routes.{name}.branches"), reason));
             }
         }
-        if let Some(other) = matched.insert((&route.host, &route.prefix), name) {
+        if let Some(other) = matched.insert((normalized_host(&route.host), &route.prefix), name) {
             errors.push(ValidationError::at(&format!("routes.{name}"), format!("same host and prefix as {other}")));
         }
     }
--- a/crates/desired/tests/fleet_state.rs
+++ b/crates/desired/tests/fleet_state.rs
@@ -152,3 +152,17 @@
     assert!(matches!(submit(&mut state, raise("other")), CommandOutcome::Refused(_)));
     assert!(matches!(submit(&mut state, raise("m0")), CommandOutcome::Applied(_)));
 }
+
+/// Guards against CONFIG in the case `same-place`: two routes whose hosts differ in case alone were taken, and one got
+/// the requests of both.
+#[test]
+fn hosts_that_differ_in_case_alone_are_the_same() {
+    let mut state = FleetState::default();
+    let route = |host: &str| format!(r#"{{"host":"{host}","prefix":"/a/","branches":[{{"service":"s"}}]}}"#);
+    let routes = |other: &str| {
+        let (first, second) = (route("h.example"), route(other));
+        format!(r#"{{"services":{{"s":{{}}}},"routes":{{"r":{first},"q":{second}}}}}"#)
+    };
+    assert!(matches!(merge_in(&mut state, &routes("H.example")), CommandOutcome::Refused(_)));
+    assert!(matches!(merge_in(&mut state, &routes("i.example")), CommandOutcome::Applied(_)));
+}
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -41,7 +41,7 @@
         let mut table = RouteTable::default();
         for (name, spec) in &desired.routes {
             let named_route = Arc::new(NamedRoute { name: name.clone(), spec: spec.clone() });
-            let host = table.hosts.entry(spec.host.to_ascii_lowercase()).or_default();
+            let host = table.hosts.entry(normalized_host(&spec.host)).or_default();
             host.insert(spec.prefix.clone(), named_route);
         }
         table
@@ -49,7 +49,7 @@
 
     /// The route of the host with the longest prefix of the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<NamedRoute>> {
-        let host_name = host_without_port(host).to_ascii_lowercase();
+        let host_name = normalized_host(host_without_port(host));
         let prefixes = self.hosts.get(&host_name)?;
         let slashes = path.bytes().enumerate().filter(|(_, byte)| *byte == b'/').map(|(place, _)| place);
         let ends: Vec<usize> = slashes.collect();
