--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -27,7 +27,7 @@
     pub model: Option<ModelName>,
     pub engine: EngineName,
     pub weights: WeightsEdition,
-    pub salt: Option<Salt>,
+    pub salt: Salt,
     pub deadline: Instant,
 }
 
@@ -55,13 +55,9 @@
     if usable != Some(basis.weights) {
         return Err(StartRefusal::EngineMoved);
     }
-    if let (Some(model), Some(salt)) = (&basis.model, &basis.salt) {
-        let unknown = TenantName::default();
-        let tenant = basis.tenant.as_ref().map_or(&unknown, |(tenant, _)| tenant);
-        let wall = snapshot.state.wall_of(tenant);
-        if Salt::for_model(model, basis.weights, wall.id, wall.edition) != *salt {
-            return Err(StartRefusal::WallMoved);
-        }
+    let tenant = basis.tenant.as_ref().map(|(tenant, _)| tenant);
+    if salt_for(snapshot, tenant, basis.model.as_ref(), basis.weights) != basis.salt {
+        return Err(StartRefusal::WallMoved);
     }
     Ok(())
 }
--- a/crates/gateway/src/prelude.rs
+++ b/crates/gateway/src/prelude.rs
@@ -25,7 +25,7 @@
 pub use budget::prelude::{Budget, ProcessLimits, Share, configure_allocator};
 pub(crate) use desired::prelude::{DesiredState, ServiceSpec};
 pub use parts::prelude::{PartBatch, PartEvent, PartName, SourcePosition};
-pub(crate) use placement::prelude::{DEFAULT_POLICY, FleetSnapshot, OldWeightsLimits};
+pub(crate) use placement::prelude::{DEFAULT_POLICY, FleetSnapshot, NO_WEIGHTS, OldWeightsLimits};
 pub(crate) use process::prelude::{Report, event, miette, sha256_hex};
 pub(crate) use queues::prelude::*;
 pub use router::prelude::RouterAddress;
@@ -49,4 +49,6 @@
     ResponseFuture, ServerOptions, WebResponse, WebResponseExt, bind, bytes_response, fetch_response, read_whole,
     read_within_budget, serve_with_options, streaming_response,
 };
-pub use web::prelude::{Bytes, ClientAccount, Full, HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
+pub use web::prelude::{
+    Bytes, ClientAccount, Full, HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri,
+};
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -38,7 +38,7 @@
     pub last_event: Option<u64>,
     pub weights: Option<WeightsEdition>,
     /// The salt of the prompt's part names.
-    pub salt: Option<&'a str>,
+    pub salt: &'a str,
     pub priority: u64,
     /// The address from which the engine may fetch missing parts.
     pub fetch_from: Option<&'a str>,
@@ -103,8 +103,9 @@
 
 /// Writes attempts to engines and reads their responses.
 pub trait EngineProtocol: Send + Sync + 'static {
-    /// Writes an attempt's headers, replacing the caller's headers of the same names.
-    fn write_attempt(&self, attempt: &AttemptHead<'_>, headers: &mut HeaderMap);
+    /// Writes an attempt's headers, replacing the caller's headers of the same names. An error if one of them cannot be
+    /// written; the attempt must not be sent then.
+    fn write_attempt(&self, attempt: &AttemptHead<'_>, headers: &mut HeaderMap) -> Result<(), String>;
 
     /// Reads the head of an engine's response.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -71,7 +71,10 @@
     ) -> Result<Response<Incoming>, AttemptEnd> {
         let snapshot = self.shared.snapshot();
         let salt = self.planned.salt(&snapshot, chosen.weights);
-        let request = self.request(chosen, salt.as_ref(), last_event, &snapshot);
+        let request = match self.request(chosen, &salt, last_event, &snapshot) {
+            Ok(request) => request,
+            Err(reason) => return Err(self.unsendable(chosen, &reason)),
+        };
         let refusal = SharedRefusal::default();
         let gate = self.gate(chosen, salt, &refusal);
         let time_left = self.planned.deadline.since(boot_now()).as_duration();
@@ -83,6 +86,13 @@
         }
     }
 
+    /// The attempt cannot be written for this engine; another engine's may be.
+    fn unsendable(&mut self, chosen: &Chosen, reason: &str) -> AttemptEnd {
+        event!(warn, "attempt_unsendable", engine = chosen.engine, reason = reason);
+        self.tried.push(chosen.engine.clone());
+        failed(Failure::NotSent)
+    }
+
     /// How an attempt ends that got no response: refused by the gate, or failed.
     fn send_failure(
         &mut self,
@@ -98,7 +108,7 @@
     }
 
     /// The check before the first byte is written; a refusal is stored in `refusal`.
-    fn gate(&self, chosen: &Chosen, salt: Option<Salt>, refusal: &SharedRefusal) -> web::prelude::SendGate {
+    fn gate(&self, chosen: &Chosen, salt: Salt, refusal: &SharedRefusal) -> web::prelude::SendGate {
         let basis = AttemptBasis {
             is_public: self.planned.route.spec.public,
             tenant: self.planned.tenant.clone(),
@@ -121,14 +131,14 @@
     fn request(
         &self,
         chosen: &Chosen,
-        salt: Option<&Salt>,
+        salt: &Salt,
         last_event: Option<u64>,
         snapshot: &FleetSnapshot,
-    ) -> Request<Full<Bytes>> {
+    ) -> Result<Request<Full<Bytes>>, String> {
         let planned = &self.planned;
         let mut request = Request::new(Full::new(planned.body.clone()));
         *request.method_mut() = planned.method.clone();
-        *request.uri_mut() = planned.target.parse().unwrap_or_default();
+        *request.uri_mut() = planned.target.parse::<Uri>().map_err(|error| error.to_string())?;
         *request.headers_mut() = planned.headers.clone();
         let attempt_head = AttemptHead {
             attempt: &planned.head.attempt,
@@ -136,13 +146,13 @@
             time_left: planned.deadline.since(boot_now()),
             tenant: planned.tenant.as_ref().map(|(tenant, _)| tenant),
             last_event,
-            weights: planned.head.model.as_ref().map(|_| chosen.weights),
-            salt: salt.map(|salt| salt.0.as_str()),
+            weights: (chosen.weights != NO_WEIGHTS).then_some(chosen.weights),
+            salt: salt.0.as_str(),
             priority: planned.priority(snapshot),
             fetch_from: chosen.fetch.as_ref().map(|fetch| fetch.address.as_str()),
             store_to: chosen.sink.as_deref(),
         };
-        self.protocol.write_attempt(&attempt_head, request.headers_mut());
-        request
+        self.protocol.write_attempt(&attempt_head, request.headers_mut())?;
+        Ok(request)
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -49,23 +49,24 @@
     }
 
     /// The salt of this tenant's part names on an engine with these weights.
-    pub fn salt(&self, snapshot: &FleetSnapshot, weights: WeightsEdition) -> Option<Salt> {
-        let model = self.head.model.as_ref()?;
-        let unknown = TenantName::default();
-        let tenant = self.tenant.as_ref().map_or(&unknown, |(tenant, _)| tenant);
-        let wall = snapshot.state.wall_of(tenant);
-        Some(Salt::for_model(model, weights, wall.id, wall.edition))
+    pub fn salt(&self, snapshot: &FleetSnapshot, weights: WeightsEdition) -> Salt {
+        let tenant = self.tenant.as_ref().map(|(tenant, _)| tenant);
+        salt_for(snapshot, tenant, self.head.model.as_ref(), weights)
     }
 
-    /// The prompt's parts by the names under which they are cached with these weights.
+    /// The prompt's parts by the names under which they are cached with these weights. Those of a request that names
+    /// no model are not known: each engine runs it on its own first model.
     pub fn named_parts(&self, snapshot: &FleetSnapshot, weights: WeightsEdition) -> Vec<(PartName, u64)> {
-        let Some(salt) = self.salt(snapshot, weights) else { return Vec::new() };
+        if self.head.model.is_none() {
+            return Vec::new();
+        }
+        let salt = self.salt(snapshot, weights);
         self.head.parts.iter().map(|part| (PartName::of(&salt.0, &part.id), part.tokens)).collect()
     }
 
     /// The hash of the parts that the prompt is assumed to share with others: all but the last.
     fn shared_prefix(&self, snapshot: &FleetSnapshot, weights: Option<WeightsEdition>) -> u64 {
-        let salt = weights.and_then(|weights| self.salt(snapshot, weights)).unwrap_or(Salt(String::new()));
+        let salt = weights.map_or(Salt(String::new()), |weights| self.salt(snapshot, weights));
         let shared = self.head.parts.iter().rev().skip(1).rev();
         shared.fold(PartName::of(&salt.0, "").0, |prefix, part| PartName::of(&prefix.to_string(), &part.id).0)
     }
@@ -100,5 +101,18 @@
     }
 }
 
+/// The salt of a tenant's part names for a model. Every request has one, since without a salt an engine shares its
+/// parts with all others; requests without a model share among themselves, within the tenant's wall.
+pub(crate) fn salt_for(
+    snapshot: &FleetSnapshot,
+    tenant: Option<&TenantName>,
+    model: Option<&ModelName>,
+    weights: WeightsEdition,
+) -> Salt {
+    let (no_tenant, no_model) = (TenantName::default(), ModelName::default());
+    let wall = snapshot.state.wall_of(tenant.unwrap_or(&no_tenant));
+    Salt::for_model(model.unwrap_or(&no_model), weights, wall.id, wall.edition)
+}
+
 /// The extra cost in blocks of an engine in another zone: its traffic crosses zones and its responses come later.
 const ZONE_PENALTY_BLOCKS: f64 = 8.0;
--- a/crates/gateway/tests/keys.rs
+++ b/crates/gateway/tests/keys.rs
@@ -1,6 +1,7 @@
 //! The start check looks at the key once more: one that no tenant has any more starts nothing, also when no tenant is
 //! left.
 
+use blocks::prelude::Salt;
 use desired::prelude::*;
 use gateway::prelude::*;
 use placement::prelude::{FleetSnapshot, NO_WEIGHTS};
@@ -29,7 +30,7 @@
         model: None,
         engine: "app-1".into(),
         weights: NO_WEIGHTS,
-        salt: None,
+        salt: Salt::for_model(&"".into(), NO_WEIGHTS, WallId(0), WallEdition(0)),
         deadline: NOW + Span::seconds(1),
     };
     may_start(snapshot, NOW + Span::seconds(1), &basis, NOW)
--- a/crates/gateway/tests/several_models.rs
+++ b/crates/gateway/tests/several_models.rs
@@ -1,5 +1,6 @@
 //! An engine with several models is a candidate for the requests of each, with that model's weights.
 
+use blocks::prelude::Salt;
 use desired::prelude::*;
 use gateway::prelude::*;
 use placement::prelude::FleetSnapshot;
@@ -50,7 +51,7 @@
         model: Some("m1".into()),
         engine: "both".into(),
         weights: WeightsEdition(weights),
-        salt: None,
+        salt: Salt::for_model(&"m1".into(), WeightsEdition(weights), WallId(0), WallEdition(0)),
         deadline: NOW + Span::seconds(1),
     };
     let lease_until = NOW + Span::seconds(1);
@@ -61,3 +62,25 @@
         "these are the other model's weights"
     );
 }
+
+/// Guards against WALL in review/5: an attempt without a salt was not checked, whoever its tenant was.
+#[test]
+fn an_attempt_starts_only_with_the_salt_of_its_tenant_and_model() {
+    let snapshot = snapshot();
+    let start = |model: Option<&str>, salted_for: &str| {
+        let basis = AttemptBasis {
+            is_public: false,
+            tenant: None,
+            model: model.map(ModelName::from),
+            engine: "single".into(),
+            weights: WeightsEdition(1),
+            salt: Salt::for_model(&salted_for.into(), WeightsEdition(1), WallId(0), WallEdition(0)),
+            deadline: NOW + Span::seconds(1),
+        };
+        may_start(&snapshot, NOW + Span::seconds(1), &basis, NOW)
+    };
+    assert_eq!(start(Some("m0"), "m0"), Ok(()));
+    assert_eq!(start(None, ""), Ok(()));
+    assert_eq!(start(Some("m0"), ""), Err(StartRefusal::WallMoved));
+    assert_eq!(start(None, "m0"), Err(StartRefusal::WallMoved));
+}
--- a/crates/gateway/tests/without_models.rs
+++ b/crates/gateway/tests/without_models.rs
@@ -1,9 +1,10 @@
 //! The engines of a service without models serve requests that name no model, whatever weights other services
 //! have; an engine whose models are not known yet does not count as one without models.
 
+use blocks::prelude::Salt;
 use desired::prelude::*;
 use gateway::prelude::*;
-use placement::prelude::FleetSnapshot;
+use placement::prelude::{FleetSnapshot, NO_WEIGHTS};
 
 const NOW: Instant = Instant(1_000_000_000_000);
 
@@ -76,8 +77,8 @@
         tenant: None,
         model: None,
         engine: engine.into(),
-        weights: placement::prelude::NO_WEIGHTS,
-        salt: None,
+        weights: NO_WEIGHTS,
+        salt: Salt::for_model(&"".into(), NO_WEIGHTS, WallId(0), WallEdition(0)),
         deadline: NOW + Span::seconds(1),
     };
     let lease_until = NOW + Span::seconds(1);
--- a/crates/units/src/names.rs
+++ b/crates/units/src/names.rs
@@ -20,7 +20,11 @@
 
 name_type!(TenantName, KeyName, ModelName, EngineName, ServiceName, RouteName, Zone, Region, AdapterName);
 
-/// Whether `text` is a valid name: 1 to 64 ASCII letters, digits, `-`, `_` or `.`.
+/// The length of the longest name. Names of other systems are longer once they are encoded.
+pub const MAX_NAME_BYTES: usize = 256;
+
+/// Whether `text` is a valid name: 1 to `MAX_NAME_BYTES` ASCII letters, digits, `-`, `_` or `.`.
 pub fn is_valid_name(text: &str) -> bool {
-    (1..=64).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte))
+    let has_length = (1..=MAX_NAME_BYTES).contains(&text.len());
+    has_length && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte))
 }
