--- a/crates/web/src/event_stream.rs
+++ b/crates/web/src/event_stream.rs
@@ -5,6 +5,9 @@
 /// The limit on buffered bytes, and thus on the size of one event.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// The names of an event's own fields.
+const FIELD_NAMES: [&str; 4] = ["data", "id", "event", "retry"];
+
 /// The prefix of field names that are not part of the standard. They stand before the event's own fields.
 const EXTENSION_PREFIX: &str = "x-";
 
@@ -20,7 +23,7 @@
 /// The part of a stream up to a blank line.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EventBlock {
-    /// Comments, or nothing.
+    /// Nothing that makes an event: comments, a name or a retry time without data, or nothing.
     Filler(Vec<u8>),
     Event(Event),
 }
@@ -96,7 +99,7 @@
 struct BlockFields {
     has_comments: bool,
     has_extensions: bool,
-    has_other_fields: bool,
+    has_own_fields: bool,
     id: Option<String>,
     data: Option<Vec<u8>>,
 }
@@ -111,14 +114,14 @@
     }
     match fields.data {
         Some(data) => Ok(EventBlock::Event(Event { bytes, id: fields.id, data })),
-        None if fields.has_fields() => Err(EventFault::Malformed),
+        None if fields.has_extensions || fields.id.is_some() => Err(EventFault::Malformed),
         None => Ok(EventBlock::Filler(bytes)),
     }
 }
 
 impl BlockFields {
     fn has_fields(&self) -> bool {
-        self.has_extensions || self.has_other_fields
+        self.has_extensions || self.has_own_fields
     }
 
     /// Reads a line that is not blank; `None` if it is not allowed here. A line end of old systems would divide an
@@ -136,11 +139,12 @@
         self.read_field(name, value)
     }
 
-    /// Comments stand in blocks of their own: one within an event may be a field whose name was damaged.
+    /// Comments stand in blocks of their own: one within an event may be a field whose name was damaged, as is one
+    /// that reads like a field but for its first letter.
     fn read_comment(&mut self, text: &[u8]) -> Option<()> {
         self.has_comments = true;
-        let is_comment = text.is_empty() || text.starts_with(b" ");
-        (is_comment && !self.has_fields()).then_some(())
+        let is_damaged_field = |name: &&str| text.strip_prefix(&name.as_bytes()[1..]).is_some_and(starts_with_colon);
+        (!self.has_fields() && !FIELD_NAMES.iter().any(is_damaged_field)).then_some(())
     }
 
     fn read_field(&mut self, name: &str, value: &[u8]) -> Option<()> {
@@ -149,9 +153,12 @@
         }
         if name.starts_with(EXTENSION_PREFIX) {
             self.has_extensions = true;
-            return (!self.has_other_fields).then_some(());
+            return (!self.has_own_fields).then_some(());
+        }
+        if !FIELD_NAMES.contains(&name) {
+            return None;
         }
-        self.has_other_fields = true;
+        self.has_own_fields = true;
         match name {
             "id" => {
                 let text = std::str::from_utf8(value).ok()?;
@@ -167,8 +174,11 @@
                 }
                 Some(())
             }
-            "event" | "retry" => Some(()),
-            _ => None,
+            _ => Some(()),
         }
     }
 }
+
+fn starts_with_colon(text: &[u8]) -> bool {
+    text.first() == Some(&b':')
+}
